--- /dev/null
+++ b/api/problem.go
@@ -0,0 +1,92 @@
+package api
+
+import (
+	"fmt"
+	"net/http"
+)
+
+// Run tells a caller whether its request ran.
+type Run string
+
+// Values of Run.
+const (
+	// RunNot means that no endpoint accepted this or any earlier attempt of the request id.
+	RunNot Run = "not-run"
+	// RunDone means that an endpoint ran the request and its whole answer is returned.
+	RunDone Run = "ran"
+	// RunUnknown means that the request may have run.
+	RunUnknown Run = "unknown"
+)
+
+// Code is the stable machine-readable code of a problem.
+type Code string
+
+// Problem codes of the caller, endpoint and operator interfaces.
+const (
+	CodeKeyRequired      Code = "key-required"
+	CodeKeyInvalid       Code = "key-invalid"
+	CodeUnknownQueue     Code = "unknown-queue"
+	CodeBodyTooLarge     Code = "body-too-large"
+	CodeInvalidField     Code = "invalid-field"
+	CodeQueueFull        Code = "queue-full"
+	CodeDeadline         Code = "deadline"
+	CodeNoEndpoint       Code = "no-endpoint"
+	CodeTeamLimit        Code = "team-limit"
+	CodeControlStale     Code = "control-stale"
+	CodeShuttingDown     Code = "shutting-down"
+	CodeOutcomeUnknown   Code = "outcome-unknown"
+	CodeEndpointRefused  Code = "endpoint-refused"
+	CodeConflict         Code = "conflict"
+	CodeInvalidDocument  Code = "invalid-document"
+	CodeNotFound         Code = "not-found"
+	CodeUnavailable      Code = "unavailable"
+	CodeInternal         Code = "internal"
+	CodeOperatorRequired Code = "operator-required"
+	CodeRequestMismatch  Code = "request-mismatch"
+)
+
+// ProblemMediaType is the media type of a problem document.
+const ProblemMediaType = "application/problem+json"
+
+// Problem is an application/problem+json document (RFC 9457) with members for
+// the stable code, the run state and the request id.
+type Problem struct {
+	Title     string `json:"title"`
+	Status    int    `json:"status"`
+	Detail    string `json:"detail,omitempty"`
+	Code      Code   `json:"code"`
+	Run       Run    `json:"run,omitempty"`
+	RequestID string `json:"request_id,omitempty"`
+	// Field is the path of the faulty field, if there is one.
+	Field string `json:"field,omitempty"`
+	// Faults lists every fault of a refused document.
+	Faults []Fault `json:"faults,omitempty"`
+	// RetryAfterMS, when positive, is also sent as Retry-After in whole seconds.
+	RetryAfterMS int64 `json:"retry_after_ms,omitempty"`
+}
+
+// Error implements error.
+func (p *Problem) Error() string {
+	return fmt.Sprintf("%s: %s", p.Code, p.Detail)
+}
+
+// NewProblem returns a problem with the title of the HTTP status.
+func NewProblem(status int, code Code, run Run, detail string) *Problem {
+	return &Problem{
+		Title:  http.StatusText(status),
+		Status: status,
+		Code:   code,
+		Run:    run,
+		Detail: detail,
+	}
+}
+
+// Fault is one fault of a document or of settings.
+type Fault struct {
+	// Path locates the field, for example "teams[2].share".
+	Path    string `json:"path"`
+	Message string `json:"message"`
+}
+
+// String returns the path and message.
+func (f Fault) String() string { return f.Path + ": " + f.Message }
--- /dev/null
+++ b/burn/doc.go
@@ -0,0 +1,2 @@
+// Package burn is part of magnoliastand.
+package burn
--- /dev/null
+++ b/consensus/doc.go
@@ -0,0 +1,2 @@
+// Package consensus is part of magnoliastand.
+package consensus
--- /dev/null
+++ b/control/doc.go
@@ -0,0 +1,2 @@
+// Package control is part of magnoliastand.
+package control
--- /dev/null
+++ b/daemon/doc.go
@@ -0,0 +1,2 @@
+// Package daemon is part of magnoliastand.
+package daemon
--- /dev/null
+++ b/fairshare/doc.go
@@ -0,0 +1,2 @@
+// Package fairshare is part of magnoliastand.
+package fairshare
--- /dev/null
+++ b/fleet/doc.go
@@ -0,0 +1,2 @@
+// Package fleet is part of magnoliastand.
+package fleet
--- /dev/null
+++ b/peerlink/doc.go
@@ -0,0 +1,2 @@
+// Package peerlink is part of magnoliastand.
+package peerlink
--- /dev/null
+++ b/placement/doc.go
@@ -0,0 +1,2 @@
+// Package placement is part of magnoliastand.
+package placement
--- /dev/null
+++ b/planner/doc.go
@@ -0,0 +1,2 @@
+// Package planner is part of magnoliastand.
+package planner
--- /dev/null
+++ b/quota/doc.go
@@ -0,0 +1,2 @@
+// Package quota is part of magnoliastand.
+package quota
--- /dev/null
+++ b/standin/doc.go
@@ -0,0 +1,2 @@
+// Package standin is part of magnoliastand.
+package standin
