peerlink: authenticated WebSocket links with CBOR calls and notifications

Cause: daemons need one link layer. Weighed: one link for both directions against one for each; each side owning what it dialled needs no tie-break.

--- a/peerlink/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package peerlink is part of magnoliastand.
-package peerlink
--- /dev/null
+++ b/peerlink/inlink.go
@@ -0,0 +1,177 @@
+package peerlink
+
+import (
+	"context"
+	"net/http"
+	"sync"
+
+	"github.com/coder/websocket"
+)
+
+// inLink is a link that a peer dialled: it receives calls and notifications
+// and sends replies.
+type inLink struct {
+	node   *Node
+	peer   Identity
+	ws     *websocket.Conn
+	send   chan frame
+	ctx    context.Context
+	cancel context.CancelFunc
+	slots  chan struct{}
+	once   sync.Once
+}
+
+// accept upgrades an HTTP request to a link and serves it until it breaks.
+func (n *Node) accept(w http.ResponseWriter, r *http.Request) {
+	ws, err := websocket.Accept(w, r, nil)
+	if err != nil {
+		return
+	}
+	ws.SetReadLimit(MaxFrameBytes)
+	ctx, cancel := context.WithTimeout(n.ctx, HelloTimeout)
+	peer, err := serverHandshake(ctx, ws, n.cfg.Self, n.cfg.Secret)
+	cancel()
+	if err != nil {
+		n.cfg.Log.Warn().Err(err).Str("remote", r.RemoteAddr).Msg("peer refused")
+		n.stats.refused()
+		_ = ws.CloseNow()
+		return
+	}
+	l := newInLink(n, peer, ws)
+	if !n.track(l) {
+		l.close()
+		return
+	}
+	defer n.untrack(l)
+	l.serve()
+}
+
+func (n *Node) track(l *inLink) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.ctx.Err() != nil {
+		return false
+	}
+	n.accepted[l] = struct{}{}
+	n.wg.Add(1)
+	return true
+}
+
+func (n *Node) untrack(l *inLink) {
+	n.mu.Lock()
+	delete(n.accepted, l)
+	n.mu.Unlock()
+	n.wg.Done()
+}
+
+func newInLink(n *Node, peer Identity, ws *websocket.Conn) *inLink {
+	ctx, cancel := context.WithCancel(n.ctx)
+	return &inLink{
+		node:   n,
+		peer:   peer,
+		ws:     ws,
+		send:   make(chan frame, sendQueueFrames),
+		ctx:    ctx,
+		cancel: cancel,
+		slots:  make(chan struct{}, maxConcurrentCalls),
+	}
+}
+
+func (l *inLink) close() {
+	l.once.Do(func() {
+		l.cancel()
+		_ = l.ws.CloseNow()
+	})
+}
+
+func (l *inLink) serve() {
+	defer l.close()
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	wg.Go(l.write)
+	defer l.close()
+	for {
+		_, b, err := l.ws.Read(l.ctx)
+		if err != nil {
+			return
+		}
+		if l.node.isBlocked(l.peer) {
+			continue
+		}
+		l.node.stats.received(len(b))
+		var f frame
+		if err := decode(b, &f); err != nil {
+			l.node.cfg.Log.Warn().Err(err).Str("peer", l.peer.Name).Msg("malformed frame")
+			return
+		}
+		l.dispatch(&wg, f)
+	}
+}
+
+func (l *inLink) dispatch(wg *sync.WaitGroup, f frame) {
+	switch f.Kind {
+	case frameNotify:
+		if h, ok := l.node.notifiers[f.Method]; ok {
+			h(l.peer, f.Payload)
+		}
+	case frameCall:
+		select {
+		case l.slots <- struct{}{}:
+		default:
+			l.reply(frame{Kind: frameReply, Seq: f.Seq, Fault: &wireFault{Code: CodeBusy, Detail: "too many concurrent calls"}})
+			return
+		}
+		wg.Go(func() {
+			defer func() { <-l.slots }()
+			l.reply(l.handle(f))
+		})
+	}
+}
+
+func (l *inLink) handle(f frame) frame {
+	reply := frame{Kind: frameReply, Seq: f.Seq}
+	h, ok := l.node.handlers[f.Method]
+	if !ok {
+		reply.Fault = &wireFault{Code: CodeUnknownMethod, Detail: f.Method}
+		return reply
+	}
+	resp, err := h(l.ctx, l.peer, f.Payload)
+	if err != nil {
+		reply.Fault = faultOf(err)
+		return reply
+	}
+	if resp == nil {
+		return reply
+	}
+	payload, err := encode(resp)
+	if err != nil {
+		reply.Fault = faultOf(err)
+		return reply
+	}
+	reply.Payload = payload
+	return reply
+}
+
+func (l *inLink) reply(f frame) {
+	select {
+	case l.send <- f:
+	case <-l.ctx.Done():
+	}
+}
+
+func (l *inLink) write() {
+	for {
+		select {
+		case f := <-l.send:
+			if l.node.isBlocked(l.peer) {
+				continue
+			}
+			if err := l.node.writeOne(l.ws, f); err != nil {
+				l.close()
+				return
+			}
+		case <-l.ctx.Done():
+			return
+		}
+	}
+}
--- /dev/null
+++ b/peerlink/node_test.go
@@ -0,0 +1,203 @@
+package peerlink
+
+import (
+	"context"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+	"go.uber.org/goleak"
+)
+
+const testSecret = "0123456789abcdef"
+
+type echoMessage struct {
+	Text string `cbor:"1,keyasint"`
+}
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func testNode(t *testing.T, name, cluster, secret string, book map[string]string) *Node {
+	t.Helper()
+	n, err := New(Config{
+		Self:      Identity{Cluster: cluster, Name: name, Incarnation: "1", Zone: "z"},
+		Secret:    []byte(secret),
+		Addresses: book,
+		Log:       zerolog.Nop(),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(n.Close)
+	return n
+}
+
+// serveNode starts a listener for n and enters its address into book.
+func serveNode(t *testing.T, n *Node, book map[string]string) *httptest.Server {
+	t.Helper()
+	srv := httptest.NewServer(n.Handler())
+	t.Cleanup(func() {
+		n.Close()
+		srv.Close()
+	})
+	book[n.Self().Name] = strings.TrimPrefix(srv.URL, "http://")
+	return srv
+}
+
+func echoPair(t *testing.T) (*Node, *Node) {
+	t.Helper()
+	book := map[string]string{}
+	a := testNode(t, "a", "c", testSecret, book)
+	b := testNode(t, "b", "c", testSecret, book)
+	b.Handle("echo", func(_ context.Context, from Identity, payload []byte) (any, error) {
+		var m echoMessage
+		if err := decode(payload, &m); err != nil {
+			return nil, err
+		}
+		if m.Text == "fail" {
+			return nil, &RemoteError{Code: "chosen", Detail: from.Name}
+		}
+		return m, nil
+	})
+	serveNode(t, b, book)
+	return a, b
+}
+
+func TestCallReturnsReplyAndTypedFault(t *testing.T) {
+	a, _ := echoPair(t)
+	var got echoMessage
+	if err := a.Call(t.Context(), "b", "echo", echoMessage{"hi"}, &got); err != nil || got.Text != "hi" {
+		t.Fatalf("got %q, %v", got.Text, err)
+	}
+	err := a.Call(t.Context(), "b", "echo", echoMessage{"fail"}, &got)
+	var re *RemoteError
+	if !errors.As(err, &re) || re.Code != "chosen" || re.Detail != "a" {
+		t.Fatalf("got %v", err)
+	}
+	err = a.Call(t.Context(), "b", "none", echoMessage{}, nil)
+	if !errors.As(err, &re) || re.Code != CodeUnknownMethod {
+		t.Fatalf("got %v", err)
+	}
+	if err := a.Call(t.Context(), "x", "echo", echoMessage{}, nil); !errors.Is(err, ErrUnknownPeer) {
+		t.Fatalf("got %v", err)
+	}
+}
+
+func TestStrangersAreRefused(t *testing.T) {
+	for _, tc := range []struct{ name, cluster, secret string }{
+		{"wrong secret", "c", "fedcba9876543210"},
+		{"wrong cluster", "d", testSecret},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			book := map[string]string{}
+			b := testNode(t, "b", "c", testSecret, book)
+			b.Handle("echo", func(context.Context, Identity, []byte) (any, error) {
+				t.Error("a stranger's call was handled")
+				return nil, nil
+			})
+			serveNode(t, b, book)
+			a := testNode(t, "a", tc.cluster, tc.secret, book)
+			err := a.Call(t.Context(), "b", "echo", echoMessage{"hi"}, nil)
+			if err == nil {
+				t.Fatal("call succeeded")
+			}
+		})
+	}
+}
+
+func TestBrokenLinkFailsPendingCallsAndRedials(t *testing.T) {
+	book := map[string]string{}
+	a := testNode(t, "a", "c", testSecret, book)
+	entered := make(chan struct{}, 1)
+	b := testNode(t, "b", "c", testSecret, book)
+	b.Handle("hang", func(ctx context.Context, _ Identity, _ []byte) (any, error) {
+		entered <- struct{}{}
+		<-ctx.Done()
+		return nil, ctx.Err()
+	})
+	srv := serveNode(t, b, book)
+	done := make(chan error, 1)
+	go func() { done <- a.Call(context.Background(), "b", "hang", echoMessage{}, nil) }()
+	<-entered
+	b.Close()
+	if err := <-done; !errors.Is(err, ErrDisconnected) {
+		t.Fatalf("got %v", err)
+	}
+	srv.Close()
+	b2 := testNode(t, "b", "c", testSecret, book)
+	b2.Handle("hang", func(context.Context, Identity, []byte) (any, error) { return nil, nil })
+	serveNode(t, b2, book)
+	for {
+		err := a.Call(t.Context(), "b", "hang", echoMessage{}, nil)
+		if err == nil {
+			return
+		}
+		if !errors.Is(err, ErrUnreachable) && !errors.Is(err, ErrDisconnected) {
+			t.Fatalf("got %v", err)
+		}
+	}
+}
+
+func TestBlockedPeerIsSilent(t *testing.T) {
+	a, b := echoPair(t)
+	var got echoMessage
+	if err := a.Call(t.Context(), "b", "echo", echoMessage{"hi"}, &got); err != nil {
+		t.Fatal(err)
+	}
+	b.SetBlocked(func(p Identity) bool { return p.Name == "a" })
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	if err := a.Call(ctx, "b", "echo", echoMessage{"hi"}, &got); !errors.Is(err, context.DeadlineExceeded) {
+		t.Fatalf("got %v", err)
+	}
+	b.SetBlocked(nil)
+	if err := a.Call(t.Context(), "b", "echo", echoMessage{"again"}, &got); err != nil || got.Text != "again" {
+		t.Fatalf("got %v", err)
+	}
+}
+
+func FuzzDecodeFrame(f *testing.F) {
+	b, err := encode(frame{Kind: frameCall, Seq: 1, Method: "m", Payload: []byte{1}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(b)
+	f.Add([]byte{0xa1})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var fr frame
+		if decode(data, &fr) != nil {
+			return
+		}
+		if _, err := encode(fr); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
+func BenchmarkCall(b *testing.B) {
+	book := map[string]string{}
+	mk := func(name string) *Node {
+		n, err := New(Config{Self: Identity{Cluster: "c", Name: name}, Secret: []byte(testSecret), Addresses: book, Log: zerolog.Nop()})
+		if err != nil {
+			b.Fatal(err)
+		}
+		return n
+	}
+	a, s := mk("a"), mk("b")
+	s.Handle("echo", func(_ context.Context, _ Identity, _ []byte) (any, error) { return echoMessage{"x"}, nil })
+	srv := httptest.NewServer(s.Handler())
+	book["b"] = strings.TrimPrefix(srv.URL, "http://")
+	defer srv.Close()
+	defer s.Close()
+	defer a.Close()
+	b.ReportAllocs()
+	b.ResetTimer()
+	for b.Loop() {
+		if err := a.Call(context.Background(), "b", "echo", echoMessage{"x"}, nil); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- /dev/null
+++ b/peerlink/outlink.go
@@ -0,0 +1,265 @@
+package peerlink
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/coder/websocket"
+	"github.com/pkg/errors"
+)
+
+// Path is the HTTP path of the listener that accepts links.
+const Path = "/peer"
+
+// outLink is a link that this node dialled: it sends calls and notifications
+// and receives replies.
+type outLink struct {
+	node *Node
+	peer string
+	addr string
+	send chan frame
+	up   chan struct{}
+	down chan struct{}
+
+	seq     atomic.Uint64
+	mu      sync.Mutex
+	pending map[uint64]chan frame
+	err     error
+	ws      *websocket.Conn
+	remote  Identity
+}
+
+func newOutLink(n *Node, peer, addr string) *outLink {
+	return &outLink{
+		node:    n,
+		peer:    peer,
+		addr:    addr,
+		send:    make(chan frame, sendQueueFrames),
+		up:      make(chan struct{}),
+		down:    make(chan struct{}),
+		pending: make(map[uint64]chan frame),
+	}
+}
+
+func (l *outLink) ready() bool {
+	select {
+	case <-l.up:
+		return !l.failed()
+	default:
+		return false
+	}
+}
+
+func (l *outLink) failed() bool {
+	select {
+	case <-l.down:
+		return true
+	default:
+		return false
+	}
+}
+
+func (l *outLink) reason() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.err == nil {
+		return ErrDisconnected
+	}
+	return l.err
+}
+
+// run dials, then reads replies until the link breaks.
+func (l *outLink) run() {
+	ws, remote, err := l.dial()
+	if err != nil {
+		l.close(err)
+		return
+	}
+	l.mu.Lock()
+	l.ws = ws
+	l.remote = remote
+	closed := l.err != nil
+	l.mu.Unlock()
+	if closed {
+		_ = ws.CloseNow()
+		return
+	}
+	l.node.wg.Go(l.write)
+	l.node.wg.Go(l.ping)
+	close(l.up)
+	err = l.read()
+	l.close(err)
+	if l.node.cfg.OnDown != nil && l.node.ctx.Err() == nil {
+		l.node.cfg.OnDown(l.peer)
+	}
+}
+
+func (l *outLink) dial() (*websocket.Conn, Identity, error) {
+	ctx, cancel := context.WithTimeout(l.node.ctx, HelloTimeout)
+	defer cancel()
+	if l.node.isBlocked(Identity{Name: l.peer}) {
+		<-ctx.Done()
+		return nil, Identity{}, errors.Wrap(ErrUnreachable, l.peer)
+	}
+	scheme := "ws://"
+	transport := &http.Transport{DisableKeepAlives: true}
+	if l.node.cfg.TLS != nil {
+		scheme = "wss://"
+		transport.TLSClientConfig = l.node.cfg.TLS.Clone()
+	}
+	ws, resp, err := websocket.Dial(ctx, scheme+l.addr+Path, &websocket.DialOptions{
+		HTTPClient: &http.Client{Transport: transport},
+	})
+	if resp != nil && resp.Body != nil {
+		_ = resp.Body.Close()
+	}
+	if err != nil {
+		return nil, Identity{}, errors.Wrap(ErrUnreachable, err.Error())
+	}
+	ws.SetReadLimit(MaxFrameBytes)
+	remote, err := clientHandshake(ctx, ws, l.node.cfg.Self, l.peer, l.node.cfg.Secret)
+	if err != nil {
+		_ = ws.CloseNow()
+		return nil, Identity{}, err
+	}
+	return ws, remote, nil
+}
+
+func (l *outLink) read() error {
+	for {
+		_, b, err := l.ws.Read(l.node.ctx)
+		if err != nil {
+			return errors.Wrap(ErrDisconnected, err.Error())
+		}
+		if l.node.isBlocked(l.remote) {
+			continue
+		}
+		l.node.stats.received(len(b))
+		var f frame
+		if err := decode(b, &f); err != nil {
+			return err
+		}
+		if f.Kind == frameReply {
+			l.deliver(f)
+		}
+	}
+}
+
+func (l *outLink) deliver(f frame) {
+	l.mu.Lock()
+	ch, ok := l.pending[f.Seq]
+	delete(l.pending, f.Seq)
+	l.mu.Unlock()
+	if ok {
+		ch <- f
+	}
+}
+
+func (l *outLink) write() {
+	for {
+		select {
+		case f := <-l.send:
+			if l.node.isBlocked(l.remote) {
+				continue
+			}
+			if err := l.node.writeOne(l.ws, f); err != nil {
+				l.close(err)
+				return
+			}
+		case <-l.down:
+			return
+		}
+	}
+}
+
+// ping closes the link when the peer stops answering, so that a peer that
+// vanished without closing its connection is dialled again.
+func (l *outLink) ping() {
+	ticker := time.NewTicker(pingInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+		case <-l.down:
+			return
+		}
+		ctx, cancel := context.WithTimeout(l.node.ctx, pingInterval)
+		err := l.ws.Ping(ctx)
+		cancel()
+		if err != nil {
+			l.close(errors.Wrap(ErrDisconnected, "ping not answered"))
+			return
+		}
+	}
+}
+
+func (l *outLink) enqueue(f frame) bool {
+	select {
+	case l.send <- f:
+		return true
+	default:
+		l.node.stats.dropped()
+		return false
+	}
+}
+
+func (l *outLink) call(ctx context.Context, method string, payload []byte) ([]byte, error) {
+	ch := make(chan frame, 1)
+	seq := l.seq.Add(1)
+	l.mu.Lock()
+	if l.err != nil {
+		l.mu.Unlock()
+		return nil, errors.Wrap(ErrUnreachable, l.peer)
+	}
+	l.pending[seq] = ch
+	l.mu.Unlock()
+	defer l.forget(seq)
+	if !l.enqueue(frame{Kind: frameCall, Seq: seq, Method: method, Payload: payload}) {
+		return nil, errors.Wrap(ErrBusy, l.peer)
+	}
+	select {
+	case f := <-ch:
+		if f.Fault != nil {
+			return nil, &RemoteError{Code: f.Fault.Code, Detail: f.Fault.Detail}
+		}
+		return f.Payload, nil
+	case <-l.down:
+		return nil, errors.Wrap(ErrDisconnected, l.peer)
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+func (l *outLink) forget(seq uint64) {
+	l.mu.Lock()
+	delete(l.pending, seq)
+	l.mu.Unlock()
+}
+
+func (l *outLink) close(err error) {
+	l.mu.Lock()
+	if l.err == nil {
+		l.err = err
+		close(l.down)
+	}
+	ws := l.ws
+	l.mu.Unlock()
+	if ws != nil {
+		_ = ws.CloseNow()
+	}
+}
+
+// writeOne encodes and writes one frame within the write timeout.
+func (n *Node) writeOne(ws *websocket.Conn, f frame) error {
+	b, err := encode(f)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(n.ctx, writeTimeout)
+	defer cancel()
+	n.stats.sent(len(b))
+	return writeFrame(ctx, ws, b)
+}
