--- a/burn/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package burn is part of magnoliastand.
-package burn
--- a/daemon/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package daemon is part of magnoliastand.
-package daemon
