api: parse and validate fleet documents, index them by name

Cause: the daemons need one validated document; so far api had only types. ParseDocument reads YAML or JSON; Validate gathers every fault with its field path; Index finds queues, teams, pools and zones by name.

Anchors, aliases, merge keys and tags are refused at the tokens, since an alias of a service with thousands of queues repeated thousands of times fits in a small text. Flow depth and block columns are bounded because the parser is recursive.

--- /dev/null
+++ b/api/document_test.go
@@ -0,0 +1,180 @@
+package api
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/pkg/errors"
+)
+
+// TestDocumentFaults reads documents from tables and lists the faults found.
+func TestDocumentFaults(t *testing.T) {
+	datadriven.Walk(t, "testdata/document", func(t *testing.T, path string) {
+		base := ""
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			switch d.Cmd {
+			case "base":
+				base = d.Input
+				return faultText([]byte(base))
+			case "replace": // the first line is replaced by the lines after it
+				// The table trims the indentation of the first line only.
+				old, repl, _ := strings.Cut(d.Input, "\n")
+				repl = strings.TrimLeft(repl, " ")
+				if !strings.Contains(base, old) {
+					d.Fatalf(t, "the base has no %q", old)
+				}
+				return faultText([]byte(strings.Replace(base, old, repl, 1)))
+			case "check":
+				return faultText([]byte(d.Input))
+			}
+			d.Fatalf(t, "unknown command %s", d.Cmd)
+			return ""
+		})
+	})
+}
+
+func faultText(text []byte) string {
+	_, err := LoadDocument(text)
+	if err == nil {
+		return "valid\n"
+	}
+	var derr *DocumentError
+	if !errors.As(err, &derr) {
+		return "untyped error: " + err.Error()
+	}
+	out := ""
+	for _, f := range derr.Faults {
+		out += f.String() + "\n"
+	}
+	return out
+}
+
+func TestBoundsStopOversizedLists(t *testing.T) {
+	doc := Document{
+		Name:              "d",
+		AvailabilityZones: make([]AvailabilityZone, MaxAvailabilityZones+1),
+		Pools:             make([]Pool, MaxPools+1),
+		Services:          []Service{{Queues: make([]Queue, MaxQueues+1)}},
+		Teams:             make([]Team, MaxTeams+1),
+		Budgets:           make([]Budget, MaxBudgets+1),
+		Waves:             make([]Wave, MaxWaves+1),
+	}
+	faults := doc.Validate()
+	if len(faults) > 12 {
+		t.Fatalf("items of oversized lists were checked: %d faults", len(faults))
+	}
+	over := 0
+	for _, f := range faults {
+		if strings.Contains(f.Message, "at most") {
+			over++
+		}
+	}
+	if over != 6 {
+		t.Fatalf("%d of 6 oversized lists reported: %v", over, faults)
+	}
+}
+
+func TestHostileTextsAreRefused(t *testing.T) {
+	for name, text := range map[string]string{
+		"flow depth":  strings.Repeat("[", 1<<19),
+		"map depth":   strings.Repeat("{a: ", 1<<17),
+		"block depth": strings.Repeat("- ", 1<<19),
+		"key depth":   strings.Repeat("? ", 1<<19),
+		"too large":   strings.Repeat("#", MaxDocumentBytes+1),
+		"alias":       "pools: &p [{name: a}]\nwaves: *p\n",
+		"tag":         "name: !!str a\n",
+		"two":         "name: a\n---\nname: b\n",
+		"empty":       "",
+	} {
+		if _, err := ParseDocument([]byte(text)); err == nil {
+			t.Errorf("%s was accepted", name)
+		}
+	}
+}
+
+func TestDefaults(t *testing.T) {
+	var q Queue
+	if q.BodyLimit() != DefaultMaxBodyBytes || q.Patience() != DefaultMaxWait || q.Backlog() != DefaultMaxQueued || q.WorkClass() != ClassQuick {
+		t.Fatal("an empty queue does not take the defaults")
+	}
+	q = Queue{MaxBodyBytes: 5, MaxWait: 6, MaxQueued: 7, Class: ClassLong}
+	if q.BodyLimit() != 5 || q.Patience() != 6 || q.Backlog() != 7 || q.WorkClass() != ClassLong {
+		t.Fatal("set fields are not honoured")
+	}
+}
+
+func TestIndexFindsByName(t *testing.T) {
+	doc := Document{
+		AvailabilityZones: []AvailabilityZone{{Name: "z"}},
+		Pools:             []Pool{{Name: "p"}},
+		Services:          []Service{{Name: "s", Queues: []Queue{{Name: "q"}}}, {Name: "t", Queues: []Queue{{Name: "r"}}}},
+		Teams:             []Team{{Name: "x", Limit: 3}},
+	}
+	ix := NewIndex(&doc)
+	if r, ok := ix.Queue("r"); !ok || r.Service.Name != "t" || r.Queue.Name != "r" {
+		t.Fatalf("queue r: %v %v", r, ok)
+	}
+	if team, ok := ix.Team("x"); !ok || team.Limit != 3 {
+		t.Fatal("team x")
+	}
+	_, okS := ix.Service("s")
+	_, okP := ix.Pool("p")
+	_, okZ := ix.Zone("z")
+	_, okNone := ix.Queue("none")
+	if !okS || !okP || !okZ || okNone {
+		t.Fatal("index misses a name")
+	}
+}
+
+func TestAnnouncementFaults(t *testing.T) {
+	good := Announcement{Service: "s", Instance: "i", Incarnation: "1", Address: "10.0.0.1:80", State: EndpointReady, Slots: 8}
+	if f := good.Validate(); f != nil {
+		t.Fatalf("valid announcement: %v", f)
+	}
+	for path, change := range map[string]func(*Announcement){
+		"service":     func(a *Announcement) { a.Service = "S" },
+		"instance":    func(a *Announcement) { a.Instance = "" },
+		"incarnation": func(a *Announcement) { a.Incarnation = "a b" },
+		"address":     func(a *Announcement) { a.Address = "host:80" },
+		"state":       func(a *Announcement) { a.State = "gone" },
+		"slots":       func(a *Announcement) { a.Slots = 0 },
+		"running":     func(a *Announcement) { a.Running = -1 },
+	} {
+		a := good
+		change(&a)
+		if f := a.Validate(); len(f) != 1 || f[0].Path != path {
+			t.Errorf("%s: %v", path, f)
+		}
+	}
+}
+
+// FuzzLoadDocument checks that no text breaks the parser or the validator, that
+// every error is typed, and that a valid document has a consistent index.
+func FuzzLoadDocument(f *testing.F) {
+	f.Add([]byte("name: d\navailability_zones: [{name: z}]\npools: [{name: p}]\n"))
+	f.Add([]byte(`{"name":"d","services":[{"name":"s","longest_run":"1s","queues":[{"name":"q","objective":{"ratio":.nan}}]}]}`))
+	f.Add([]byte("- - ? a\n: {b: [c"))
+	f.Add([]byte("name: &a [*a]"))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		doc, err := LoadDocument(text)
+		var derr *DocumentError
+		if err != nil && (!errors.As(err, &derr) || len(derr.Faults) == 0) {
+			t.Fatalf("untyped error %v", err)
+		}
+		if err != nil {
+			return
+		}
+		ix := NewIndex(&doc)
+		for _, s := range doc.Services {
+			if _, ok := ix.Pool(s.Pool); !ok {
+				t.Fatalf("service %s refers to no pool", s.Name)
+			}
+			for _, q := range s.Queues {
+				if r, ok := ix.Queue(q.Name); !ok || r.Service.Name != s.Name {
+					t.Fatalf("queue %s is not unique", q.Name)
+				}
+			}
+		}
+	})
+}
--- a/api/problem.go
+++ b/api/problem.go
@@ -88,5 +88,11 @@
 	Message string `json:"message"`
 }
 
-// String returns the path and message.
-func (f Fault) String() string { return f.Path + ": " + f.Message }
+// String returns the path and message; the message alone when the fault
+// concerns the whole document.
+func (f Fault) String() string {
+	if f.Path == "" {
+		return f.Message
+	}
+	return f.Path + ": " + f.Message
+}
