--- /dev/null
+++ b/dispatch/arbiter/overflow.go
@@ -0,0 +1,117 @@
+package arbiter
+
+import (
+	"math"
+	"slices"
+	"strings"
+	"time"
+
+	"magnoliastand.example/dispatch/endpoint"
+)
+
+// maxForwarded bounds the asks remembered after they were passed on.
+const maxForwarded = 4096
+
+// peer is what is known of another availability zone.
+type peer struct {
+	zone    string
+	heardAt time.Time
+	credits map[string]int // asks that may still be passed on, by service
+}
+
+// Summary returns the sums of this zone for the arbiters of other zones.
+func (a *Arbiter) Summary(now time.Time) endpoint.Summary {
+	a.begin(now)
+	a.finish()
+	out := endpoint.Summary{Zone: a.opts.Zone}
+	for _, s := range a.services {
+		out.Services = append(out.Services, endpoint.ServiceSummary{
+			Service:   s.name,
+			Endpoints: s.ready,
+			Slots:     s.capacity,
+			Free:      s.free,
+			Waiting:   s.waiting,
+		})
+	}
+	slices.SortFunc(out.Services, func(x, y endpoint.ServiceSummary) int {
+		return strings.Compare(x.Service, y.Service)
+	})
+	return out
+}
+
+// PeerSummary takes the sums of another zone.
+func (a *Arbiter) PeerSummary(now time.Time, sum endpoint.Summary) []Event {
+	a.begin(now)
+	if sum.Zone == a.opts.Zone {
+		return a.finish()
+	}
+	p := &peer{
+		zone:    sum.Zone,
+		heardAt: a.now,
+		credits: make(map[string]int, len(sum.Services)),
+	}
+	for _, s := range sum.Services {
+		spare := float64(s.Free - s.Waiting)
+		p.credits[s.Service] = int(math.Ceil(max(spare, 0) * a.opts.OverflowShare))
+	}
+	a.peers[sum.Zone] = p
+	return a.finish()
+}
+
+// PeerLost tells that another zone can't be reached.
+func (a *Arbiter) PeerLost(now time.Time, zone string) []Event {
+	a.begin(now)
+	delete(a.peers, zone)
+	return a.finish()
+}
+
+// forward passes a new ask on to the zone with the most free slots. It reports
+// false when the ask has come from another zone or no zone has room.
+func (a *Arbiter) forward(s *service, w *waiter) bool {
+	if w.ask.Hops > 0 && !a.off.ignoreForwardHops || a.forwarded >= maxForwarded {
+		return false
+	}
+	p := a.roomiest(s.name)
+	if p == nil {
+		return false
+	}
+	p.credits[s.name]--
+	w.zone = p.zone
+	a.forwarded++
+	a.asks[w.key] = w
+	a.deadlines.push(w)
+	a.emitForward(w)
+	return true
+}
+
+// forwardWaiting passes on an ask that has been waiting here.
+func (a *Arbiter) forwardWaiting(s *service, w *waiter) bool {
+	if w.ask.Hops > 0 || a.roomiest(s.name) == nil || a.forwarded >= maxForwarded {
+		return false
+	}
+	a.drop(w)
+	return a.forward(s, w)
+}
+
+// emitForward sends an ask on with the patience that is left.
+func (a *Arbiter) emitForward(w *waiter) {
+	ask := w.ask
+	ask.Hops++
+	ask.Patience = w.deadline.Sub(a.now)
+	a.emit(Forward{Ask: ask, Zone: w.zone})
+}
+
+// roomiest returns the reachable zone with the most room for the service.
+func (a *Arbiter) roomiest(name string) *peer {
+	var best *peer
+	for _, p := range a.peers {
+		if p.credits[name] <= 0 || a.now.Sub(p.heardAt) > a.opts.PeerStale {
+			continue
+		}
+		if best == nil || p.credits[name] > best.credits[name] ||
+			p.credits[name] == best.credits[name] && p.zone < best.zone {
+			best = p
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/dispatch/arbiter/reconfig.go
@@ -0,0 +1,150 @@
+package arbiter
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"magnoliastand.example/api"
+	"magnoliastand.example/fairshare"
+)
+
+// SetConfig puts a new configuration in force. Asks whose queue or team is gone
+// are refused; what runs goes on.
+func (a *Arbiter) SetConfig(now time.Time, cfg *Config) []Event {
+	a.begin(now)
+	a.applyConfig(cfg)
+	return a.finish()
+}
+
+func (a *Arbiter) applyConfig(cfg *Config) {
+	a.cfg = cfg
+	for name, sc := range cfg.services {
+		a.applyService(name, sc)
+	}
+	moved := a.removeQueues()
+	for name, qc := range cfg.queues {
+		a.applyQueue(name, qc)
+	}
+	for _, w := range moved {
+		a.requeue(w)
+	}
+	a.applyTeams()
+	a.applySlots()
+}
+
+func (a *Arbiter) applyService(name string, sc serviceConfig) {
+	s, ok := a.services[name]
+	if !ok {
+		s = &service{name: name, emptyFrom: a.now}
+		s.quick = a.newClass(s, api.ClassQuick)
+		s.long = a.newClass(s, api.ClassLong)
+		a.services[name] = s
+	}
+	s.cfg = sc
+	a.touch(s)
+}
+
+func (a *Arbiter) newClass(s *service, name api.Class) *class {
+	return &class{
+		name:  name,
+		svc:   s,
+		order: fairshare.NewOrder(a.opts.Credit),
+		lines: make(map[string]*line),
+	}
+}
+
+// removeQueues takes out queues that are gone or have changed their service or
+// class, and returns what waited in them.
+func (a *Arbiter) removeQueues() []*waiter {
+	var moved []*waiter
+	for name, q := range a.queues {
+		qc, ok := a.cfg.queues[name]
+		if ok && qc.service == q.cfg.service && qc.class == q.cfg.class {
+			continue
+		}
+		delete(a.queues, name)
+		for _, ln := range q.lanes {
+			for ln.head != nil {
+				w := ln.head
+				a.dequeue(w)
+				moved = append(moved, w)
+			}
+			ln.line.removeLane(ln)
+		}
+	}
+	slices.SortFunc(moved, func(x, y *waiter) int { return int(x.arrival) - int(y.arrival) })
+	return moved
+}
+
+func (l *line) removeLane(ln *lane) {
+	l.lanes = slices.DeleteFunc(l.lanes, func(other *lane) bool { return other == ln })
+}
+
+func (a *Arbiter) applyQueue(name string, qc queueConfig) {
+	if q, ok := a.queues[name]; ok {
+		q.cfg = qc
+		return
+	}
+	s := a.services[qc.service]
+	q := &queue{name: name, cfg: qc, svc: s, class: s.quick, lanes: make(map[string]*lane)}
+	if qc.class == api.ClassLong {
+		q.class = s.long
+	}
+	a.queues[name] = q
+}
+
+// requeue puts an ask into the queue of its name, or refuses it.
+func (a *Arbiter) requeue(w *waiter) {
+	q, ok := a.queues[w.ask.Queue]
+	if ok {
+		a.enqueue(q, w)
+		return
+	}
+	delete(a.asks, w.key)
+	a.deadlines.remove(w)
+	r := refuse(api.CodeUnknownQueue, 0, fmt.Sprintf("queue %q was removed", w.ask.Queue))
+	a.emit(Refused{RequestID: w.ask.RequestID, Origin: w.ask.Origin, Refusal: *r})
+}
+
+// applyTeams sets the teams' shares and refuses what waits for removed teams.
+func (a *Arbiter) applyTeams() {
+	for name, t := range a.teams {
+		if _, ok := a.cfg.teams[name]; !ok && name != "" {
+			a.refuseTeam(t)
+			continue
+		}
+		t.weight = a.weightOf(name)
+		for _, l := range t.lines {
+			l.class.order.SetWeight(name, t.weight)
+		}
+	}
+}
+
+func (a *Arbiter) refuseTeam(t *team) {
+	for _, l := range t.lines {
+		for _, ln := range l.lanes {
+			for ln.head != nil {
+				a.refuseWaiter(ln.head, refuse(api.CodeKeyInvalid, 0, fmt.Sprintf("team %q was removed", t.name)))
+			}
+		}
+	}
+}
+
+// applySlots applies changed services and slot counts to the endpoints.
+func (a *Arbiter) applySlots() {
+	for _, sl := range a.slots {
+		e, ok := a.reg.Get(sl.id)
+		if !ok {
+			continue
+		}
+		name := e.Announcement.Service
+		s := a.services[name]
+		if _, ok := a.cfg.services[name]; !ok {
+			s = nil
+		}
+		a.setService(sl, s)
+		a.firstSight(sl)
+		a.refresh(sl)
+	}
+}
--- /dev/null
+++ b/dispatch/arbiter/recovery.go
@@ -0,0 +1,165 @@
+package arbiter
+
+import (
+	"time"
+
+	"magnoliastand.example/dispatch"
+	"magnoliastand.example/dispatch/endpoint"
+)
+
+// recovery is what a new arbiter still has to learn of earlier terms.
+type recovery struct {
+	pending     bool // slots may be occupied by grants of earlier terms
+	startedAt   time.Time
+	latestStart time.Time // no grant of an earlier term starts after this
+	complete    bool      // no origin outside the list can hold a grant, none was lost
+	awaited     map[dispatch.DaemonID]struct{}
+}
+
+func newRecovery(now time.Time, opts Options) recovery {
+	r := recovery{
+		startedAt:   now,
+		latestStart: now.Add(opts.Margin + opts.StartWithin),
+		complete:    opts.Recovery.Complete,
+		awaited:     make(map[dispatch.DaemonID]struct{}, len(opts.Recovery.Origins)),
+	}
+	for _, o := range opts.Recovery.Origins {
+		r.awaited[o] = struct{}{}
+	}
+	r.pending = !r.done()
+	return r
+}
+
+func (r *recovery) done() bool { return r.complete && len(r.awaited) == 0 }
+
+// lost notes that an origin will not declare what it holds.
+func (r *recovery) lost(origin dispatch.DaemonID) {
+	if _, ok := r.awaited[origin]; ok {
+		delete(r.awaited, origin)
+		r.complete = false
+	}
+}
+
+// Declare takes over the grants of earlier terms that an origin still holds.
+// Repeating it is harmless.
+func (a *Arbiter) Declare(now time.Time, d dispatch.Declaration) []Event {
+	a.begin(now)
+	for _, h := range d.Held {
+		a.adopt(d.Origin, h)
+	}
+	delete(a.recovery.awaited, d.Origin)
+	if a.recovery.pending && a.recovery.done() {
+		a.endRecovery()
+	}
+	return a.finish()
+}
+
+// adopt counts a grant of an earlier term. Its team's unit, if any, belongs to
+// the allotment of that term's arbiter.
+func (a *Arbiter) adopt(origin dispatch.DaemonID, h dispatch.HeldGrant) {
+	if _, ok := a.grants[h.Grant.ID]; ok || h.Grant.ID.Zone != a.opts.Zone || h.Grant.ID.Term >= a.opts.Term {
+		return
+	}
+	gr := &grant{
+		Grant: h.Grant,
+		key:   askKey{h.Grant.RequestID, origin},
+		slots: a.slotsOf(h.Grant),
+		team:  a.teamOf(h.Grant.Team),
+		at:    a.now,
+	}
+	if q, ok := a.queues[h.Grant.Queue]; ok {
+		gr.class = q.class
+		a.lineOf(q.class, gr.team)
+	}
+	latest := a.now.Add(h.Grant.StartWithin)
+	if h.Started {
+		latest = a.now.Add(-max(h.Running, 0))
+		gr.at = latest
+	}
+	gr.latestStart = latest
+	if a.endedWithProcess(gr) {
+		return
+	}
+	gr.slots.unknown = max(gr.slots.unknown-1, 0)
+	a.occupy(gr)
+	a.setStart(gr, latest)
+}
+
+// slotsOf returns the slots of a grant's endpoint, which may not have been
+// heard of yet.
+func (a *Arbiter) slotsOf(g dispatch.Grant) *slots {
+	if sl, ok := a.slots[g.Endpoint]; ok {
+		return sl
+	}
+	sl := &slots{id: g.Endpoint, incarnation: g.EndpointIncarnation, address: g.Address}
+	if q, ok := a.queues[g.Queue]; ok {
+		sl.svc = q.svc
+	}
+	a.slots[g.Endpoint] = sl
+	return sl
+}
+
+// firstSight sets how many slots of an endpoint are unknown when it is first
+// heard of.
+func (a *Arbiter) firstSight(sl *slots) {
+	if sl.seen || sl.svc == nil {
+		return
+	}
+	sl.seen = true
+	if a.recovery.pending && !a.off.assumeFree {
+		sl.unknown = max(min(sl.announced, sl.svc.cfg.slots)-sl.occupied, 0)
+	}
+}
+
+// recoverSlots frees unknown slots that the endpoint's own word, the end of its
+// process or the longest run shows to be free.
+func (a *Arbiter) recoverSlots(sl *slots, e endpoint.Endpoint) {
+	if sl.unknown == 0 || sl.svc == nil {
+		return
+	}
+	surely := a.opts.wordAfter(a.recovery.latestStart)
+	switch {
+	case !sl.endedHeard.Before(surely):
+		sl.unknown = 0
+	case !a.now.Before(surely.Add(sl.svc.cfg.longestRun)):
+		sl.unknown = 0
+	case !e.Heard.Before(surely) && e.State != endpoint.StateGone:
+		sl.unknown = min(sl.unknown, e.Announcement.Running)
+	}
+}
+
+// tickRecovery looks at the endpoints' latest words while slots are unknown.
+func (a *Arbiter) tickRecovery() {
+	if !a.recovery.pending {
+		return
+	}
+	for _, sl := range a.slots {
+		e, ok := a.reg.Get(sl.id)
+		if !ok || sl.unknown == 0 {
+			continue
+		}
+		a.recoverSlots(sl, e)
+		a.refresh(sl)
+	}
+	if !a.now.Before(a.recoveryBound()) {
+		a.endRecovery()
+	}
+}
+
+// recoveryBound returns when nothing that an earlier term granted can be
+// running any more.
+func (a *Arbiter) recoveryBound() time.Time {
+	longest := time.Duration(0)
+	for _, s := range a.services {
+		longest = max(longest, s.cfg.longestRun)
+	}
+	return a.recovery.latestStart.Add(longest + a.opts.Margin)
+}
+
+func (a *Arbiter) endRecovery() {
+	a.recovery.pending = false
+	for _, sl := range a.slots {
+		sl.unknown = 0
+		a.refresh(sl)
+	}
+}
--- /dev/null
+++ b/dispatch/arbiter/release.go
@@ -0,0 +1,168 @@
+package arbiter
+
+import (
+	"cmp"
+	"time"
+
+	"magnoliastand.example/dispatch"
+)
+
+// grant is a grant whose request may be running.
+type grant struct {
+	Grant       dispatch.Grant
+	key         askKey
+	slots       *slots
+	class       *class // nil when an adopted grant's queue is not in the document
+	team        *team
+	unit        bool // a unit of the team's limit is held for it
+	at          time.Time
+	latestStart time.Time     // no first byte is sent after this
+	endsAt      time.Time     // nothing runs for it after this
+	expected    time.Duration // slot time that the order was charged with
+	index       int
+}
+
+func (g *grant) before(other *grant) bool { return g.endsAt.Before(other.endsAt) }
+
+func (g *grant) place() *int { return &g.index }
+
+func compareGrants(x, y *grant) int {
+	return cmp.Or(
+		cmp.Compare(x.Grant.ID.Term, y.Grant.ID.Term),
+		cmp.Compare(x.Grant.ID.Seq, y.Grant.ID.Seq),
+	)
+}
+
+// Release takes back a grant. A repeated release, or one of a grant that the
+// arbiter does not know, changes nothing.
+func (a *Arbiter) Release(now time.Time, rel dispatch.Release) []Event {
+	a.begin(now)
+	gr, ok := a.grants[rel.Grant]
+	if !ok {
+		return a.finish()
+	}
+	a.reg.Observe(a.now, gr.Grant.Endpoint, gr.Grant.EndpointIncarnation, rel.Outcome)
+	switch rel.Outcome {
+	case dispatch.OutcomeUnused:
+		a.free(gr, 0)
+	case dispatch.OutcomeAnswered, dispatch.OutcomeFailed, dispatch.OutcomeRefused:
+		held := a.now.Sub(gr.at)
+		if gr.class != nil {
+			gr.class.observeRun(held)
+		}
+		a.free(gr, held)
+	case dispatch.OutcomeUnknown:
+		a.keepUnknown(gr, rel.Elapsed)
+	}
+	return a.finish()
+}
+
+// keepUnknown keeps the slot and the unit of a request that may still be running.
+func (a *Arbiter) keepUnknown(gr *grant, elapsed time.Duration) {
+	if a.off.freeOnUnknown {
+		a.free(gr, a.now.Sub(gr.at))
+		return
+	}
+	a.unhold(gr)
+	started := a.now.Add(-max(elapsed, 0))
+	if started.Before(gr.at) {
+		started = gr.at
+	}
+	if started.Before(gr.latestStart) {
+		a.setStart(gr, started)
+	}
+	if a.endedWithProcess(gr) {
+		a.free(gr, a.now.Sub(gr.at))
+	}
+}
+
+// OriginLost tells that a daemon incarnation has ended or was given up. Its
+// waiting asks end. Its grants stay: their requests may be running.
+func (a *Arbiter) OriginLost(now time.Time, origin dispatch.DaemonID) []Event {
+	a.begin(now)
+	for _, w := range a.asks {
+		if w.key.origin == origin {
+			a.drop(w)
+		}
+	}
+	for _, gr := range a.grants {
+		if gr.key.origin != origin {
+			continue
+		}
+		a.unhold(gr)
+		if a.off.freeOnOriginLost {
+			a.free(gr, a.now.Sub(gr.at))
+		}
+	}
+	a.recovery.lost(origin)
+	return a.finish()
+}
+
+// grantAgain repeats a grant to an origin that asks again. It reports false
+// when the endpoint may get no work any more: then the ask is a new one, and
+// the old grant stays until it is released or has ended.
+func (a *Arbiter) grantAgain(gr *grant) bool {
+	sl := gr.slots
+	same := sl.incarnation == gr.Grant.EndpointIncarnation && sl.address == gr.Grant.Address
+	if !same || !a.reg.MayGrant(a.now, sl.id) {
+		a.unhold(gr)
+		return false
+	}
+	a.extend(gr)
+	a.emit(Granted{Origin: gr.key.origin, Grant: gr.Grant})
+	return true
+}
+
+// extend counts the latest start from now on, as the grant is being sent.
+func (a *Arbiter) extend(gr *grant) {
+	a.setStart(gr, a.now.Add(a.opts.Margin+gr.Grant.StartWithin))
+}
+
+func (a *Arbiter) setStart(gr *grant, latest time.Time) {
+	gr.latestStart = latest
+	gr.endsAt = latest.Add(gr.Grant.LongestRun + a.opts.Margin)
+	a.ends.fix(gr)
+}
+
+// unhold makes a repeated ask a new one.
+func (a *Arbiter) unhold(gr *grant) {
+	if a.held[gr.key] == gr {
+		delete(a.held, gr.key)
+	}
+}
+
+// occupy counts a grant.
+func (a *Arbiter) occupy(gr *grant) {
+	a.grants[gr.Grant.ID] = gr
+	a.ends.push(gr)
+	sl := gr.slots
+	sl.occupied++
+	sl.usedAt = a.seq
+	a.refresh(sl)
+	c := gr.class
+	if c == nil {
+		return
+	}
+	c.running++
+	gr.expected = c.expectedRun()
+	c.order.Start(gr.team.name, gr.expected)
+}
+
+// free ends a grant that no longer runs after it occupied its slot for held.
+func (a *Arbiter) free(gr *grant, held time.Duration) {
+	delete(a.grants, gr.Grant.ID)
+	a.unhold(gr)
+	a.ends.remove(gr)
+	sl := gr.slots
+	sl.occupied--
+	a.refresh(sl)
+	a.forget(sl)
+	if c := gr.class; c != nil {
+		c.running--
+		c.order.Finish(gr.team.name, gr.expected, held)
+		a.touch(c.svc)
+	}
+	if gr.unit {
+		a.release(gr.team)
+	}
+}
--- /dev/null
+++ b/dispatch/arbiter/slots.go
@@ -0,0 +1,215 @@
+package arbiter
+
+import (
+	"slices"
+	"time"
+
+	"magnoliastand.example/dispatch/endpoint"
+)
+
+// slots is the state of one endpoint's slots.
+type slots struct {
+	id          string
+	svc         *service // nil while the document has no such service
+	incarnation string
+	address     string
+	announced   int
+	ready       bool
+	probation   bool
+	present     bool      // the registry knows the endpoint
+	seen        bool      // an announcement was seen, so unknown has been set
+	endedHeard  time.Time // when the latest ended incarnation was last heard
+	occupied    int       // grants that may be running
+	unknown     int       // slots that an earlier term may have granted
+	capacity    int       // slots counted in svc.capacity
+	free        int       // slots counted in svc.free
+	usedAt      uint64    // sequence number of the latest grant
+	index       int
+}
+
+// before puts the least busy endpoint first, the least recently used one among equals.
+func (sl *slots) before(other *slots) bool {
+	x := (sl.occupied + sl.unknown) * other.capacity
+	y := (other.occupied + other.unknown) * sl.capacity
+	if x != y {
+		return x < y
+	}
+	if sl.usedAt != other.usedAt {
+		return sl.usedAt < other.usedAt
+	}
+	return sl.id < other.id
+}
+
+func (sl *slots) place() *int { return &sl.index }
+
+// limit returns how many requests the endpoint may run at once now.
+func (sl *slots) limit() int {
+	if sl.svc == nil {
+		return 0
+	}
+	n := min(sl.announced, sl.svc.cfg.slots)
+	if sl.probation {
+		return min(n, 1)
+	}
+	return n
+}
+
+// hasEndpointFor reports whether any endpoint that may get work is not excluded.
+func (s *service) hasEndpointFor(exclude []string, all map[string]*slots) bool {
+	excluded := 0
+	for i, id := range exclude {
+		sl, ok := all[id]
+		if ok && sl.svc == s && sl.capacity > 0 && !slices.Contains(exclude[:i], id) {
+			excluded++
+		}
+	}
+	return s.ready > excluded
+}
+
+// choose returns the least busy endpoint with a free slot that is not
+// excluded, or nil.
+func (s *service) choose(exclude []string) *slots {
+	for _, sl := range s.usable.items {
+		if !slices.Contains(exclude, sl.id) {
+			return sl
+		}
+	}
+	return nil
+}
+
+// refresh brings the service's sums and its order of endpoints up to date with sl.
+func (a *Arbiter) refresh(sl *slots) {
+	s := sl.svc
+	if s == nil {
+		return
+	}
+	capacity := 0
+	if sl.ready || a.off.leavingGetsWork {
+		capacity = sl.limit()
+	}
+	free := max(capacity-sl.occupied-sl.unknown, 0)
+	if a.off.ignoreSlots {
+		free = capacity
+	}
+	wasReady := sl.capacity > 0
+	grew := free > sl.free
+	s.capacity += capacity - sl.capacity
+	s.free += free - sl.free
+	sl.capacity = capacity
+	sl.free = free
+	a.countReady(s, wasReady, capacity > 0)
+	switch {
+	case free == 0:
+		s.usable.remove(sl)
+	case sl.index == 0:
+		s.usable.push(sl)
+	default:
+		s.usable.fix(sl)
+	}
+	if grew {
+		a.touch(s)
+	}
+}
+
+func (a *Arbiter) countReady(s *service, was, is bool) {
+	if was == is {
+		return
+	}
+	if is {
+		s.ready++
+		return
+	}
+	s.ready--
+	if s.ready == 0 {
+		s.emptyFrom = a.now
+	}
+}
+
+// setService moves the endpoint's slots to a service, which may be nil.
+func (a *Arbiter) setService(sl *slots, s *service) {
+	if sl.svc == s {
+		return
+	}
+	if old := sl.svc; old != nil {
+		was := sl.capacity > 0
+		old.usable.remove(sl)
+		old.capacity -= sl.capacity
+		old.free -= sl.free
+		sl.capacity, sl.free = 0, 0
+		a.countReady(old, was, false)
+	}
+	sl.svc = s
+}
+
+// sync takes over what the registry has learned.
+func (a *Arbiter) sync() {
+	a.reg.Advance(a.now)
+	version := a.reg.Version()
+	if version == a.regVersion {
+		return
+	}
+	a.reg.Updated(a.regVersion, a.applyEndpoint)
+	a.regVersion = version
+}
+
+func (a *Arbiter) applyEndpoint(e endpoint.Endpoint) {
+	sl, ok := a.slots[e.ID]
+	if !ok {
+		if e.State == endpoint.StateGone {
+			return
+		}
+		sl = &slots{id: e.ID}
+		a.slots[e.ID] = sl
+	}
+	sl.present = e.State != endpoint.StateGone
+	sl.incarnation = e.Announcement.Incarnation
+	sl.address = e.Announcement.Address
+	sl.announced = e.Announcement.Slots
+	sl.ready = e.State == endpoint.StateReady
+	sl.probation = e.Probation
+	a.setService(sl, a.services[e.Announcement.Service])
+	a.firstSight(sl)
+	if e.EndedHeard.After(sl.endedHeard) {
+		sl.endedHeard = e.EndedHeard
+		a.freeEnded(sl)
+	}
+	a.recoverSlots(sl, e)
+	a.refresh(sl)
+	a.forget(sl)
+}
+
+// forget drops the slots of an endpoint that is gone and runs nothing.
+func (a *Arbiter) forget(sl *slots) {
+	if sl.present || sl.occupied > 0 {
+		return
+	}
+	a.setService(sl, nil)
+	delete(a.slots, sl.id)
+}
+
+// freeEnded frees the grants that ended with an earlier incarnation.
+func (a *Arbiter) freeEnded(sl *slots) {
+	var ended []*grant
+	for _, gr := range a.grants {
+		if gr.slots == sl && a.endedWithProcess(gr) {
+			ended = append(ended, gr)
+		}
+	}
+	slices.SortFunc(ended, compareGrants)
+	for _, gr := range ended {
+		a.free(gr, a.now.Sub(gr.at))
+	}
+}
+
+// endedWithProcess reports whether the grant's request can't be running since
+// the endpoint's process that received it has ended.
+func (a *Arbiter) endedWithProcess(gr *grant) bool {
+	sl := gr.slots
+	if gr.Grant.EndpointIncarnation == sl.incarnation {
+		return false
+	}
+	if a.off.freeOnRestart {
+		return true
+	}
+	return !a.opts.wordAfter(gr.latestStart).After(sl.endedHeard)
+}
