Origin, records and stand-in endpoint, first version

Cause: the daemon processes need a request path to wire. Records: one keeper type serves ids of the home form (one decider) and ids of callers (majority of three). Measured: unit tests over real HTTP pass under -race.

--- /dev/null
+++ b/dispatch/origin/drain.go
@@ -0,0 +1,92 @@
+package origin
+
+import (
+	"context"
+	"time"
+
+	"magnoliastand.example/dispatch"
+	"magnoliastand.example/dispatch/request"
+	"magnoliastand.example/invariant"
+)
+
+// heldGrant is a grant that was not released yet.
+type heldGrant struct {
+	grant dispatch.Grant
+	// started is when the first byte went out; zero before.
+	started time.Time
+}
+
+func (o *Origin) hold(g dispatch.Grant) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.held[g.ID] = &heldGrant{grant: g}
+}
+
+func (o *Origin) markStarted(id dispatch.GrantID) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if h, ok := o.held[id]; ok {
+		h.started = time.Now()
+	}
+}
+
+// release returns a grant to its arbiter.
+func (o *Origin) release(g dispatch.Grant, outcome dispatch.Outcome, elapsed time.Duration) {
+	o.mu.Lock()
+	delete(o.held, g.ID)
+	o.mu.Unlock()
+	o.cfg.Slots.Release(dispatch.Release{Grant: g.ID, Outcome: outcome, Elapsed: elapsed})
+}
+
+// Held returns the grants in use, for the declaration to a new arbiter.
+func (o *Origin) Held() dispatch.Declaration {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	d := dispatch.Declaration{Origin: o.cfg.Self, Held: make([]dispatch.HeldGrant, 0, len(o.held))}
+	now := time.Now()
+	for _, h := range o.held {
+		g := dispatch.HeldGrant{Grant: h.grant}
+		if !h.started.IsZero() {
+			g.Started = true
+			g.Running = now.Sub(h.started)
+		}
+		d.Held = append(d.Held, g)
+	}
+	return d
+}
+
+// Cut names a request that a shutdown would cut.
+type Cut struct {
+	ID    string
+	Queue string
+	State request.State
+}
+
+// Drain refuses new requests from now on and waits until those in flight have
+// ended. When ctx ends first, it returns the requests still in flight, which
+// the caller of Drain cuts by ending the process; a nil result cuts none.
+func (o *Origin) Drain(ctx context.Context) []Cut {
+	o.mu.Lock()
+	o.draining = true
+	o.signalIdle()
+	o.mu.Unlock()
+	select {
+	case <-o.idle:
+		return nil
+	case <-ctx.Done():
+	}
+	cuts := o.inFlightCuts()
+	invariant.Check(len(cuts) == 0 || ctx.Err() != nil, invariant.ShutdownCutsNothing,
+		"%d requests cut within the grace period", len(cuts))
+	return cuts
+}
+
+func (o *Origin) inFlightCuts() []Cut {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var cuts []Cut
+	for c := range o.calls {
+		cuts = append(cuts, Cut{ID: c.claim.ID, Queue: c.r.Queue, State: c.state()})
+	}
+	return cuts
+}
--- /dev/null
+++ b/dispatch/origin/origin_test.go
@@ -0,0 +1,97 @@
+package origin
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+
+	"magnoliastand.example/api"
+	"magnoliastand.example/dispatch"
+	"magnoliastand.example/standin"
+)
+
+func TestWholeAnswerComesBack(t *testing.T) {
+	b := newBed(t, standin.EndpointConfig{AnswerBytes: 4096})
+	for _, queue := range []string{"book", "quote", "open"} {
+		r := b.post(queue, "two birds")
+		id := r.header.Get(api.HeaderRequestID)
+		if r.status != http.StatusOK || r.run() != api.RunDone {
+			t.Fatalf("status %d, run %s: %s", r.status, r.run(), r.body)
+		}
+		if !standin.WholeOwnAnswer([]byte(r.body), id, queue, []byte("two birds")) {
+			t.Fatalf("not the whole own answer: %q", r.body)
+		}
+		if r.header.Get(api.HeaderHome) != "za.d1-i1" || b.endpoint.RunsOf(id) != 1 {
+			t.Fatalf("home %q, runs %d", r.header.Get(api.HeaderHome), b.endpoint.RunsOf(id))
+		}
+	}
+}
+
+func TestRefusalsBeforeDispatch(t *testing.T) {
+	b := newBed(t, standin.EndpointConfig{})
+	cases := []struct {
+		name, queue, body string
+		option            option
+		status            int
+		code              api.Code
+	}{
+		{"no key", "book", "x", func(r *http.Request) { r.Header.Del("Authorization") }, 401, api.CodeKeyRequired},
+		{"wrong key", "book", "x", with("Authorization", "Bearer other"), 401, api.CodeKeyInvalid},
+		{"wrong scheme", "book", "x", with("Authorization", "Basic eDp5"), 400, api.CodeInvalidField},
+		{"unknown queue", "none", "x", nil, 404, api.CodeUnknownQueue},
+		{"large body", "book", strings.Repeat("x", 1025), nil, 413, api.CodeBodyTooLarge},
+		{"large chunked body", "book", strings.Repeat("x", 1025), func(r *http.Request) { r.ContentLength = -1 }, 413, api.CodeBodyTooLarge},
+		{"bad id", "book", "x", with(api.HeaderRequestID, "a b"), 400, api.CodeInvalidField},
+		{"bad timeout", "book", "x", with(api.HeaderDeadline, "soon"), 400, api.CodeInvalidField},
+		{"negative timeout", "book", "x", with(api.HeaderDeadline, "-1s"), 400, api.CodeInvalidField},
+		{"wrong key with id", "book", "x", func(r *http.Request) {
+			r.Header.Set("Authorization", "Bearer other")
+			r.Header.Set(api.HeaderRequestID, "mine-1")
+		}, 401, api.CodeKeyInvalid},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			options := []option{}
+			if c.option != nil {
+				options = append(options, c.option)
+			}
+			r := b.post(c.queue, c.body, options...)
+			if r.status != c.status || !r.hasCode(c.code) || r.run() != api.RunNot {
+				t.Fatalf("status %d, run %s: %s", r.status, r.run(), r.body)
+			}
+			if r.header.Get("Content-Type") != api.ProblemMediaType || r.header.Get(api.HeaderRequestID) == "" {
+				t.Fatalf("header %v", r.header)
+			}
+		})
+	}
+	if n := b.endpoint.Stats().Accepted; n != 0 {
+		t.Fatalf("%d requests reached the endpoint", n)
+	}
+}
+
+func TestStaleControlRefusesKeyedWorkOnly(t *testing.T) {
+	b := newBed(t, standin.EndpointConfig{})
+	b.control.setStale()
+	if r := b.post("book", "x"); r.run() != api.RunNot || !r.hasCode(api.CodeControlStale) {
+		t.Fatalf("status %d: %s", r.status, r.body)
+	}
+	if r := b.post("open", "x"); r.status != http.StatusOK {
+		t.Fatalf("open queue: status %d: %s", r.status, r.body)
+	}
+}
+
+func TestKeyIsCheckedAgainBeforeDispatch(t *testing.T) {
+	b := newBed(t, standin.EndpointConfig{})
+	b.slots.before = func(int) error {
+		b.control.withdraw(testKey)
+		return nil
+	}
+	r := b.post("book", "x")
+	if r.run() != api.RunNot || !r.hasCode(api.CodeKeyInvalid) {
+		t.Fatalf("status %d: %s", r.status, r.body)
+	}
+	released := b.slots.released()
+	if b.endpoint.Stats().Accepted != 0 || len(released) != 1 || released[0].Outcome != dispatch.OutcomeUnused {
+		t.Fatalf("accepted %d, released %v", b.endpoint.Stats().Accepted, released)
+	}
+}
--- /dev/null
+++ b/dispatch/record/service.go
@@ -0,0 +1,363 @@
+package record
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"magnoliastand.example/dispatch"
+)
+
+// Peers carries messages to other daemons by their configured name.
+// Implementations must be safe for concurrent use and must return when ctx ends.
+type Peers interface {
+	Begin(ctx context.Context, daemon string, r BeginRequest) (BeginReply, error)
+	Finish(ctx context.Context, daemon string, r FinishRequest) error
+	Lookup(ctx context.Context, daemon string, r LookupRequest) (LookupReply, error)
+}
+
+// Defaults of Config.
+const (
+	DefaultCallTimeout = 500 * time.Millisecond
+	DefaultMaxWaiters  = 1024
+	// copyCount is the number of peers that keep a copy of a small answer.
+	copyCount = 2
+	// finishLimit bounds the finish reports in flight; more are dropped, which
+	// leaves ids running until their hold ends and then unknown.
+	finishLimit = 1024
+)
+
+// Config configures a Service.
+type Config struct {
+	Self dispatch.DaemonID
+	Zone string
+	// FirstIncarnation tells that no former incarnation of this daemon existed.
+	// Otherwise the daemon abstains as keeper for the retention.
+	FirstIncarnation bool
+	Keeper           KeeperConfig
+	// CallTimeout bounds one call to a peer.
+	CallTimeout time.Duration
+	// MaxWaiters bounds lookups that wait for a running request.
+	MaxWaiters int
+	Peers      Peers
+}
+
+// Service is a daemon's part in deciding that every id starts at most once. It
+// decides for its own origin and answers peers. It is safe for concurrent use.
+type Service struct {
+	cfg     Config
+	members memberSets
+	seq     atomic.Uint64
+
+	mu     sync.Mutex
+	home   *Home
+	keeper *Keeper
+	copies *Keeper
+	// finished holds a channel for each id that lookups wait for.
+	finished map[string]chan struct{}
+	waiters  int
+
+	finishing sync.WaitGroup
+	slots     chan struct{}
+}
+
+// New returns a service that knows no members; see SetMembers.
+func New(cfg Config) *Service {
+	if cfg.CallTimeout == 0 {
+		cfg.CallTimeout = DefaultCallTimeout
+	}
+	if cfg.MaxWaiters == 0 {
+		cfg.MaxWaiters = DefaultMaxWaiters
+	}
+	if cfg.Keeper == (KeeperConfig{}) {
+		cfg.Keeper = DefaultKeeperConfig()
+	}
+	var abstain time.Time
+	if !cfg.FirstIncarnation {
+		abstain = time.Now().Add(cfg.Keeper.Retention)
+	}
+	return &Service{
+		cfg:      cfg,
+		home:     NewHome(homeName(cfg.Zone, cfg.Self), cfg.Keeper),
+		keeper:   NewKeeper(cfg.Keeper, abstain),
+		copies:   NewKeeper(cfg.Keeper, time.Time{}),
+		finished: make(map[string]chan struct{}),
+		slots:    make(chan struct{}, finishLimit),
+	}
+}
+
+func homeName(zone string, d dispatch.DaemonID) string {
+	return zone + "." + d.Name + "-" + d.Incarnation
+}
+
+// SetMembers installs the configured daemons, this one included. For the
+// retention after a change, starts need a majority of the former keepers too.
+func (s *Service) SetMembers(members []Member) {
+	s.members.update(members, s.cfg.Keeper.Retention, time.Now())
+}
+
+// Close waits for the reports of finished requests, each bounded by CallTimeout.
+func (s *Service) Close() { s.finishing.Wait() }
+
+// Fresh returns a new id that a caller may use for one request.
+func (s *Service) Fresh() string { return s.mint(KindHanded) }
+
+// Own returns a new id for a request that came without one.
+func (s *Service) Own() string { return s.mint(KindOwn) }
+
+func (s *Service) mint(kind Kind) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.home.Mint(kind)
+}
+
+// HomeOf returns the home that an id names, or "" for ids of other forms.
+func (s *Service) HomeOf(id string) string {
+	if p, ok := ParseID(id); ok {
+		return p.Home()
+	}
+	return ""
+}
+
+// Claim is an origin's wish to start one request.
+type Claim struct {
+	ID string
+	// Own marks an id that Own returned for this very call.
+	Own    bool
+	Digest Digest
+	// Idempotent requests may start without permission when no decider is reached.
+	Idempotent bool
+	// Hold is how long the request may take from Begin to Finish. The origin
+	// must not start it later than that.
+	Hold time.Duration
+	// Received is when the origin received the request from the caller.
+	Received time.Time
+
+	token Token
+}
+
+// Decision is what an origin may do with a claim.
+type Decision struct {
+	// Verdict is Proceed, Running, Answered, Unknown, Mismatch, NoQuorum or Superseded.
+	Verdict Verdict
+	Answer  *Answer
+	// Earlier tells that an earlier attempt may have run, although the claim may proceed.
+	Earlier bool
+}
+
+// Begin decides on c. After Proceed the origin must call Finish exactly once.
+func (s *Service) Begin(ctx context.Context, c *Claim) Decision {
+	if c.Own {
+		return Decision{Verdict: Proceed}
+	}
+	d := s.decide(ctx, c)
+	if !c.Idempotent {
+		return d
+	}
+	switch d.Verdict {
+	case Unknown, NoQuorum:
+		return Decision{Verdict: Proceed, Earlier: true}
+	default:
+		return d
+	}
+}
+
+func (s *Service) decide(ctx context.Context, c *Claim) Decision {
+	id, ok := ParseID(c.ID)
+	if !ok {
+		return s.decideByKeepers(ctx, c)
+	}
+	return s.decideByHome(ctx, id, c)
+}
+
+func (s *Service) newToken(c *Claim) BeginRequest {
+	c.token = Token{Origin: s.cfg.Self, Seq: s.seq.Add(1)}
+	return BeginRequest{ID: c.ID, Token: c.token, Digest: c.Digest, Hold: c.Hold}
+}
+
+func (s *Service) decideByHome(ctx context.Context, id ID, c *Claim) Decision {
+	if id.Daemon != s.cfg.Self.Name && !s.members.known(id.Daemon) {
+		return Decision{Verdict: Unknown}
+	}
+	r := s.newToken(c)
+	reply, err := s.begin(ctx, id.Daemon, r)
+	if err != nil {
+		s.finishAt(ctx, id.Daemon, FinishRequest{ID: c.ID, Token: c.token, Result: ResultWithdrawn})
+		return s.decideByCopies(ctx, id, c)
+	}
+	switch reply.Verdict {
+	case Proceed:
+		return s.proceedUnlessRefused(ctx, c, time.Now(), []BeginReply{reply})
+	case Unknown:
+		return s.decideByCopies(ctx, id, c)
+	case Abstain:
+		return Decision{Verdict: NoQuorum}
+	default:
+		return Decision{Verdict: reply.Verdict, Answer: reply.Answer}
+	}
+}
+
+// decideByCopies looks for a copy of the answer when the home cannot tell. It
+// never permits a start.
+func (s *Service) decideByCopies(ctx context.Context, id ID, c *Claim) Decision {
+	for _, daemon := range s.members.copies(c.ID, id.Daemon, copyCount) {
+		reply, err := s.lookup(ctx, daemon, LookupRequest{ID: c.ID, Digest: c.Digest})
+		if err == nil && (reply.Verdict == Answered || reply.Verdict == Mismatch) {
+			return Decision{Verdict: reply.Verdict, Answer: reply.Answer}
+		}
+	}
+	return Decision{Verdict: Unknown}
+}
+
+// proceedUnlessRefused turns a permission into Superseded if "not run" may have
+// been said for the id after this attempt arrived: the caller may rely on it.
+// The keeper's age of that word is measured from its reply, so by this daemon's
+// clock the word was said no later than replied minus the age.
+func (s *Service) proceedUnlessRefused(ctx context.Context, c *Claim, replied time.Time, replies []BeginReply) Decision {
+	for _, r := range replies {
+		if r.Refused && !c.Received.After(replied.Add(-r.RefusedAgo)) {
+			s.Finish(ctx, c, ResultNotRun, nil)
+			return Decision{Verdict: Superseded}
+		}
+	}
+	return Decision{Verdict: Proceed}
+}
+
+// MayRefuse reports whether "not run" may be told for a claim that the origin
+// refuses before Begin, and if so makes sure that attempts that arrived earlier
+// do not start afterwards.
+func (s *Service) MayRefuse(ctx context.Context, c *Claim) bool {
+	if c.Own {
+		return true
+	}
+	d := s.decide(ctx, c)
+	switch d.Verdict {
+	case Proceed:
+		s.Finish(ctx, c, ResultNotRun, nil)
+		return true
+	case Superseded:
+		return true
+	default:
+		return false
+	}
+}
+
+// Finish records how a claim that may proceed ended. ResultNotRun returns after
+// the deciders were told or CallTimeout passed, other results at once.
+func (s *Service) Finish(ctx context.Context, c *Claim, result Result, answer *Answer) {
+	if c.Own || c.token == (Token{}) {
+		return
+	}
+	r := FinishRequest{ID: c.ID, Token: c.token, Digest: c.Digest, Result: result, Answer: s.small(answer)}
+	ctx = context.WithoutCancel(ctx)
+	targets := s.holders(c.ID, result)
+	if result == ResultNotRun || result == ResultWithdrawn {
+		s.report(ctx, targets, r)
+		return
+	}
+	s.reportLater(ctx, targets, r)
+}
+
+func (s *Service) small(a *Answer) *Answer {
+	if a == nil || a.Size() > s.cfg.Keeper.MaxAnswer {
+		return nil
+	}
+	return a
+}
+
+// holders returns the daemons that record the end of an id.
+func (s *Service) holders(id string, result Result) []string {
+	p, ok := ParseID(id)
+	if !ok {
+		return union(s.members.keepers(id, s.cfg.Keeper.Retention, time.Now()))
+	}
+	targets := []string{p.Daemon}
+	if result == ResultAnswered {
+		targets = append(targets, s.members.copies(id, p.Daemon, copyCount)...)
+	}
+	return targets
+}
+
+// reportLater reports in the background, this daemon's own share at once.
+func (s *Service) reportLater(ctx context.Context, targets []string, r FinishRequest) {
+	var remote []string
+	for _, daemon := range targets {
+		if daemon == s.cfg.Self.Name {
+			s.HandleFinish(r)
+		} else {
+			remote = append(remote, daemon)
+		}
+	}
+	if len(remote) == 0 {
+		return
+	}
+	select {
+	case s.slots <- struct{}{}:
+	default:
+		return
+	}
+	s.finishing.Go(func() {
+		defer func() { <-s.slots }()
+		s.report(ctx, remote, r)
+	})
+}
+
+func (s *Service) report(ctx context.Context, targets []string, r FinishRequest) {
+	var wg sync.WaitGroup
+	for _, daemon := range targets {
+		if daemon == s.cfg.Self.Name {
+			s.HandleFinish(r)
+			continue
+		}
+		wg.Go(func() { s.finishAt(ctx, daemon, r) })
+	}
+	wg.Wait()
+}
+
+func (s *Service) finishAt(ctx context.Context, daemon string, r FinishRequest) {
+	if daemon == s.cfg.Self.Name {
+		s.HandleFinish(r)
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), s.cfg.CallTimeout)
+	defer cancel()
+	// A lost report leaves the id running until its hold ends, then unknown.
+	_ = s.cfg.Peers.Finish(ctx, daemon, r)
+}
+
+func (s *Service) begin(ctx context.Context, daemon string, r BeginRequest) (BeginReply, error) {
+	if daemon == s.cfg.Self.Name {
+		return s.HandleBegin(r), nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, s.cfg.CallTimeout)
+	defer cancel()
+	reply, err := s.cfg.Peers.Begin(ctx, daemon, r)
+	return reply, errors.Wrapf(err, "begin at %s", daemon)
+}
+
+func (s *Service) lookup(ctx context.Context, daemon string, r LookupRequest) (LookupReply, error) {
+	if daemon == s.cfg.Self.Name {
+		return s.HandleLookup(ctx, r), nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, s.cfg.CallTimeout+r.Wait)
+	defer cancel()
+	reply, err := s.cfg.Peers.Lookup(ctx, daemon, r)
+	return reply, errors.Wrapf(err, "lookup at %s", daemon)
+}
+
+func union(sets [][]string) []string {
+	var all []string
+	seen := make(map[string]bool)
+	for _, set := range sets {
+		for _, name := range set {
+			if !seen[name] {
+				seen[name] = true
+				all = append(all, name)
+			}
+		}
+	}
+	return all
+}
--- /dev/null
+++ b/dispatch/request/request.go
@@ -0,0 +1,289 @@
+// Package request defines the life of one request as a closed list of states
+// with a single transition function, and the rule that decides what a caller
+// may be told about whether its request ran.
+//
+// "Not run" is true as long as no attempt of the request may have reached an
+// endpoint that accepted it. From the first byte towards an endpoint on, only
+// the endpoint's own word (it did not accept) restores that truth.
+package request
+
+import (
+	"strconv"
+	"sync"
+
+	"github.com/pkg/errors"
+
+	"magnoliastand.example/api"
+	"magnoliastand.example/invariant"
+)
+
+// State is the state of one request at its origin.
+type State uint8
+
+// States of a request. Answered, Refused and Unknown are final.
+const (
+	// Received means that the request was read and nothing was decided.
+	Received State = iota + 1
+	// Waiting means that the origin asks an arbiter for a slot.
+	Waiting
+	// Granted means that a slot is held and no byte of this attempt was sent.
+	Granted
+	// Dispatching means that bytes may have reached an endpoint.
+	Dispatching
+	// Answered means that the whole answer of an endpoint is at hand.
+	Answered
+	// Refused means that the request did not run and will not.
+	Refused
+	// Unknown means that the request may have run and no whole answer is at hand.
+	Unknown
+)
+
+var stateNames = [...]string{
+	"invalid", "received", "waiting", "granted", "dispatching", "answered", "refused", "unknown",
+}
+
+// String returns the lower-case name of s.
+func (s State) String() string { return name(stateNames[:], int(s)) }
+
+// Final reports whether no event leads out of s.
+func (s State) Final() bool { return s >= Answered }
+
+// Event is what happens to a request.
+type Event uint8
+
+// Events of a request.
+const (
+	// Ask starts the wait for a slot.
+	Ask Event = iota + 1
+	// Grant is the arbiter's grant.
+	Grant
+	// Withdraw gives a grant back unused; the request asks again.
+	Withdraw
+	// Send precedes the first byte towards an endpoint.
+	Send
+	// NotAccepted is the endpoint's word that it did not accept the attempt.
+	NotAccepted
+	// Retry starts over after an attempt that may have run; idempotent requests only.
+	Retry
+	// Answer is the whole answer to the request, from an endpoint or a kept record.
+	Answer
+	// Refuse ends a request that did not run.
+	Refuse
+	// Lose ends a request that may have run without a whole answer.
+	Lose
+)
+
+var eventNames = [...]string{
+	"invalid", "ask", "grant", "withdraw", "send", "not-accepted", "retry", "answer", "refuse", "lose",
+}
+
+// String returns the lower-case name of e.
+func (e Event) String() string { return name(eventNames[:], int(e)) }
+
+func name(names []string, i int) string {
+	if i < len(names) {
+		return names[i]
+	}
+	return strconv.Itoa(i)
+}
+
+// Next returns the state that follows s on e. It reports false, and s itself,
+// if e cannot happen in s.
+func Next(s State, e Event) (State, bool) {
+	switch s {
+	case Received:
+		return fromReceived(e)
+	case Waiting:
+		return fromWaiting(e)
+	case Granted:
+		return fromGranted(e)
+	case Dispatching:
+		return fromDispatching(e)
+	default:
+		return s, false
+	}
+}
+
+func fromReceived(e Event) (State, bool) {
+	switch e {
+	case Ask:
+		return Waiting, true
+	case Answer:
+		return Answered, true
+	case Refuse:
+		return Refused, true
+	case Lose:
+		return Unknown, true
+	default:
+		return Received, false
+	}
+}
+
+func fromWaiting(e Event) (State, bool) {
+	switch e {
+	case Grant:
+		return Granted, true
+	case Refuse:
+		return Refused, true
+	case Lose:
+		return Unknown, true
+	default:
+		return Waiting, false
+	}
+}
+
+func fromGranted(e Event) (State, bool) {
+	switch e {
+	case Send:
+		return Dispatching, true
+	case Withdraw:
+		return Waiting, true
+	case Refuse:
+		return Refused, true
+	case Lose:
+		return Unknown, true
+	default:
+		return Granted, false
+	}
+}
+
+func fromDispatching(e Event) (State, bool) {
+	switch e {
+	case Answer:
+		return Answered, true
+	case NotAccepted, Retry:
+		return Waiting, true
+	case Lose:
+		return Unknown, true
+	default:
+		return Dispatching, false
+	}
+}
+
+// ErrTransition is the cause of errors for events that cannot happen in the
+// current state.
+var ErrTransition = errors.New("event not allowed in this state")
+
+// ErrMayHaveRun is the cause of errors for a start or refusal that an earlier
+// attempt forbids.
+var ErrMayHaveRun = errors.New("an earlier attempt may have run")
+
+// Tracker follows one request and asserts that "not run" is only said when
+// true and that a non-idempotent request starts at most once. It is safe for
+// concurrent use.
+type Tracker struct {
+	id         string
+	idempotent bool
+
+	mu       sync.Mutex
+	state    State
+	attempts int
+	// mayHaveRun stays set once an attempt went out that no endpoint disowned.
+	mayHaveRun bool
+}
+
+// NewTracker returns the tracker of a request in state Received. Earlier tells
+// that an attempt through another origin may have run.
+func NewTracker(id string, idempotent, earlier bool) *Tracker {
+	return &Tracker{id: id, idempotent: idempotent, state: Received, mayHaveRun: earlier}
+}
+
+// State returns the current state.
+func (t *Tracker) State() State {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.state
+}
+
+// Attempts returns the number of attempts sent.
+func (t *Tracker) Attempts() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.attempts
+}
+
+// Apply moves the request by e. On an error the state is unchanged and the
+// caller must not act on e: after a failed Send it must not write a byte.
+func (t *Tracker) Apply(e Event) error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	next, ok := Next(t.state, e)
+	if !ok {
+		return errors.Wrapf(ErrTransition, "%s in state %s", e, t.state)
+	}
+	if err := t.guard(e); err != nil {
+		return err
+	}
+	t.note(e)
+	t.state = next
+	return nil
+}
+
+// guard holds the checks that depend on earlier attempts.
+func (t *Tracker) guard(e Event) error {
+	switch e {
+	case Send:
+		if !invariant.Check(t.idempotent || !t.mayHaveRun, invariant.AtMostOnce,
+			"request %s: attempt %d after one that may have run", t.id, t.attempts+1) {
+			return errors.Wrap(ErrMayHaveRun, "send")
+		}
+	case Retry:
+		if !invariant.Check(t.idempotent, invariant.AtMostOnce,
+			"request %s: retry of a non-idempotent request", t.id) {
+			return errors.Wrap(ErrMayHaveRun, "retry")
+		}
+	case Refuse:
+		if !invariant.Check(!t.mayHaveRun, invariant.NotRunIsTrue,
+			"request %s: refused as not run after an attempt that may have run", t.id) {
+			return errors.Wrap(ErrMayHaveRun, "refuse")
+		}
+	}
+	return nil
+}
+
+func (t *Tracker) note(e Event) {
+	switch e {
+	case Send:
+		t.attempts++
+	case Retry, Lose:
+		t.mayHaveRun = true
+	}
+}
+
+// End ends a request without an answer: as refused if it cannot have run,
+// otherwise as unknown. It returns what the caller may be told. A request that
+// already ended keeps its end.
+func (t *Tracker) End() api.Run {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.state.Final() {
+		return t.run()
+	}
+	event := Refuse
+	if t.mayHaveRun || t.state == Dispatching {
+		event = Lose
+	}
+	next, ok := Next(t.state, event)
+	invariant.Check(ok, invariant.NotRunIsTrue, "request %s: %s in state %s", t.id, event, t.state)
+	t.note(event)
+	t.state = next
+	return t.run()
+}
+
+// Run returns what may be said now about whether the request ran.
+func (t *Tracker) Run() api.Run {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.run()
+}
+
+func (t *Tracker) run() api.Run {
+	switch {
+	case t.state == Answered:
+		return api.RunDone
+	case t.mayHaveRun || t.state == Dispatching || t.state == Unknown:
+		return api.RunUnknown
+	default:
+		return api.RunNot
+	}
+}
