Hold instances, pools, permits and waves in a replicated state

Weighed: a pool as a list of members (two lists can disagree) against one field of the instance: the field was taken, members are a derived index. A counter of unavailable instances decides, a fresh count asserts the result. Every state but active counts as unavailable, joining too, so that a permit counts until the instance is seen healthy. Wave width follows the number of instances maintained in the round, which needs no batch bookkeeping.

--- /dev/null
+++ b/fleet/datadriven_test.go
@@ -0,0 +1,196 @@
+package fleet
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/pkg/errors"
+
+	"magnoliastand.example/api"
+)
+
+// TestExamples runs the tables of testdata. Each line of "apply" is one
+// command: [role] verb instance key=value...
+func TestExamples(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		s := New()
+		var now Millis
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			switch d.Cmd {
+			case "config":
+				_, err := s.Apply(configCommand(s.Version()+1, d.Input))
+				return outcome(Result{}, err)
+			case "advance":
+				var seconds int
+				d.ScanArgs(t, "seconds", &seconds)
+				now += Millis(seconds) * 1000
+				return fmt.Sprintf("now %d s\n", now/1000)
+			case "apply":
+				return applyLines(t, s, now, d.Input)
+			case "where":
+				return where(s, d.CmdArgs[0].Key)
+			case "waves":
+				return waves(s)
+			}
+			t.Fatalf("unknown directive %q", d.Cmd)
+			return ""
+		})
+		if !s.CheckAll() {
+			t.Fatal("invariant breached")
+		}
+	})
+}
+
+func applyLines(t *testing.T, s *State, now Millis, input string) string {
+	var out strings.Builder
+	for line := range strings.Lines(input) {
+		c := parseCommand(t, now, strings.Fields(line))
+		b, err := EncodeCommand(c)
+		if err != nil {
+			t.Fatal(err)
+		}
+		reply, err := s.ApplyBytes(b)
+		if err != nil {
+			t.Fatal(err)
+		}
+		r, err := DecodeResult(reply)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if r.Refused != "" {
+			err = &Refusal{Code: r.Refused, Detail: r.Detail}
+		}
+		out.WriteString(outcome(r, err))
+	}
+	return out.String()
+}
+
+func outcome(r Result, err error) string {
+	var refusal *Refusal
+	switch {
+	case errors.As(err, &refusal):
+		return "refused " + refusal.Error() + "\n"
+	case r.Instance != "":
+		return fmt.Sprintf("%s is %s in %s\n", r.Instance, r.State, r.Pool)
+	case r.Wave != "":
+		return "wave is " + string(r.Wave) + "\n"
+	}
+	return "ok\n"
+}
+
+func where(s *State, id string) string {
+	i, ok := s.Instance(id)
+	if !ok {
+		return "not known\n"
+	}
+	var out strings.Builder
+	fmt.Fprintf(&out, "%s is %s in %s since %d s\n", i.ID, i.State, i.Pool, i.Since/1000)
+	for _, e := range i.History {
+		fmt.Fprintf(&out, "%4d s %s %s by %s: %s\n", e.At/1000, e.Event, e.Pool, e.Actor.Role, e.Reason)
+	}
+	return out.String()
+}
+
+func waves(s *State) string {
+	var out strings.Builder
+	v := s.View()
+	for _, w := range v.Config.Waves {
+		if r := v.Waves[w.Name]; r != nil {
+			fmt.Fprintf(&out, "%s round %d %s done %d failures %d: %s\n",
+				r.Name, r.Round, r.State, r.Done, len(r.Failures), r.Reason)
+		}
+	}
+	return out.String()
+}
+
+// options splits words into the plain ones and the key=value ones.
+func options(words []string) ([]string, map[string]string) {
+	var plain []string
+	opts := map[string]string{}
+	for _, w := range words {
+		if k, v, ok := strings.Cut(w, "="); ok {
+			opts[k] = v
+			continue
+		}
+		plain = append(plain, w)
+	}
+	return plain, opts
+}
+
+func configCommand(version uint64, input string) Command {
+	var c Config
+	for line := range strings.Lines(input) {
+		w, o := options(strings.Fields(line))
+		n := func(key string) int { v, _ := strconv.Atoi(o[key]); return v }
+		switch w[0] {
+		case "pool":
+			c.Pools = append(c.Pools, api.Pool{
+				Name: w[1], Spare: len(w) > 2, MinInstances: n("min"), MaxInstances: n("max"),
+			})
+		case "budget":
+			c.Budgets = append(c.Budgets, api.Budget{
+				Scope: api.BudgetScope(w[1]), Name: o["name"], MaxUnavailable: n("max"),
+			})
+		case "wave":
+			c.Waves = append(c.Waves, api.Wave{
+				Name: w[1], Pools: strings.Split(o["pools"], ","), Canary: n("canary"),
+				MaxBatch: n("batch"), StopAfterFailures: n("stop"),
+			})
+		}
+	}
+	return Command{
+		Actor:     Actor{Role: RoleOperator},
+		SetConfig: &SetConfig{Version: version, Config: c},
+	}
+}
+
+func parseCommand(t *testing.T, now Millis, words []string) Command {
+	w, o := options(words)
+	c := Command{At: now, Actor: Actor{Role: Role(w[0])}, Reason: strings.ReplaceAll(o["why"], "-", " ")}
+	id := w[2]
+	on := &OnInstance{Instance: id}
+	switch w[1] {
+	case "register":
+		c.Register = &Register{Instance: id, Zone: o["zone"], Rack: o["rack"], Pool: o["pool"], Boot: "boot-1"}
+	case "report":
+		c.Report = &Report{Instance: id, Health: Health(w[3])}
+	case "permit":
+		c.PermitDrain = &PermitDrain{Instance: id, Purpose: Purpose(w[3]), Target: o["target"], Wave: o["wave"]}
+	case "begin-drain":
+		c.BeginDrain = on
+	case "drained":
+		c.ConfirmDrained = on
+	case "change-pool":
+		c.ChangePool = &ChangePool{Instance: id, From: o["from"], To: o["to"]}
+	case "begin-reboot":
+		c.BeginReboot = on
+	case "rebooted":
+		c.ConfirmReboot = &ConfirmReboot{Instance: id, Boot: o["boot"]}
+	case "join":
+		c.Join = &Join{Instance: id, Pool: o["pool"]}
+	case "cancel":
+		c.CancelPermit = on
+	case "quarantine":
+		c.Quarantine = on
+	case "release":
+		c.Release = on
+	case "deregister":
+		c.Deregister = on
+	case "pin":
+		c.Pin = &Pin{Instance: id, Pinned: true}
+	case "start-wave":
+		c.StartWave = &OnWave{Wave: id}
+	case "pause-wave":
+		c.PauseWave = &OnWave{Wave: id}
+	case "resume-wave":
+		c.ResumeWave = &OnWave{Wave: id}
+	case "abort-wave":
+		c.AbortWave = &OnWave{Wave: id}
+	default:
+		t.Fatalf("unknown verb %q", w[1])
+	}
+	return c
+}
--- /dev/null
+++ b/fleet/wave.go
@@ -0,0 +1,218 @@
+package fleet
+
+import (
+	"slices"
+
+	"magnoliastand.example/api"
+)
+
+// Timing of maintenance waves.
+const (
+	// WaveSoak is how long the canary batch must stand after its last member
+	// joined before the wave widens, and how long after its maintenance a
+	// failure of an instance counts against the wave, in milliseconds.
+	WaveSoak Millis = 120_000
+	// waveFailureWindow is how far back failures count as correlated, in milliseconds.
+	waveFailureWindow Millis = 3_600_000
+)
+
+// WaveState is the state of a wave. The list is closed.
+type WaveState string
+
+// States of a wave. A wave that never ran has no run.
+const (
+	WaveRunning  WaveState = "running"
+	WavePaused   WaveState = "paused"
+	WaveAborted  WaveState = "aborted"
+	WaveFinished WaveState = "finished"
+)
+
+// WaveRun is the progress of a wave through its present round.
+type WaveRun struct {
+	Name  string    `cbor:"1,keyasint"`
+	State WaveState `cbor:"2,keyasint"`
+	// Round counts the starts of the wave from 1.
+	Round   uint64 `cbor:"3,keyasint"`
+	Started Millis `cbor:"4,keyasint"`
+	// Ended is when the round finished or was aborted.
+	Ended Millis `cbor:"5,keyasint,omitempty"`
+	// Done is the number of instances maintained in this round.
+	Done int `cbor:"6,keyasint,omitempty"`
+	// CanaryDone is when the last canary joined.
+	CanaryDone Millis `cbor:"7,keyasint,omitempty"`
+	// Failures holds the times of the latest failures of the wave's instances.
+	Failures []Millis `cbor:"8,keyasint,omitempty"`
+	// Reason explains State.
+	Reason string `cbor:"9,keyasint,omitempty"`
+}
+
+// Width returns how many instances of the wave may hold a permit at the time:
+// the canary batch first, then as many as were maintained in the round, up to
+// the largest batch.
+func (r *WaveRun) Width(w api.Wave, at Millis) int {
+	canary := max(w.Canary, 1)
+	if r.Done < canary {
+		return canary - r.Done
+	}
+	if at < r.CanaryDone+WaveSoak {
+		return 0
+	}
+	return min(max(w.MaxBatch, 1), max(canary, r.Done))
+}
+
+func (c *Command) onWave() *OnWave {
+	for _, w := range []*OnWave{c.StartWave, c.PauseWave, c.ResumeWave, c.AbortWave} {
+		if w != nil {
+			return w
+		}
+	}
+	return nil
+}
+
+func (s *State) applyWave(cmd *Command) (Result, error) {
+	name := cmd.onWave().Wave
+	run := WaveRun{Name: name}
+	if old, ok := s.waves[name]; ok {
+		run = *old
+		run.Failures = slices.Clone(old.Failures)
+	}
+	var err error
+	switch {
+	case cmd.StartWave != nil:
+		err = s.startWave(&run, cmd)
+	case cmd.PauseWave != nil:
+		err = run.move(WavePaused, cmd, WaveRunning)
+	case cmd.ResumeWave != nil:
+		err = run.move(WaveRunning, cmd, WavePaused)
+		run.Failures = nil
+	default:
+		err = run.move(WaveAborted, cmd, WaveRunning, WavePaused)
+		run.Ended = cmd.At
+	}
+	if err != nil {
+		return Result{}, err
+	}
+	s.waves[name] = &run
+	if run.State == WaveAborted {
+		s.cancelWavePermits(name, cmd)
+	}
+	return Result{Wave: run.State}, nil
+}
+
+// move changes the state of the run if it is in one of the given states.
+func (r *WaveRun) move(to WaveState, cmd *Command, from ...WaveState) error {
+	if !slices.Contains(from, r.State) {
+		return refuse(CodeWaveState, "wave %q is %q", r.Name, r.State)
+	}
+	r.State = to
+	r.Reason = cmd.Reason
+	return nil
+}
+
+func (s *State) startWave(r *WaveRun, cmd *Command) error {
+	if _, ok := s.cfg.wave(r.Name); !ok {
+		return refuse(CodeNotFound, "wave %q", r.Name)
+	}
+	if r.State == WaveRunning || r.State == WavePaused {
+		return refuse(CodeWaveState, "wave %q is %q", r.Name, r.State)
+	}
+	*r = WaveRun{Name: r.Name, State: WaveRunning, Round: r.Round + 1, Started: cmd.At, Reason: cmd.Reason}
+	return nil
+}
+
+// cancelWavePermits cancels the permits of the wave whose instances did not
+// start to reboot.
+func (s *State) cancelWavePermits(name string, cmd *Command) {
+	for _, id := range slices.Clone(s.order) {
+		i := s.instances[id]
+		if i.Permit == nil || i.Permit.Wave != name {
+			continue
+		}
+		if _, ok := Next(i.State, EventCancel); !ok {
+			continue
+		}
+		// The transition is allowed and lowers availability nowhere.
+		_, _ = s.transition(i, cmd, EventCancel, false, func(c *Instance) { c.Permit = nil })
+	}
+}
+
+// checkWavePermit returns the round that a permit of the wave belongs to.
+func (s *State) checkWavePermit(i *Instance, name string, at Millis) (uint64, error) {
+	w, ok := s.cfg.wave(name)
+	run := s.waves[name]
+	if !ok || run == nil || run.State != WaveRunning {
+		return 0, refuse(CodeWaveState, "wave %q is not running", name)
+	}
+	if !slices.Contains(w.Pools, i.Pool) {
+		return 0, refuse(CodeWrongPool, "wave %q does not cover pool %q", name, i.Pool)
+	}
+	if i.VisitOf(name).Round == run.Round {
+		return 0, refuse(CodeWaveState, "instance %s was maintained in this round", i.ID)
+	}
+	if n, width := s.inFlight[name], run.Width(w, at); n+1 > width {
+		return 0, refuse(CodeWaveLimit, "wave %q has %d permits of at most %d", name, n, width)
+	}
+	return run.Round, nil
+}
+
+// countWaveVisit records that one more instance was maintained in the round
+// and ends the round after the last one.
+func (s *State) countWaveVisit(name string, round uint64, at Millis) {
+	old := s.waves[name]
+	w, ok := s.cfg.wave(name)
+	if old == nil || old.Round != round || !ok {
+		return
+	}
+	run := *old
+	run.Done++
+	if run.Done == max(w.Canary, 1) {
+		run.CanaryDone = at
+	}
+	if run.State == WaveRunning && s.waveLeft(w, round) == 0 {
+		run.State = WaveFinished
+		run.Ended = at
+		run.Reason = "every instance was maintained"
+	}
+	s.waves[name] = &run
+}
+
+// waveLeft returns how many instances of the wave are not maintained yet.
+func (s *State) waveLeft(w api.Wave, round uint64) int {
+	left := 0
+	for _, i := range s.instances {
+		if slices.Contains(w.Pools, i.Pool) && i.VisitOf(w.Name).Round != round {
+			left++
+		}
+	}
+	return left
+}
+
+// countWaveFailure counts the loss of i against the waves that maintain it or
+// did so within WaveSoak, and pauses a wave with too many.
+func (s *State) countWaveFailure(i *Instance, cmd *Command) {
+	for _, w := range s.cfg.Waves {
+		old := s.waves[w.Name]
+		if old == nil || old.State != WaveRunning || !s.blames(i, old, cmd.At) {
+			continue
+		}
+		run := *old
+		run.Failures = slices.DeleteFunc(slices.Clone(old.Failures), func(t Millis) bool {
+			return t+waveFailureWindow < cmd.At
+		})
+		run.Failures = append(run.Failures, cmd.At)
+		if len(run.Failures) >= max(w.StopAfterFailures, 1) {
+			run.State = WavePaused
+			run.Reason = "correlated failure: last lost instance was " + i.ID
+		}
+		s.waves[w.Name] = &run
+	}
+}
+
+// blames reports whether the loss of i counts against the run.
+func (s *State) blames(i *Instance, run *WaveRun, at Millis) bool {
+	if i.Permit != nil && i.Permit.Wave == run.Name {
+		return true
+	}
+	v := i.VisitOf(run.Name)
+	return v.Round == run.Round && at < v.At+WaveSoak
+}
