--- a/fleet/budget.go
+++ b/fleet/budget.go
@@ -102,15 +102,15 @@
 	return n
 }
 
-// assertOnePool checks that the instance is a member of exactly one pool.
-func (s *State) assertOnePool(i *Instance) {
+// assertOnePool checks that the instance is a member of exactly one pool, its own.
+func (s *State) assertOnePool(i *Instance) bool {
 	n := 0
-	for pool, members := range s.members {
+	for _, members := range s.members {
 		if _, ok := members[i.ID]; ok {
 			n++
-			invariant.Check(pool == i.Pool, invariant.OnePoolPerInstance,
-				"instance %s is a member of %q but belongs to %q", i.ID, pool, i.Pool)
 		}
 	}
-	invariant.Check(n == 1, invariant.OnePoolPerInstance, "instance %s is a member of %d pools", i.ID, n)
+	_, own := s.members[i.Pool][i.ID]
+	return invariant.Check(n == 1 && own, invariant.OnePoolPerInstance,
+		"instance %s of pool %q is a member of %d pools", i.ID, i.Pool, n)
 }
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -163,7 +163,7 @@
 func (s *State) CheckAll() bool {
 	good := true
 	for _, id := range s.order {
-		s.assertOnePool(s.instances[id])
+		good = s.assertOnePool(s.instances[id]) && good
 	}
 	good = invariant.Check(len(s.order) == len(s.instances), invariant.OnePoolPerInstance,
 		"%d ids in order for %d instances", len(s.order), len(s.instances)) && good
