--- /dev/null
+++ b/daemon/arbiterhost.go
@@ -0,0 +1,345 @@
+package daemon
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"magnoliastand.example/api"
+	"magnoliastand.example/dispatch"
+	"magnoliastand.example/dispatch/arbiter"
+	"magnoliastand.example/dispatch/endpoint"
+	"magnoliastand.example/peerlink"
+)
+
+// waiterKey identifies an ask that waits for its outcome.
+type waiterKey struct {
+	requestID string
+	origin    dispatch.DaemonID
+}
+
+// askOutcome ends a waiting ask. A zero outcome means that the arbiter's term ended.
+type askOutcome struct {
+	grant   *dispatch.Grant
+	refusal *dispatch.Refusal
+}
+
+// limiterHandle is the arbiter's part of the teams' limits for one term.
+type limiterHandle interface {
+	arbiter.Limiter
+	// Adopt counts units that an origin declared as running under an earlier term.
+	Adopt(team string, units int64)
+	// End ends the term: nothing can be acquired from now on.
+	End()
+}
+
+// arbiterHost owns the registry of endpoints and, while this daemon is its
+// zone's arbiter, the arbiter. It serialises all access to both.
+type arbiterHost struct {
+	zone string
+	link *peerlink.Node
+	log  zerolog.Logger
+	// newLimiter returns the limiter of a new term.
+	newLimiter func(term uint64) limiterHandle
+	// arbiterOf returns the arbiters of other zones.
+	arbiterOf func(zone string) (arbiterRef, bool)
+
+	mu      sync.Mutex
+	reg     *endpoint.Registry
+	cfg     *arbiter.Config
+	arb     *arbiter.Arbiter
+	limiter limiterHandle
+	waiters map[waiterKey]chan askOutcome
+	// delivered holds grants whose origin may still say that it did not take them.
+	delivered map[waiterKey]dispatch.GrantID
+	taken     map[dispatch.GrantID]waiterKey
+	forwards  map[waiterKey]context.CancelFunc
+	adopted   map[dispatch.GrantID]struct{}
+}
+
+func newArbiterHost(zone string, link *peerlink.Node, log zerolog.Logger) *arbiterHost {
+	h := &arbiterHost{
+		zone: zone,
+		link: link,
+		log:  log,
+		reg:  endpoint.NewRegistry(endpoint.Options{}),
+		cfg:  arbiter.NewConfig(api.Document{}),
+	}
+	h.clear()
+	h.register()
+	return h
+}
+
+// clear drops what belongs to one term. The lock is held, or not yet shared.
+func (h *arbiterHost) clear() {
+	h.waiters = make(map[waiterKey]chan askOutcome)
+	h.delivered = make(map[waiterKey]dispatch.GrantID)
+	h.taken = make(map[dispatch.GrantID]waiterKey)
+	h.forwards = make(map[waiterKey]context.CancelFunc)
+	h.adopted = make(map[dispatch.GrantID]struct{})
+}
+
+// setDocument puts a new document in force.
+func (h *arbiterHost) setDocument(doc api.Document) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.cfg = arbiter.NewConfig(doc)
+	if h.arb != nil {
+		h.deliver(h.arb.SetConfig(time.Now(), h.cfg))
+	}
+}
+
+// start begins a term. Recovery tells what earlier terms may have left.
+func (h *arbiterHost) start(term uint64, recovery arbiter.Recovery) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.stopLocked()
+	now := time.Now()
+	h.limiter = h.newLimiter(term)
+	h.reg.ShareLoad(now.Add(recoveryShareLoad))
+	h.arb = arbiter.New(now, arbiter.Options{Zone: h.zone, Term: term, Recovery: recovery}, h.cfg, h.reg, h.limiter)
+}
+
+// recoveryShareLoad is how long after a change of arbiter every announcement
+// is passed on with its load.
+const recoveryShareLoad = 10 * time.Second
+
+// follow notes that another daemon became arbiter.
+func (h *arbiterHost) follow() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.stopLocked()
+	h.reg.ShareLoad(time.Now().Add(recoveryShareLoad))
+}
+
+// stopLocked ends the term: asks that wait are told that the arbiter is lost.
+func (h *arbiterHost) stopLocked() {
+	if h.arb == nil {
+		return
+	}
+	h.arb = nil
+	h.limiter.End()
+	for _, ch := range h.waiters {
+		ch <- askOutcome{}
+	}
+	for _, cancel := range h.forwards {
+		cancel()
+	}
+	h.clear()
+}
+
+// term returns the term of the running arbiter, or 0.
+func (h *arbiterHost) term() uint64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.termLocked()
+}
+
+func (h *arbiterHost) termLocked() uint64 {
+	if h.arb == nil {
+		return 0
+	}
+	return h.arb.Term()
+}
+
+// run lets time pass for the arbiter until ctx ends.
+func (h *arbiterHost) run(ctx context.Context) {
+	ticker := time.NewTicker(arbiterTick)
+	defer ticker.Stop()
+	for {
+		select {
+		case now := <-ticker.C:
+			h.tick(now)
+		case <-ctx.Done():
+			h.mu.Lock()
+			h.stopLocked()
+			h.mu.Unlock()
+			return
+		}
+	}
+}
+
+func (h *arbiterHost) tick(now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.arb == nil {
+		h.reg.Advance(now)
+		return
+	}
+	h.deliver(h.arb.Tick(now))
+}
+
+// ask waits for the outcome of one ask. It returns errNotArbiter when the term
+// is not the running one or ends meanwhile, and the error of ctx when the
+// origin gave up; a grant made meanwhile is then released unused.
+func (h *arbiterHost) ask(ctx context.Context, term uint64, ask dispatch.Ask) (askReply, error) {
+	key := waiterKey{ask.RequestID, ask.Origin}
+	ch := make(chan askOutcome, 1)
+	h.mu.Lock()
+	if h.arb == nil || h.arb.Term() != term {
+		h.mu.Unlock()
+		return askReply{}, errNotArbiter
+	}
+	if old := h.waiters[key]; old != nil {
+		old <- askOutcome{}
+	}
+	h.waiters[key] = ch
+	h.deliver(h.arb.Ask(time.Now(), ask))
+	h.mu.Unlock()
+	select {
+	case out := <-ch:
+		if out.grant == nil && out.refusal == nil {
+			return askReply{}, errNotArbiter
+		}
+		return askReply{Grant: out.grant, Refusal: out.refusal}, nil
+	case <-ctx.Done():
+		h.giveUp(key, ch)
+		return askReply{}, ctx.Err()
+	}
+}
+
+// giveUp ends an ask whose handler is gone, unless a repeated ask took its place.
+func (h *arbiterHost) giveUp(key waiterKey, ch chan askOutcome) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	select {
+	case out := <-ch:
+		if out.grant != nil {
+			h.releaseUnused(key)
+		}
+		return
+	default:
+	}
+	if h.waiters[key] == ch {
+		h.cancelLocked(key)
+	}
+}
+
+// cancel takes back an ask, or the grant that it led to and its origin did not take.
+func (h *arbiterHost) cancel(n cancelNotice) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.termLocked() != n.Term {
+		return
+	}
+	key := waiterKey{n.RequestID, n.Origin}
+	if ch := h.waiters[key]; ch != nil {
+		ch <- askOutcome{}
+		h.cancelLocked(key)
+		return
+	}
+	h.releaseUnused(key)
+}
+
+func (h *arbiterHost) cancelLocked(key waiterKey) {
+	delete(h.waiters, key)
+	if h.arb != nil {
+		h.deliver(h.arb.Cancel(time.Now(), key.requestID, key.origin))
+	}
+}
+
+func (h *arbiterHost) releaseUnused(key waiterKey) {
+	id, ok := h.delivered[key]
+	if !ok || h.arb == nil {
+		return
+	}
+	h.releaseLocked(dispatch.Release{Grant: id, Outcome: dispatch.OutcomeUnused})
+}
+
+func (h *arbiterHost) releaseLocked(r dispatch.Release) {
+	if key, ok := h.taken[r.Grant]; ok {
+		delete(h.taken, r.Grant)
+		delete(h.delivered, key)
+	}
+	h.deliver(h.arb.Release(time.Now(), r))
+}
+
+// release applies a declaration and releases. It returns errNotArbiter when
+// the term is not the running one.
+func (h *arbiterHost) release(r releaseRequest) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.arb == nil || h.arb.Term() != r.Term {
+		return errNotArbiter
+	}
+	if r.Declaration != nil {
+		h.adopt(*r.Declaration)
+		h.deliver(h.arb.Declare(time.Now(), *r.Declaration))
+	}
+	for _, rel := range r.Releases {
+		h.releaseLocked(rel)
+	}
+	return nil
+}
+
+// adopt counts the units of declared grants once for each grant.
+func (h *arbiterHost) adopt(d dispatch.Declaration) {
+	for _, held := range d.Held {
+		g := held.Grant
+		if g.Team == "" || g.ID.Zone != h.zone || g.ID.Term >= h.arb.Term() {
+			continue
+		}
+		if _, ok := h.adopted[g.ID]; ok {
+			continue
+		}
+		h.adopted[g.ID] = struct{}{}
+		h.limiter.Adopt(g.Team, 1)
+	}
+}
+
+// originLost tells the arbiter that a daemon incarnation has ended.
+func (h *arbiterHost) originLost(id dispatch.DaemonID) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.arb != nil {
+		h.deliver(h.arb.OriginLost(time.Now(), id))
+	}
+}
+
+// deliver carries out the arbiter's events. The lock is held.
+func (h *arbiterHost) deliver(events []arbiter.Event) {
+	for _, ev := range events {
+		switch e := ev.(type) {
+		case arbiter.Granted:
+			h.deliverGrant(e)
+		case arbiter.Refused:
+			h.end(waiterKey{e.RequestID, e.Origin}, askOutcome{refusal: &e.Refusal})
+		case arbiter.Forward:
+			h.forward(e)
+		case arbiter.ForwardCancel:
+			h.cancelForward(waiterKey{e.RequestID, e.Origin})
+		}
+	}
+}
+
+func (h *arbiterHost) deliverGrant(e arbiter.Granted) {
+	key := waiterKey{e.Grant.RequestID, e.Origin}
+	h.delivered[key] = e.Grant.ID
+	h.taken[e.Grant.ID] = key
+	if !h.end(key, askOutcome{grant: &e.Grant}) {
+		// Nobody waits: the ask was given up between two inputs.
+		h.log.Debug().Str("request", e.Grant.RequestID).Msg("grant without a waiting ask")
+	}
+}
+
+func (h *arbiterHost) end(key waiterKey, out askOutcome) bool {
+	ch, ok := h.waiters[key]
+	if !ok {
+		return false
+	}
+	delete(h.waiters, key)
+	ch <- out
+	return true
+}
+
+// stats returns the arbiter's counts; false when this daemon is not the arbiter.
+func (h *arbiterHost) stats() (arbiter.Stats, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.arb == nil {
+		return arbiter.Stats{}, false
+	}
+	return h.arb.Stats(), true
+}
