control: replicated control state with views and deltas; quota: allotments

Cause: the daemon needs one settled interface to the configuration in force.

Weighed: - Conflicts count document versions, not the global version: key grants between two document edits would otherwise refuse the second edit. - Time is cluster time stamped by the leader, continued from the log by the next leader. Wall clocks of two leaders may differ by minutes, which could free units early; uncounted time only frees them late. - Leases are not renewed through the log (21 zones a second would be the busiest entry). A renewal is valid once a quorum confirmed the leader after the question; ending a term is the only log entry, and waits start at the first command whose proposer had applied it. - Units move by counters that only rise, so repeats and reordering are harmless. - Results of operations are kept 6 h of cluster time, at most 16,384; when full, new operations are refused rather than results dropped. - Keys of a team that leaves the document are refused but kept, so that undoing a faulty document does not cost every key.

--- /dev/null
+++ b/control/codec.go
@@ -0,0 +1,79 @@
+package control
+
+import (
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"magnoliastand.example/api"
+)
+
+// maxListItems bounds every list of a decoded message.
+const maxListItems = 1 << 17
+
+// encMode encodes canonically: equal values give equal bytes.
+var encMode = mustEncMode()
+
+// decMode refuses repeated map keys and oversized lists.
+var decMode = mustDecMode()
+
+func mustEncMode() cbor.EncMode {
+	m, err := cbor.CoreDetEncOptions().EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return m
+}
+
+func mustDecMode() cbor.DecMode {
+	m, err := cbor.DecOptions{
+		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
+		MaxArrayElements: maxListItems,
+		MaxMapPairs:      maxListItems,
+		MaxNestedLevels:  32,
+		IndefLength:      cbor.IndefLengthForbidden,
+	}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return m
+}
+
+// EncodeCommand returns the log entry of a command.
+func EncodeCommand(c *Command) ([]byte, error) {
+	b, err := encMode.Marshal(c)
+	return b, errors.Wrap(err, "encode control command")
+}
+
+// DecodeCommand returns the command of a log entry.
+func DecodeCommand(b []byte) (*Command, error) {
+	var c Command
+	if err := decMode.Unmarshal(b, &c); err != nil {
+		return nil, errors.Wrap(err, "decode control command")
+	}
+	return &c, nil
+}
+
+// EncodeDelta returns the wire form of a delta.
+func EncodeDelta(d *Delta) ([]byte, error) {
+	b, err := encMode.Marshal(d)
+	return b, errors.Wrap(err, "encode delta")
+}
+
+// DecodeDelta returns the delta of a wire form.
+func DecodeDelta(b []byte) (*Delta, error) {
+	var d Delta
+	if err := decMode.Unmarshal(b, &d); err != nil {
+		return nil, errors.Wrap(err, "decode delta")
+	}
+	return &d, nil
+}
+
+// documentBytes returns the canonical bytes of a document. Documents have no
+// value that fails to encode.
+func documentBytes(doc *api.Document) []byte {
+	b, err := encMode.Marshal(doc)
+	if err != nil {
+		panic(errors.Wrap(err, "encode document"))
+	}
+	return b
+}
--- /dev/null
+++ b/control/delta.go
@@ -0,0 +1,110 @@
+package control
+
+import (
+	"fmt"
+	"maps"
+
+	"github.com/pkg/errors"
+
+	"magnoliastand.example/api"
+)
+
+// Delta carries every part of the configuration that changed between two
+// versions, in its state at the newer one.
+type Delta struct {
+	Cluster string `cbor:"1,keyasint"`
+	// From is the version that the delta builds on, or any newer one; 0 with Full.
+	From uint64 `cbor:"2,keyasint"`
+	To   uint64 `cbor:"3,keyasint"`
+	// Full tells that the delta holds the whole configuration.
+	Full     bool             `cbor:"4,keyasint,omitempty"`
+	Document *DocumentVersion `cbor:"5,keyasint,omitempty"`
+	Keys     []KeyRecord      `cbor:"6,keyasint,omitempty"`
+	Daemons  []Daemon         `cbor:"7,keyasint,omitempty"`
+	Arbiters []Arbiter        `cbor:"8,keyasint,omitempty"`
+}
+
+// DocumentVersion is a document with the version at which it came into force.
+type DocumentVersion struct {
+	Version  uint64       `cbor:"1,keyasint"`
+	Document api.Document `cbor:"2,keyasint"`
+}
+
+// ErrOtherCluster means that a view or delta belongs to another cluster.
+var ErrOtherCluster = errors.New("the configuration belongs to another cluster")
+
+// GapError means that a delta builds on a version newer than the view. The
+// receiver asks for a delta from the version that it has.
+type GapError struct {
+	Have uint64
+	From uint64
+}
+
+// Error implements error.
+func (e *GapError) Error() string {
+	return fmt.Sprintf("the delta builds on version %d; the view has version %d", e.From, e.Have)
+}
+
+// ApplyDelta returns the view at the delta's version. It returns v itself if
+// the delta is not newer. The error is ErrOtherCluster or a *GapError.
+func (v *View) ApplyDelta(d *Delta) (*View, error) {
+	if d.Cluster != v.cluster {
+		return v, ErrOtherCluster
+	}
+	if d.To <= v.version {
+		return v, nil
+	}
+	if !d.Full && d.From > v.version {
+		return v, &GapError{Have: v.version, From: d.From}
+	}
+	next := *v
+	if d.Full {
+		next = *NewView(v.cluster)
+	}
+	next.version = d.To
+	if d.Document != nil {
+		next.doc = &d.Document.Document
+		next.docVersion = d.Document.Version
+		next.index = api.NewIndex(next.doc)
+	}
+	next.mergeRecords(d)
+	return &next, nil
+}
+
+// mergeRecords replaces the maps that change by copies.
+func (v *View) mergeRecords(d *Delta) {
+	if len(d.Keys) > 0 {
+		v.keys = cloneMap(v.keys)
+	}
+	for _, k := range d.Keys {
+		if k.Withdrawn {
+			delete(v.keys, k.ID)
+			continue
+		}
+		v.keys[k.ID] = k
+	}
+	if len(d.Daemons) > 0 {
+		v.daemons = cloneMap(v.daemons)
+	}
+	for _, dm := range d.Daemons {
+		if dm.Forgotten {
+			delete(v.daemons, dm.Name)
+			continue
+		}
+		v.daemons[dm.Name] = dm
+	}
+	if len(d.Arbiters) > 0 {
+		v.arbiters = cloneMap(v.arbiters)
+	}
+	for _, a := range d.Arbiters {
+		v.arbiters[a.Zone] = a
+	}
+}
+
+// cloneMap returns a copy of m that can be written to.
+func cloneMap[V any](m map[string]V) map[string]V {
+	if m == nil {
+		return make(map[string]V)
+	}
+	return maps.Clone(m)
+}
--- /dev/null
+++ b/control/snapshot.go
@@ -0,0 +1,117 @@
+package control
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+
+	"magnoliastand.example/api"
+	"magnoliastand.example/quota"
+)
+
+// snapshotFormat is the version of the snapshot's encoding.
+const snapshotFormat = 1
+
+// snapshotState is the encoded form of a State. Its lists are sorted, so equal
+// states give equal bytes.
+type snapshotState struct {
+	Format     int               `cbor:"1,keyasint"`
+	Cluster    string            `cbor:"2,keyasint"`
+	Index      uint64            `cbor:"3,keyasint"`
+	Now        time.Duration     `cbor:"4,keyasint"`
+	Version    uint64            `cbor:"5,keyasint"`
+	DocVersion uint64            `cbor:"6,keyasint"`
+	Document   api.Document      `cbor:"7,keyasint"`
+	Keys       []KeyRecord       `cbor:"8,keyasint,omitempty"`
+	Daemons    []Daemon          `cbor:"9,keyasint,omitempty"`
+	Arbiters   []Arbiter         `cbor:"10,keyasint,omitempty"`
+	Floor      uint64            `cbor:"11,keyasint,omitempty"`
+	Operations []*operation      `cbor:"12,keyasint,omitempty"`
+	History    []HistoryEntry    `cbor:"13,keyasint,omitempty"`
+	Ledger     quota.LedgerState `cbor:"14,keyasint"`
+	Fleet      []byte            `cbor:"15,keyasint,omitempty"`
+}
+
+// Snapshot encodes the state canonically. The caller adds a checksum.
+func (s *State) Snapshot() ([]byte, error) {
+	out := snapshotState{
+		Format:     snapshotFormat,
+		Cluster:    s.cluster,
+		Index:      s.index,
+		Now:        s.now,
+		Version:    s.version,
+		DocVersion: s.docVersion,
+		Document:   *s.doc,
+		Keys:       sortedValues(s.keys),
+		Daemons:    sortedValues(s.daemons),
+		Arbiters:   sortedValues(s.arbiters),
+		Floor:      s.floor,
+		Operations: s.ops.queue,
+		History:    s.history,
+		Ledger:     s.ledger.State(),
+	}
+	if s.opts.Fleet != nil {
+		fleet, err := s.opts.Fleet.Snapshot()
+		if err != nil {
+			return nil, errors.Wrap(err, "snapshot of the fleet state")
+		}
+		out.Fleet = fleet
+	}
+	b, err := encMode.Marshal(&out)
+	return b, errors.Wrap(err, "encode control snapshot")
+}
+
+// Restore replaces the state by that of a snapshot. The error is
+// ErrOtherCluster, or tells that the snapshot cannot be decoded; the state is
+// then unchanged, unless the Delegate failed after the rest was decoded.
+func (s *State) Restore(snapshot []byte) error {
+	var in snapshotState
+	if err := decMode.Unmarshal(snapshot, &in); err != nil {
+		return errors.Wrap(err, "decode control snapshot")
+	}
+	if in.Format != snapshotFormat {
+		return errors.Errorf("control snapshot has format %d; format %d is expected", in.Format, snapshotFormat)
+	}
+	if in.Cluster != s.cluster {
+		return ErrOtherCluster
+	}
+	next := New(s.cluster, s.opts)
+	next.load(&in)
+	if s.opts.Fleet != nil {
+		if err := s.opts.Fleet.Restore(in.Fleet); err != nil {
+			return errors.Wrap(err, "restore the fleet state")
+		}
+	}
+	*s = *next
+	return nil
+}
+
+func (s *State) load(in *snapshotState) {
+	s.index = in.Index
+	s.now = in.Now
+	s.version = in.Version
+	s.docVersion = in.DocVersion
+	s.install(&in.Document)
+	for _, k := range in.Keys {
+		s.keys[k.ID] = k
+		if k.Withdrawn {
+			s.removed++
+		}
+	}
+	for _, d := range in.Daemons {
+		s.daemons[d.Name] = d
+		if d.Forgotten {
+			s.removed++
+		}
+	}
+	for _, a := range in.Arbiters {
+		s.arbiters[a.Zone] = a
+	}
+	s.floor = in.Floor
+	s.history = in.History
+	s.ledger = quota.RestoreLedger(s.opts.Bounds, &in.Ledger)
+	for _, op := range in.Operations {
+		s.ops.byID[op.ID] = op
+		s.ops.queue = append(s.ops.queue, op)
+	}
+}
--- /dev/null
+++ b/control/state_test.go
@@ -0,0 +1,356 @@
+package control
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"magnoliastand.example/api"
+	"magnoliastand.example/invariant"
+)
+
+// run applies commands to a state at consecutive indexes.
+func run(s *State, cmds ...*Command) Result {
+	var r Result
+	for _, c := range cmds {
+		r = s.Apply(s.Index()+1, c)
+	}
+	return r
+}
+
+func wantRefusal(t *testing.T, r Result, code RefusalCode) {
+	t.Helper()
+	if r.Refusal == nil || r.Refusal.Code != code {
+		t.Fatalf("got %+v (%v), want refusal %s", r, r.Refusal, code)
+	}
+}
+
+func TestSameBaseTwiceOneWins(t *testing.T) {
+	s := New(testCluster, Options{})
+	first := run(s, applyDoc("a", 0, testDocument(1, 5)))
+	second := run(s, applyDoc("b", 0, testDocument(2, 5)))
+	if first.Refusal != nil || first.DocumentVersion != 1 {
+		t.Fatalf("first apply: %+v", first)
+	}
+	wantRefusal(t, second, RefusedConflict)
+	if second.Refusal.CurrentVersion != 1 {
+		t.Fatalf("conflict names version %d", second.Refusal.CurrentVersion)
+	}
+	if r := run(s, applyDoc("c", 1, testDocument(2, 5))); r.Refusal != nil {
+		t.Fatal(r.Refusal)
+	}
+}
+
+func TestKeyGrantDoesNotConflictWithDocument(t *testing.T) {
+	s := New(testCluster, Options{})
+	run(s, applyDoc("a", 0, testDocument(1, 5)), grantKey("k", "team-0", testKey(1)))
+	if r := run(s, applyDoc("b", 1, testDocument(1, 6))); r.Refusal != nil || r.Version != 3 {
+		t.Fatalf("got %+v", r)
+	}
+}
+
+func TestRepeatedOperationGetsFirstResult(t *testing.T) {
+	s := New(testCluster, Options{})
+	run(s, applyDoc("a", 0, testDocument(1, 5)))
+	first := run(s, grantKey("k", "team-0", testKey(1)))
+	run(s, applyDoc("b", 1, testDocument(2, 5)))
+	snap, err := s.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	s = New(testCluster, Options{})
+	if err := s.Restore(snap); err != nil {
+		t.Fatal(err)
+	}
+	again := run(s, grantKey("k", "team-0", testKey(2)))
+	if !again.Repeated || again.KeyID != first.KeyID || again.Version != first.Version || again.Index != first.Index {
+		t.Fatalf("first %+v, again %+v", first, again)
+	}
+	if r := run(s, applyDoc("a", 0, testDocument(1, 5))); !r.Repeated || r.DocumentVersion != 1 {
+		t.Fatalf("repeated apply: %+v", r)
+	}
+	wantRefusal(t, run(s, withdrawKey("k", testKey(1).ID)), RefusedOperationReused)
+}
+
+func TestOperationsAreBoundedAndKeptForTheWindow(t *testing.T) {
+	s := New(testCluster, Options{})
+	for i := range MaxOperations {
+		c := withdrawKey("op-"+testKey(i).ID, testKey(i).ID)
+		c.At = time.Duration(i)
+		run(s, c)
+	}
+	late := withdrawKey("late", testKey(1).ID)
+	late.At = OperationWindow
+	wantRefusal(t, run(s, late), RefusedOperationsFull)
+	if r := run(s, withdrawKey("op-"+testKey(0).ID, testKey(0).ID)); !r.Repeated {
+		t.Fatal("a result within the window was dropped")
+	}
+	late.At = OperationWindow + 1
+	wantRefusal(t, run(s, late), RefusedNotFound)
+	if len(s.ops.queue) > MaxOperations || len(s.ops.byID) != len(s.ops.queue) {
+		t.Fatalf("%d results kept", len(s.ops.queue))
+	}
+}
+
+func TestMalformedCommandsAreRefused(t *testing.T) {
+	s := New(testCluster, Options{})
+	run(s, applyDoc("a", 0, testDocument(1, 5)))
+	two := grantKey("k", "team-0", testKey(1))
+	two.Tick = &Tick{}
+	wantRefusal(t, run(s, &Command{}), RefusedMalformed)
+	wantRefusal(t, run(s, two), RefusedMalformed)
+	wantRefusal(t, run(s, grantKey("", "team-0", testKey(1))), RefusedMalformed)
+	wantRefusal(t, run(s, grantKey("k0", "team-0", Key{ID: "X"})), RefusedMalformed)
+	wantRefusal(t, run(s, grantKey("k1", "team-9", testKey(1))), RefusedUnknownTeam)
+	wantRefusal(t, run(s, &Command{Fleet: []byte{1}}), RefusedFleet)
+	bad := testDocument(1, -1)
+	r := run(s, applyDoc("b", 1, bad))
+	wantRefusal(t, r, RefusedDocument)
+	if len(r.Refusal.Faults) != 1 || r.Refusal.Faults[0].Path != "teams[0].limit" {
+		t.Fatalf("faults %v", r.Refusal.Faults)
+	}
+	if s.Version() != 1 {
+		t.Fatalf("a refused command changed the version to %d", s.Version())
+	}
+}
+
+func TestKeysRollOverAndWithdrawal(t *testing.T) {
+	s := New(testCluster, Options{})
+	a, b, c := testKey(1), testKey(2), testKey(3)
+	run(s, applyDoc("a", 0, testDocument(1, 5)), grantKey("k1", "team-0", a), grantKey("k2", "team-0", b))
+	wantRefusal(t, run(s, grantKey("k3", "team-0", c)), RefusedTooManyKeys)
+	before := s.View()
+	for _, k := range []Key{a, b} {
+		if team, err := before.Authorize(k.Text); err != nil || team != "team-0" {
+			t.Fatalf("%s: %s %v", k.Text, team, err)
+		}
+	}
+	run(s, withdrawKey("w1", a.ID))
+	after := s.View()
+	if _, err := after.Authorize(a.Text); !errors.Is(err, ErrKeyInvalid) {
+		t.Fatalf("withdrawn key: %v", err)
+	}
+	if _, err := after.Authorize(b.Text); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := before.Authorize(a.Text); err != nil {
+		t.Fatal("an older view changed")
+	}
+	if r := run(s, withdrawKey("w2", a.ID)); r.Refusal != nil || r.Version != 4 {
+		t.Fatalf("second withdrawal: %+v", r)
+	}
+}
+
+func TestAuthorizeRefusesEverythingElse(t *testing.T) {
+	s := New(testCluster, Options{})
+	k := testKey(1)
+	run(s, applyDoc("a", 0, testDocument(2, 5)), grantKey("k1", "team-1", k))
+	wrong := k.Text[:len(k.Text)-1] + "f"
+	for _, text := range []string{"mk_", k.Text + "0", k.Text[1:], wrong, "MK" + k.Text[2:], testKey(9).Text} {
+		if _, err := s.View().Authorize(text); !errors.Is(err, ErrKeyInvalid) {
+			t.Errorf("%q: %v", text, err)
+		}
+	}
+	if _, err := s.View().Authorize(""); !errors.Is(err, ErrKeyMissing) {
+		t.Error(err)
+	}
+	run(s, applyDoc("b", 1, testDocument(1, 5)))
+	if _, err := s.View().Authorize(k.Text); !errors.Is(err, ErrKeyInvalid) {
+		t.Errorf("key of a team that left the document: %v", err)
+	}
+	fresh := NewKey()
+	if id, ok := splitKey(fresh.Text); !ok || id != fresh.ID || fresh.Hash != HashKey(fresh.Text) {
+		t.Errorf("generated key %q is malformed", fresh.Text)
+	}
+}
+
+func TestArbiterTermsOnlyRise(t *testing.T) {
+	s := New(testCluster, Options{})
+	reg := &Command{RegisterDaemon: &RegisterDaemon{Name: "d1", Incarnation: "i1", Zone: "z1", Address: "10.0.0.1:7000"}}
+	assign := func(inc string, term uint64) *Command {
+		return &Command{AssignArbiter: &AssignArbiter{Zone: "z1", Daemon: "d1", Incarnation: inc, Term: term}}
+	}
+	wantRefusal(t, run(s, assign("i1", 1)), RefusedNotFound)
+	run(s, reg)
+	if v := s.Version(); run(s, reg).Version != v {
+		t.Fatal("an equal registration made a new version")
+	}
+	wantRefusal(t, run(s, assign("i0", 1)), RefusedNotFound)
+	if r := run(s, assign("i1", 2)); r.Refusal != nil {
+		t.Fatal(r.Refusal)
+	}
+	wantRefusal(t, run(s, assign("i1", 2)), RefusedStaleTerm)
+	if a, ok := s.View().Arbiter("z1"); !ok || a.Term != 2 || s.Ledger().Term("z1") != 2 {
+		t.Fatalf("arbiter %+v", a)
+	}
+	run(s, &Command{ForgetDaemon: &ForgetDaemon{Name: "d1"}})
+	if len(s.View().Daemons()) != 0 {
+		t.Fatal("a forgotten daemon is still listed")
+	}
+}
+
+func TestHolderNeverGoesBack(t *testing.T) {
+	s := New(testCluster, Options{})
+	run(s, applyDoc("a", 0, testDocument(1, 5)))
+	old := s.Delta(0)
+	oldView := s.View()
+	run(s, applyDoc("b", 1, testDocument(2, 5)))
+	h := NewHolder(testCluster)
+	if ok, err := h.Offer(s.Delta(0)); !ok || err != nil {
+		t.Fatal(ok, err)
+	}
+	if ok, _ := h.Offer(old); ok {
+		t.Fatal("an older delta was taken")
+	}
+	if ok, _ := h.OfferView(oldView); ok || h.View().Version() != 2 {
+		t.Fatal("an older view was taken")
+	}
+	other := New("cluster-b", Options{})
+	run(other, applyDoc("a", 0, testDocument(1, 5)))
+	if _, err := h.Offer(other.Delta(0)); !errors.Is(err, ErrOtherCluster) {
+		t.Fatal(err)
+	}
+	if _, err := h.OfferView(other.View()); !errors.Is(err, ErrOtherCluster) {
+		t.Fatal(err)
+	}
+	run(s, grantKey("k", "team-0", testKey(1)), grantKey("l", "team-1", testKey(2)))
+	var gap *GapError
+	if _, err := h.Offer(s.Delta(3)); !errors.As(err, &gap) || gap.Have != 2 || gap.From != 3 {
+		t.Fatal(err)
+	}
+}
+
+// TestCheckerCatchesBackwardsView shows that the invariant catches a holder
+// whose protection is off.
+func TestCheckerCatchesBackwardsView(t *testing.T) {
+	breaches := catchBreaches(t)
+	s := New(testCluster, Options{})
+	run(s, applyDoc("a", 0, testDocument(1, 5)))
+	old := s.View()
+	run(s, applyDoc("b", 1, testDocument(2, 5)))
+	h := NewHolder(testCluster)
+	h.backwards = true
+	h.OfferView(s.View())
+	h.OfferView(old)
+	if len(*breaches) != 1 || (*breaches)[0].Invariant != invariant.ConfigNeverReverts {
+		t.Fatalf("breaches %v", *breaches)
+	}
+}
+
+// catchBreaches collects breaches until the test ends.
+func catchBreaches(t *testing.T) *[]invariant.Breach {
+	t.Helper()
+	var got []invariant.Breach
+	old := invariant.SetSink(func(b invariant.Breach) { got = append(got, b) })
+	t.Cleanup(func() { invariant.SetSink(old) })
+	return &got
+}
+
+func TestHolderWait(t *testing.T) {
+	s := New(testCluster, Options{})
+	h := NewHolder(testCluster)
+	done := make(chan *View)
+	go func() {
+		v, _ := h.Wait(context.Background(), 2)
+		done <- v
+	}()
+	run(s, applyDoc("a", 0, testDocument(1, 5)))
+	h.OfferView(s.View())
+	run(s, applyDoc("b", 1, testDocument(1, 6)))
+	h.OfferView(s.View())
+	if v := <-done; v.Version() != 2 {
+		t.Fatalf("version %d", v.Version())
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	if _, err := h.Wait(ctx, 3); !errors.Is(err, context.Canceled) {
+		t.Fatal(err)
+	}
+}
+
+func TestTombstonesAreBoundedAndDeltasStayRight(t *testing.T) {
+	s := New(testCluster, Options{})
+	run(s, applyDoc("a", 0, testDocument(1, 5)))
+	h := NewHolder(testCluster)
+	h.Offer(s.Delta(0))
+	stale := NewHolder(testCluster)
+	run(s, grantKey("g0", "team-0", testKey(1)))
+	stale.Offer(s.Delta(0))
+	run(s, withdrawKey("w0", testKey(1).ID))
+	for i := 2; i < 2*maxTombstones; i++ {
+		k := testKey(i)
+		run(s, grantKey("g"+k.ID, "team-0", k), withdrawKey("w"+k.ID, k.ID))
+		h.Offer(s.Delta(h.View().Version()))
+	}
+	if s.removed > maxTombstones || len(s.keys) > maxTombstones {
+		t.Fatalf("%d tombstones", s.removed)
+	}
+	d := s.Delta(stale.View().Version())
+	if !d.Full {
+		t.Fatal("a delta over dropped removals is not full")
+	}
+	stale.Offer(d)
+	if len(stale.View().Keys("")) != 0 || len(h.View().Keys("")) != 0 {
+		t.Fatal("a withdrawn key is still valid")
+	}
+}
+
+func TestSnapshotsOfOthersAreRefused(t *testing.T) {
+	s := New(testCluster, Options{})
+	run(s, applyDoc("a", 0, testDocument(1, 5)))
+	snap, _ := s.Snapshot()
+	if err := New("cluster-b", Options{}).Restore(snap); !errors.Is(err, ErrOtherCluster) {
+		t.Fatal(err)
+	}
+	if err := s.Restore(snap[:len(snap)/2]); err == nil || s.Version() != 1 {
+		t.Fatal("a torn snapshot was restored")
+	}
+	again, _ := s.Snapshot()
+	if !bytes.Equal(snap, again) {
+		t.Fatal("snapshots of one state differ")
+	}
+}
+
+// fakeFleet is a delegate that keeps its newest command.
+type fakeFleet struct {
+	last []byte
+	doc  *api.Document
+}
+
+func (f *fakeFleet) Apply(cmd []byte) ([]byte, error) {
+	if string(cmd) == "bad" {
+		return nil, errors.New("bad command")
+	}
+	f.last = cmd
+	return append([]byte("did "), cmd...), nil
+}
+func (f *fakeFleet) Snapshot() ([]byte, error)         { return f.last, nil }
+func (f *fakeFleet) Restore(b []byte) error            { f.last = b; return nil }
+func (f *fakeFleet) DocumentApplied(doc *api.Document) { f.doc = doc }
+
+func TestFleetIsDelegated(t *testing.T) {
+	f := &fakeFleet{}
+	s := New(testCluster, Options{Fleet: f})
+	run(s, applyDoc("a", 0, testDocument(1, 5)))
+	r := run(s, &Command{Fleet: []byte("move")})
+	wantRefusal(t, run(s, &Command{Fleet: []byte("bad")}), RefusedFleet)
+	if string(r.Fleet) != "did move" || f.doc == nil {
+		t.Fatalf("result %+v, document %v", r, f.doc)
+	}
+	snap, _ := s.Snapshot()
+	g := &fakeFleet{}
+	if err := New(testCluster, Options{Fleet: g}).Restore(snap); err != nil || string(g.last) != "move" {
+		t.Fatal(err, g.last)
+	}
+}
+
+func TestLeaderClockContinuesFromTheLog(t *testing.T) {
+	mono := 100 * time.Second
+	c := NewClock(7*time.Second, func() time.Duration { return mono })
+	mono += 3 * time.Second
+	if c.Now() != 10*time.Second {
+		t.Fatalf("cluster time %s", c.Now())
+	}
+}
--- /dev/null
+++ b/quota/ledger.go
@@ -0,0 +1,297 @@
+package quota
+
+import (
+	"sort"
+	"time"
+
+	"magnoliastand.example/invariant"
+)
+
+// maxRetired bounds the retired records of one team and zone; older ones are
+// merged, which delays their units.
+const maxRetired = 8
+
+// Ledger records which arbiter term holds how many units of which team. It is
+// deterministic and not safe for concurrent use.
+type Ledger struct {
+	bounds Bounds
+	// now is the cluster time of the newest command.
+	now time.Duration
+	// applied is the log index that the newest command's proposer had applied.
+	applied uint64
+	terms   map[string]uint64 // zone to its current term
+	teams   map[string]*teamState
+	runs    runBound
+	// overcommit disables the check of free units, for tests of the checkers.
+	overcommit bool
+	// hasty frees retired units at once, for tests of the checkers.
+	hasty bool
+}
+
+// teamState is the state of one team.
+type teamState struct {
+	limit   int64
+	allots  map[string]*allotment // zone to the allotment of its current term
+	retired []retired             // ordered by zone, then by age
+}
+
+// allotment holds the counters of one team in the current term of one zone.
+type allotment struct {
+	granted  uint64
+	returned uint64
+	// moved tells that a Transfer into this term was applied.
+	moved bool
+}
+
+func (a *allotment) units() int64 { return int64(a.granted - a.returned) }
+
+// retired holds the units of an ended term that may still be running.
+type retired struct {
+	zone  string
+	units int64
+	wait  interval
+	// noStart and free are cluster times, valid once wait has begun.
+	noStart time.Duration
+	free    time.Duration
+}
+
+// interval begins with the first command whose proposer had applied index.
+type interval struct {
+	index uint64
+	begun bool
+}
+
+// NewLedger returns an empty ledger.
+func NewLedger(b Bounds) *Ledger {
+	return &Ledger{
+		bounds: b,
+		terms:  make(map[string]uint64),
+		teams:  make(map[string]*teamState),
+	}
+}
+
+// Advance moves cluster time. It is called before every command of the log:
+// now is the command's cluster time and applied the log index that its proposer
+// had applied. Older values than before are ignored.
+func (l *Ledger) Advance(now time.Duration, applied uint64) {
+	l.now = max(l.now, now)
+	l.applied = max(l.applied, applied)
+	l.runs.advance(l.now, applied, l.bounds)
+	for _, name := range l.teamNames() {
+		l.advanceTeam(name, applied)
+	}
+}
+
+// advanceTeam starts and ends the waits of retired units. A wait begins at the
+// time stamp of the command itself, at or after the entry it follows.
+func (l *Ledger) advanceTeam(name string, applied uint64) {
+	t := l.teams[name]
+	kept := t.retired[:0]
+	for _, r := range t.retired {
+		if !r.wait.begun && applied >= r.wait.index {
+			start := l.now
+			r.wait.begun = true
+			r.noStart = start + l.bounds.noStart()
+			r.free = start + l.bounds.ended(l.runs.longest())
+		}
+		over := r.wait.begun && l.now >= r.free || l.hasty
+		if !over {
+			kept = append(kept, r)
+		}
+	}
+	t.retired = kept
+	if t.limit == 0 && t.outstanding() == 0 {
+		delete(l.teams, name)
+	}
+}
+
+// SetLimits installs the limits of a new document. Teams that are missing keep
+// what they hold with a limit of 0.
+func (l *Ledger) SetLimits(limits []TeamLimit) {
+	for _, t := range l.teams {
+		t.limit = 0
+	}
+	for _, tl := range limits {
+		if tl.Limit > 0 {
+			l.team(tl.Team).limit = tl.Limit
+		}
+	}
+}
+
+// SetLongestRun installs the longest run time of a new document, committed at
+// index. A longer one of before counts until work under it has ended.
+func (l *Ledger) SetLongestRun(run time.Duration, index uint64) { l.runs.set(run, index) }
+
+// SetTerm makes term the current term of zone; index is the log index of the
+// entry that assigns it. Units of older terms are retired. It reports false,
+// and changes nothing, if the term is not newer.
+func (l *Ledger) SetTerm(zone string, term, index uint64) bool {
+	if term <= l.terms[zone] {
+		return false
+	}
+	l.terms[zone] = term
+	for _, t := range l.teams {
+		t.retire(zone, index)
+	}
+	return true
+}
+
+// Term returns the current term of a zone; 0 if it never had one.
+func (l *Ledger) Term(zone string) uint64 { return l.terms[zone] }
+
+// Apply applies a command.
+func (l *Ledger) Apply(c *Command) {
+	for i := range c.Returns {
+		l.applyReturn(&c.Returns[i])
+	}
+	for i := range c.Transfers {
+		l.applyTransfer(&c.Transfers[i])
+	}
+	for i := range c.Grants {
+		l.applyGrant(&c.Grants[i])
+	}
+}
+
+func (l *Ledger) applyReturn(r *Return) {
+	a := l.current(r.Zone, r.Term, r.Team)
+	if a == nil {
+		return
+	}
+	a.returned = max(a.returned, min(r.Returned, a.granted))
+}
+
+func (l *Ledger) applyGrant(g *Grant) {
+	t, ok := l.teams[g.Team]
+	if !ok || g.Units <= 0 || g.Term == 0 || l.terms[g.Zone] != g.Term {
+		return
+	}
+	units := g.Units
+	if !l.overcommit {
+		units = min(units, t.limit-t.outstanding())
+	}
+	if units <= 0 {
+		return
+	}
+	t.allot(g.Zone).granted += uint64(units)
+	invariant.Check(t.outstanding() <= t.limit, invariant.TeamLimit,
+		"team %s holds %d units with a limit of %d", g.Team, t.outstanding(), t.limit)
+}
+
+// Limit returns the limit of a team; 0 if it has none.
+func (l *Ledger) Limit(team string) int64 {
+	if t, ok := l.teams[team]; ok {
+		return t.limit
+	}
+	return 0
+}
+
+// Outstanding returns the units of a team that are held or retired.
+func (l *Ledger) Outstanding(team string) int64 {
+	if t, ok := l.teams[team]; ok {
+		return t.outstanding()
+	}
+	return 0
+}
+
+// Held returns the units of a team that the current term of a zone holds.
+func (l *Ledger) Held(zone, team string) int64 {
+	t, ok := l.teams[team]
+	if !ok || t.allots[zone] == nil {
+		return 0
+	}
+	return t.allots[zone].units()
+}
+
+// Retired returns the units of a team that ended terms of a zone may still use.
+func (l *Ledger) Retired(zone, team string) int64 {
+	var sum int64
+	if t, ok := l.teams[team]; ok {
+		for _, r := range t.retired {
+			if r.zone == zone {
+				sum += r.units
+			}
+		}
+	}
+	return sum
+}
+
+// Waiting reports whether any units wait for time to pass. The leader then
+// proposes commands now and then, so that time advances.
+func (l *Ledger) Waiting() bool {
+	for _, t := range l.teams {
+		if len(t.retired) > 0 {
+			return true
+		}
+	}
+	return l.runs.prior > 0
+}
+
+// Renewal returns the renewal of a term at log index, with every team that the
+// term was ever granted units of. It reports false if the term is not current.
+func (l *Ledger) Renewal(zone string, term, index uint64) (Renewal, bool) {
+	r := Renewal{Zone: zone, Term: term, Index: index}
+	if term == 0 || l.terms[zone] != term {
+		return r, false
+	}
+	for _, name := range l.teamNames() {
+		t := l.teams[name]
+		a, ok := t.allots[zone]
+		if !ok {
+			continue
+		}
+		r.Teams = append(r.Teams, Holding{
+			Team:    name,
+			Granted: a.granted,
+			Frozen:  t.outstanding() > t.limit,
+		})
+	}
+	return r, true
+}
+
+// current returns the allotment of a current term; nil if there is none.
+func (l *Ledger) current(zone string, term uint64, team string) *allotment {
+	t, ok := l.teams[team]
+	if !ok || term == 0 || l.terms[zone] != term {
+		return nil
+	}
+	return t.allots[zone]
+}
+
+func (l *Ledger) team(name string) *teamState {
+	t, ok := l.teams[name]
+	if !ok {
+		t = &teamState{allots: make(map[string]*allotment)}
+		l.teams[name] = t
+	}
+	return t
+}
+
+func (l *Ledger) teamNames() []string {
+	names := make([]string, 0, len(l.teams))
+	for name := range l.teams {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
+
+func (t *teamState) allot(zone string) *allotment {
+	a, ok := t.allots[zone]
+	if !ok {
+		a = &allotment{}
+		t.allots[zone] = a
+	}
+	return a
+}
+
+// outstanding sums held and retired units.
+func (t *teamState) outstanding() int64 {
+	var sum int64
+	for _, a := range t.allots {
+		sum += a.units()
+	}
+	for _, r := range t.retired {
+		sum += r.units
+	}
+	return sum
+}
