--- /dev/null
+++ b/placement/choose.go
@@ -0,0 +1,57 @@
+package placement
+
+import "slices"
+
+// Weights of the score of a worker; lower scores are better.
+const (
+	// rackWeight is the cost of each task of the same queue on the same rack.
+	rackWeight = 0.02
+	// failedWeight is the cost of a worker on which the task failed before.
+	failedWeight = 10.0
+	// acceleratorWeight is the cost of blocking accelerators that the task does not use.
+	acceleratorWeight = 1.0
+)
+
+// choose returns the best open worker with room for the size, or nil. Equal
+// scores go to the earlier worker of the input.
+func (p *placer) choose(t *Task, size Size) *Worker {
+	var best *Worker
+	var bestScore float64
+	for n := range p.workers {
+		w := &p.workers[n]
+		if !w.Open || !size.Fits(w.Capacity.Sub(w.Used)) {
+			continue
+		}
+		score := p.score(t, size, w)
+		if best == nil || score < bestScore {
+			best, bestScore = w, score
+		}
+	}
+	return best
+}
+
+// score prefers workers with much left, racks with few tasks of the queue, and
+// workers on which the task did not fail.
+func (p *placer) score(t *Task, size Size, w *Worker) float64 {
+	score := w.Used.Add(size).Dominant(w.Capacity)
+	score += rackWeight * float64(p.onRack[t.Queue+"\x00"+w.rackName()])
+	if slices.Contains(t.FailedOn, w.ID) {
+		score += failedWeight
+	}
+	if t.Declared.Accelerators == 0 && w.Capacity.Accelerators > 0 {
+		score += acceleratorWeight
+	}
+	return score
+}
+
+// FitsNowhere reports whether no worker, however empty, could run the declared
+// size. Such a task is refused at once. Workers that are not open count, since
+// they may return.
+func FitsNowhere(t *Task, workers []Worker) bool {
+	for n := range workers {
+		if t.Declared.Fits(workers[n].Capacity) {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/placement/size.go
@@ -0,0 +1,54 @@
+package placement
+
+// Size is an amount of a worker's resources.
+type Size struct {
+	// Slots bounds the number of tasks on a worker.
+	Slots int
+	// Processors is in thousandths of a core.
+	Processors int
+	// MemoryMB is in megabytes.
+	MemoryMB int
+	// Accelerators is a number of devices.
+	Accelerators int
+}
+
+// Add returns s plus o.
+func (s Size) Add(o Size) Size {
+	return Size{s.Slots + o.Slots, s.Processors + o.Processors, s.MemoryMB + o.MemoryMB, s.Accelerators + o.Accelerators}
+}
+
+// Sub returns s minus o. Components may become negative.
+func (s Size) Sub(o Size) Size {
+	return Size{s.Slots - o.Slots, s.Processors - o.Processors, s.MemoryMB - o.MemoryMB, s.Accelerators - o.Accelerators}
+}
+
+// Fits reports whether s fits into free.
+func (s Size) Fits(free Size) bool {
+	return s.Slots <= free.Slots && s.Processors <= free.Processors &&
+		s.MemoryMB <= free.MemoryMB && s.Accelerators <= free.Accelerators
+}
+
+// Min returns the smaller of each component.
+func (s Size) Min(o Size) Size {
+	return Size{
+		min(s.Slots, o.Slots), min(s.Processors, o.Processors),
+		min(s.MemoryMB, o.MemoryMB), min(s.Accelerators, o.Accelerators),
+	}
+}
+
+// Dominant returns the largest fraction of total that s takes in any
+// resource.
+func (s Size) Dominant(total Size) float64 {
+	return max(fraction(s.Slots, total.Slots), fraction(s.Processors, total.Processors),
+		fraction(s.MemoryMB, total.MemoryMB), fraction(s.Accelerators, total.Accelerators))
+}
+
+func fraction(part, whole int) float64 {
+	if part <= 0 {
+		return 0
+	}
+	if whole <= 0 {
+		return 1
+	}
+	return float64(part) / float64(whole)
+}
