Callers and ledger of the stand-in; faults and racing resends proved

Cause: the request path must hold under broken answers, kills and resends. Weighed: a not-run answer could close its id for ever, which would keep callers from resending a refused request; instead deciders remember when not-run was said and attempts that arrived before it are superseded. Ruled out: the ledger judged retries of idempotent requests whose caller never learned the id as doubled; runs now carry their queue. Conclusion: the checkers see the breaches; hand-over at restart is next.

--- a/dispatch/origin/attempt.go
+++ b/dispatch/origin/attempt.go
@@ -40,6 +40,13 @@
 type client struct {
 	transport      *http.Transport
 	maxAnswerBytes int64
+	unguarded      unguarded
+}
+
+// unguarded switches protections off. Tests only.
+type unguarded struct {
+	id   bool // answers for other ids pass
+	ends bool // answers without a marked end, or cut short, pass
 }
 
 func newClient(l Limits) *client {
@@ -130,20 +137,20 @@
 
 // read returns the whole answer, or an error if it is not whole or not for id.
 func (c *client) read(res *http.Response, id string) (*record.Answer, error) {
-	if echoed := res.Header.Values(api.HeaderRequestID); len(echoed) != 1 || echoed[0] != id {
+	if echoed := res.Header.Values(api.HeaderRequestID); (len(echoed) != 1 || echoed[0] != id) && !c.unguarded.id {
 		return nil, errors.Wrapf(errCrossed, "echoed id %q", strings.Join(echoed, ","))
 	}
 	if res.StatusCode < http.StatusOK || res.StatusCode > maxStatus {
 		return nil, errors.Wrapf(errNotWhole, "status %d", res.StatusCode)
 	}
-	if res.ContentLength < 0 && len(res.TransferEncoding) == 0 {
+	if res.ContentLength < 0 && len(res.TransferEncoding) == 0 && !c.unguarded.ends {
 		return nil, errors.Wrap(errNotWhole, "neither Content-Length nor chunks mark its end")
 	}
 	if res.ContentLength > c.maxAnswerBytes {
 		return nil, errors.Wrapf(errTooLarge, "%d bytes", res.ContentLength)
 	}
 	body, err := readBody(res.Body, res.ContentLength, c.maxAnswerBytes)
-	if err != nil {
+	if err != nil && !c.unguarded.ends {
 		return nil, err
 	}
 	return &record.Answer{Status: res.StatusCode, Fields: endToEnd(res.Header), Body: body}, nil
@@ -155,8 +162,8 @@
 	}
 	if length > 0 {
 		body := make([]byte, length)
-		if _, err := io.ReadFull(r, body); err != nil {
-			return nil, errors.Wrap(errNotWhole, err.Error())
+		if n, err := io.ReadFull(r, body); err != nil {
+			return body[:n], errors.Wrap(errNotWhole, err.Error())
 		}
 		// Reading on to the end lets the transport use the connection again.
 		if n, err := r.Read(make([]byte, 1)); n > 0 || !errors.Is(err, io.EOF) {
--- a/dispatch/origin/fixture_test.go
+++ b/dispatch/origin/fixture_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"log"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -19,7 +20,11 @@
 	"magnoliastand.example/standin"
 )
 
-func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+func TestMain(m *testing.M) {
+	// net/http logs the second copy of a doubled answer.
+	log.SetOutput(io.Discard)
+	goleak.VerifyTestMain(m)
+}
 
 const testKey = "key-1"
 
--- a/dispatch/record/serve.go
+++ b/dispatch/record/serve.go
@@ -44,15 +44,12 @@
 func (s *Service) HandleLookup(ctx context.Context, r LookupRequest) LookupReply {
 	deadline := time.Now().Add(r.Wait)
 	for {
-		reply, done := s.lookupOrSubscribe(r, deadline)
-		if done == nil {
+		reply, w := s.lookupOrSubscribe(r, deadline)
+		if w == nil {
 			return reply
 		}
-		waited := wait(ctx, done, time.Until(deadline))
-		s.mu.Lock()
-		s.waiters--
-		s.mu.Unlock()
-		if !waited {
+		if !wait(ctx, w.changed, time.Until(deadline)) {
+			s.unsubscribe(r.ID, w)
 			return reply
 		}
 	}
@@ -71,23 +68,38 @@
 	}
 }
 
-// lookupOrSubscribe returns the reply, and a channel closed at the next change
-// of the id if the lookup should wait for it.
-func (s *Service) lookupOrSubscribe(r LookupRequest, deadline time.Time) (LookupReply, <-chan struct{}) {
+// lookupOrSubscribe returns the reply, and the waiters that the lookup joined
+// if it should wait for a change of the id.
+func (s *Service) lookupOrSubscribe(r LookupRequest, deadline time.Time) (LookupReply, *waiters) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
 	reply := s.lookupLocked(r, now)
-	if reply.Verdict != Running || !now.Before(deadline) || s.waiters >= s.cfg.MaxWaiters {
+	if reply.Verdict != Running || !now.Before(deadline) || s.waiterCount >= s.cfg.MaxWaiters {
 		return reply, nil
 	}
-	ch := s.finished[r.ID]
-	if ch == nil {
-		ch = make(chan struct{})
-		s.finished[r.ID] = ch
+	w := s.waiting[r.ID]
+	if w == nil {
+		w = &waiters{changed: make(chan struct{})}
+		s.waiting[r.ID] = w
+	}
+	w.count++
+	s.waiterCount++
+	return reply, w
+}
+
+// unsubscribe ends the wait of one lookup that saw no change.
+func (s *Service) unsubscribe(id string, w *waiters) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.waiting[id] != w {
+		return
+	}
+	w.count--
+	s.waiterCount--
+	if w.count == 0 {
+		delete(s.waiting, id)
 	}
-	s.waiters++
-	return reply, ch
 }
 
 func (s *Service) lookupLocked(r LookupRequest, now time.Time) LookupReply {
@@ -103,9 +115,10 @@
 }
 
 func (s *Service) wake(id string) {
-	if ch, ok := s.finished[id]; ok {
-		close(ch)
-		delete(s.finished, id)
+	if w, ok := s.waiting[id]; ok {
+		close(w.changed)
+		s.waiterCount -= w.count
+		delete(s.waiting, id)
 	}
 }
 
--- a/dispatch/record/service.go
+++ b/dispatch/record/service.go
@@ -56,12 +56,22 @@
 	home   *Home
 	keeper *Keeper
 	copies *Keeper
-	// finished holds a channel for each id that lookups wait for.
-	finished map[string]chan struct{}
-	waiters  int
+	// waiting holds the lookups that wait for an id to change.
+	waiting map[string]*waiters
+	// waiterCount is the number of lookups in waiting.
+	waiterCount int
 
 	finishing sync.WaitGroup
 	slots     chan struct{}
+	// ignoresRefusals switches the check against earlier refusals off. Tests only.
+	ignoresRefusals bool
+}
+
+// waiters are the lookups that wait for one id.
+type waiters struct {
+	// changed is closed at the next change of the id.
+	changed chan struct{}
+	count   int
 }
 
 // New returns a service that knows no members; see SetMembers.
@@ -79,13 +89,16 @@
 	if !cfg.FirstIncarnation {
 		abstain = time.Now().Add(cfg.Keeper.Retention)
 	}
+	copies := NewKeeper(cfg.Keeper, time.Time{})
+	// Copies permit no start, so old ones may make room for new ones.
+	copies.evicted = func(string) {}
 	return &Service{
-		cfg:      cfg,
-		home:     NewHome(homeName(cfg.Zone, cfg.Self), cfg.Keeper),
-		keeper:   NewKeeper(cfg.Keeper, abstain),
-		copies:   NewKeeper(cfg.Keeper, time.Time{}),
-		finished: make(map[string]chan struct{}),
-		slots:    make(chan struct{}, finishLimit),
+		cfg:     cfg,
+		home:    NewHome(homeName(cfg.Zone, cfg.Self), cfg.Keeper),
+		keeper:  NewKeeper(cfg.Keeper, abstain),
+		copies:  copies,
+		waiting: make(map[string]*waiters),
+		slots:   make(chan struct{}, finishLimit),
 	}
 }
 
@@ -218,7 +231,7 @@
 // clock the word was said no later than replied minus the age.
 func (s *Service) proceedUnlessRefused(ctx context.Context, c *Claim, replied time.Time, replies []BeginReply) Decision {
 	for _, r := range replies {
-		if r.Refused && !c.Received.After(replied.Add(-r.RefusedAgo)) {
+		if r.Refused && !s.ignoresRefusals && !c.Received.After(replied.Add(-r.RefusedAgo)) {
 			s.Finish(ctx, c, ResultNotRun, nil)
 			return Decision{Verdict: Superseded}
 		}
--- /dev/null
+++ b/dispatch/record/sim_test.go
@@ -0,0 +1,395 @@
+package record
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/goleak"
+	"pgregory.net/rapid"
+
+	"magnoliastand.example/dispatch"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if err := flag.Set("rapid.seed", "20261204"); err != nil {
+		panic(err)
+	}
+	if code := m.Run(); code != 0 {
+		os.Exit(code)
+	}
+	if err := goleak.Find(); err != nil {
+		panic(err)
+	}
+}
+
+// variant switches one protection off.
+type variant struct {
+	votesWithoutMemory bool
+	forgetsWatermark   bool
+	ignoresRefusals    bool
+	maxEntries         int
+}
+
+// simNode is one daemon of the simulation; incarnations replace its service.
+type simNode struct {
+	name, zone string
+	epoch      int
+	service    *Service
+}
+
+// sim runs services on a network that delays, drops and reorders messages, and
+// counts what really ran. Time is the bubble's.
+type sim struct {
+	variant variant
+	mu      sync.Mutex
+	rng     *rand.Rand
+	nodes   []*simNode
+	cut     map[string]bool // zones cut off
+	runs    map[string]int
+	// ranFor is when the attempt that ran an id arrived.
+	ranFor map[string]time.Time
+	// covered is up to when attempts of an id must have arrived to be covered
+	// by a "not run" that was said.
+	covered  map[string]time.Time
+	breaches []string
+	answered int
+	notRun   int
+	unknown  int
+}
+
+var simZones = []string{"za", "zb", "zc"}
+
+func newSim(seed uint64, v variant) *sim {
+	s := &sim{
+		variant: v, rng: rand.New(rand.NewPCG(seed, seed)), cut: map[string]bool{},
+		runs: map[string]int{}, ranFor: map[string]time.Time{}, covered: map[string]time.Time{},
+	}
+	for i := range 5 {
+		n := &simNode{name: fmt.Sprintf("d%d", i), zone: simZones[i%len(simZones)]}
+		s.nodes = append(s.nodes, n)
+		s.start(n)
+	}
+	return s
+}
+
+func (s *sim) start(n *simNode) {
+	n.epoch++
+	cfg := DefaultKeeperConfig()
+	if s.variant.maxEntries > 0 {
+		cfg.MaxEntries = s.variant.maxEntries
+	}
+	n.service = New(Config{
+		Self: dispatch.DaemonID{Name: n.name, Incarnation: fmt.Sprintf("i%d", n.epoch)}, Zone: n.zone,
+		FirstIncarnation: n.epoch == 1, Keeper: cfg, Peers: simPeers{sim: s, from: n},
+	})
+	n.service.keeper.votesWithoutMemory = s.variant.votesWithoutMemory
+	n.service.home.forgetsWatermark = s.variant.forgetsWatermark
+	n.service.ignoresRefusals = s.variant.ignoresRefusals
+	var members []Member
+	for _, m := range s.nodes {
+		members = append(members, Member{Name: m.name, Zone: m.zone})
+	}
+	for i := len(s.nodes); i < 5; i++ {
+		members = append(members, Member{Name: fmt.Sprintf("d%d", i), Zone: simZones[i%len(simZones)]})
+	}
+	n.service.SetMembers(members)
+}
+
+func (s *sim) intn(n int) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rng.IntN(n)
+}
+
+func (s *sim) upTo(d time.Duration) time.Duration { return time.Duration(s.intn(int(d))) }
+
+func (s *sim) current(n *simNode) (*Service, int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return n.service, n.epoch
+}
+
+// transit sleeps for a message's way and reports whether it arrives.
+func (s *sim) transit(from, to *simNode) bool {
+	delay := s.upTo(20 * time.Millisecond)
+	if s.intn(10) == 0 {
+		delay = s.upTo(3 * time.Second)
+	}
+	time.Sleep(delay)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return from.zone == to.zone || !s.cut[from.zone] && !s.cut[to.zone] && s.rng.IntN(50) != 0
+}
+
+type simPeers struct {
+	sim  *sim
+	from *simNode
+}
+
+var errNoReply = errors.New("no reply")
+
+// call delivers a message, also after its sender gave up.
+func call[R any](ctx context.Context, p simPeers, daemon string, handle func(*Service) R) (R, error) {
+	var to *simNode
+	for _, n := range p.sim.nodes {
+		if n.name == daemon {
+			to = n
+		}
+	}
+	ch := make(chan R, 1)
+	go func() {
+		if !p.sim.transit(p.from, to) {
+			return
+		}
+		service, _ := p.sim.current(to)
+		reply := handle(service)
+		if p.sim.transit(to, p.from) {
+			ch <- reply
+		}
+	}()
+	select {
+	case r := <-ch:
+		return r, nil
+	case <-ctx.Done():
+		var none R
+		return none, errNoReply
+	}
+}
+
+func (p simPeers) Begin(ctx context.Context, daemon string, r BeginRequest) (BeginReply, error) {
+	return call(ctx, p, daemon, func(s *Service) BeginReply { return s.HandleBegin(r) })
+}
+
+func (p simPeers) Finish(ctx context.Context, daemon string, r FinishRequest) error {
+	_, err := call(ctx, p, daemon, func(s *Service) bool { s.HandleFinish(r); return true })
+	return err
+}
+
+func (p simPeers) Lookup(ctx context.Context, daemon string, r LookupRequest) (LookupReply, error) {
+	return call(ctx, p, daemon, func(s *Service) LookupReply { return s.HandleLookup(ctx, r) })
+}
+
+func (s *sim) breach(format string, args ...any) {
+	s.breaches = append(s.breaches, fmt.Sprintf(format, args...))
+}
+
+func (s *sim) ran(id string, received time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.runs[id]++
+	s.ranFor[id] = received
+	if s.runs[id] > 1 {
+		s.breach("%s ran %d times", id, s.runs[id])
+	}
+	if said := s.covered[id]; !said.IsZero() && !received.After(said) {
+		s.breach("%s ran after not-run was said, by an attempt that arrived %s before", id, said.Sub(received))
+	}
+}
+
+func (s *sim) saidNotRun(id string, coveredUntil time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.notRun++
+	if s.runs[id] > 0 && !s.ranFor[id].After(coveredUntil) {
+		s.breach("%s was said not to have run after it ran", id)
+	}
+	s.covered[id] = coveredUntil
+}
+
+// attempt is one send of an id to one daemon.
+func (s *sim) attempt(n *simNode, id string) {
+	service, epoch := s.current(n)
+	alive := func() bool {
+		_, now := s.current(n)
+		return now == epoch
+	}
+	c := &Claim{ID: id, Digest: NewDigest("t", "q", []byte(id)), Hold: time.Minute, Received: time.Now()}
+	if s.intn(4) == 0 {
+		time.Sleep(s.upTo(5 * time.Second)) // the origin is frozen
+	}
+	if !alive() {
+		return
+	}
+	if s.intn(8) == 0 {
+		before := time.Now()
+		if service.MayRefuse(context.Background(), c) && alive() {
+			s.saidNotRun(id, before)
+		}
+		return
+	}
+	d := service.Begin(context.Background(), c)
+	if !alive() {
+		return
+	}
+	switch d.Verdict {
+	case Proceed:
+		s.proceed(service, c, alive)
+	case Superseded:
+		s.saidNotRun(id, c.Received)
+	case Running:
+		s.told(id, service.Await(context.Background(), c, 10*time.Second))
+	default:
+		s.told(id, d.Answer)
+	}
+}
+
+func (s *sim) told(id string, a *Answer) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if a == nil {
+		s.unknown++
+		return
+	}
+	s.answered++
+	if string(a.Body) != id || s.runs[id] != 1 {
+		s.breach("%s was given the answer %q after %d runs", id, a.Body, s.runs[id])
+	}
+}
+
+func (s *sim) proceed(service *Service, c *Claim, alive func() bool) {
+	time.Sleep(s.upTo(2 * time.Second)) // the wait for a slot
+	if !alive() {
+		return
+	}
+	ctx := context.Background()
+	if s.intn(3) == 0 {
+		before := time.Now()
+		service.Finish(ctx, c, ResultNotRun, nil)
+		if alive() {
+			s.saidNotRun(c.ID, before)
+		}
+		return
+	}
+	s.ran(c.ID, c.Received)
+	time.Sleep(s.upTo(2 * time.Second)) // the run
+	if !alive() {
+		return
+	}
+	if s.intn(5) == 0 {
+		service.Finish(ctx, c, ResultUnknown, nil)
+		return
+	}
+	service.Finish(ctx, c, ResultAnswered, &Answer{Status: 200, Body: []byte(c.ID)})
+	s.told(c.ID, &Answer{Body: []byte(c.ID)})
+}
+
+// faults kills daemons, which restart without memory, and cuts zones off.
+func (s *sim) faults(until time.Time) {
+	for time.Now().Before(until) {
+		time.Sleep(s.upTo(4 * time.Second))
+		n := s.nodes[s.intn(len(s.nodes))]
+		if s.intn(2) == 0 {
+			s.mu.Lock()
+			s.start(n)
+			s.mu.Unlock()
+			continue
+		}
+		s.mu.Lock()
+		s.cut[n.zone] = !s.cut[n.zone]
+		s.mu.Unlock()
+	}
+}
+
+// simulate sends 40 ids up to 4 times each within 20 s. Two in three ids are
+// sent at once to several daemons; the rest are resent some seconds later.
+func simulate(t *testing.T, seed uint64, v variant, home bool, quiet bool) *sim {
+	var s *sim
+	synctest.Test(t, func(*testing.T) {
+		s = newSim(seed, v)
+		var wg sync.WaitGroup
+		start := time.Now()
+		if !quiet {
+			wg.Go(func() { s.faults(start.Add(20 * time.Second)) })
+		}
+		for i := range 40 {
+			id := fmt.Sprintf("own-%d", i)
+			if home {
+				id = s.nodes[s.intn(len(s.nodes))].service.Fresh()
+			}
+			at := s.upTo(10 * time.Second)
+			for range 1 + s.intn(4) {
+				n := s.nodes[s.intn(len(s.nodes))]
+				if s.intn(3) == 0 {
+					at += s.upTo(6 * time.Second)
+				}
+				delay := at
+				wg.Go(func() {
+					time.Sleep(delay)
+					s.attempt(n, id)
+				})
+			}
+		}
+		wg.Wait()
+		for _, n := range s.nodes {
+			n.service.Close()
+		}
+		time.Sleep(time.Minute) // messages under way arrive
+	})
+	return s
+}
+
+func TestRandomRunsStartAtMostOnce(t *testing.T) {
+	var answered, notRun, unknown int
+	rapid.Check(t, func(rt *rapid.T) {
+		seed := rapid.Uint64().Draw(rt, "seed")
+		home := rapid.Bool().Draw(rt, "home")
+		quiet := rapid.Bool().Draw(rt, "quiet")
+		s := simulate(t, seed, variant{}, home, quiet)
+		if len(s.breaches) > 0 {
+			rt.Fatalf("breaches: %v", s.breaches)
+		}
+		answered, notRun, unknown = answered+s.answered, notRun+s.notRun, unknown+s.unknown
+	})
+	if answered == 0 || notRun == 0 || unknown == 0 {
+		t.Fatalf("the runs do not cover all ends: %d answered, %d not run, %d unknown", answered, notRun, unknown)
+	}
+	t.Logf("%d answered, %d not run, %d unknown", answered, notRun, unknown)
+}
+
+// TestProtectionsMatter runs the same simulation with one protection switched
+// off and expects the model to see the breach.
+func TestProtectionsMatter(t *testing.T) {
+	cases := []struct {
+		name    string
+		variant variant
+		home    bool
+	}{
+		{"keepers that lost their memory vote", variant{votesWithoutMemory: true}, false},
+		{"home forgets its watermark", variant{forgetsWatermark: true, maxEntries: 2}, true},
+		{"refusals are ignored, home ids", variant{ignoresRefusals: true}, true},
+		{"refusals are ignored, own ids", variant{ignoresRefusals: true}, false},
+	}
+	const seeds = 40
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			breached := 0
+			for seed := range uint64(seeds) {
+				if len(simulate(t, seed, c.variant, c.home, false).breaches) > 0 {
+					breached++
+				}
+			}
+			t.Logf("%d of %d seeds breached", breached, seeds)
+			if breached == 0 {
+				t.Fatal("no breach seen without the protection")
+			}
+		})
+	}
+}
+
+// TestSmallHomeKeepsAtMostOnce is the counterpart of the watermark's variant.
+func TestSmallHomeKeepsAtMostOnce(t *testing.T) {
+	for seed := range uint64(40) {
+		if s := simulate(t, seed, variant{maxEntries: 2}, true, false); len(s.breaches) > 0 {
+			t.Fatalf("seed %d: %v", seed, s.breaches)
+		}
+	}
+}
--- /dev/null
+++ b/dispatch/request/request_test.go
@@ -0,0 +1,86 @@
+package request
+
+import (
+	"errors"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"magnoliastand.example/api"
+	"magnoliastand.example/invariant"
+)
+
+// TestNextIsClosed lists every allowed transition.
+func TestNextIsClosed(t *testing.T) {
+	allowed := map[State]map[Event]State{
+		Received: {Ask: Waiting, Answer: Answered, Refuse: Refused, Lose: Unknown},
+		Waiting:  {Grant: Granted, Refuse: Refused, Lose: Unknown},
+		Granted:  {Send: Dispatching, Withdraw: Waiting, Refuse: Refused, Lose: Unknown},
+		Dispatching: {
+			Answer: Answered, NotAccepted: Waiting, Retry: Waiting, Lose: Unknown,
+		},
+	}
+	for s := State(0); s <= Unknown+1; s++ {
+		for e := Event(0); e <= Lose+1; e++ {
+			want, ok := allowed[s][e]
+			if !ok {
+				want = s
+			}
+			if got, can := Next(s, e); got != want || can != ok {
+				t.Errorf("Next(%s, %s) = %s, %t", s, e, got, can)
+			}
+		}
+	}
+}
+
+// TestTrackerNeverLies applies random events and compares what may be said
+// with a count of attempts that no endpoint disowned.
+func TestTrackerNeverLies(t *testing.T) {
+	breaches := 0
+	old := invariant.SetSink(func(invariant.Breach) { breaches++ })
+	defer func() { invariant.SetSink(old) }()
+	rapid.Check(t, func(rt *rapid.T) {
+		idempotent := rapid.Bool().Draw(rt, "idempotent")
+		earlier := rapid.Bool().Draw(rt, "earlier")
+		tr := NewTracker("x", idempotent, earlier)
+		open := 0
+		if earlier {
+			open = 1
+		}
+		for _, e := range rapid.SliceOfN(rapid.Custom(func(t *rapid.T) Event {
+			return Event(rapid.IntRange(int(Ask), int(Lose)).Draw(t, "event"))
+		}), 1, 40).Draw(rt, "events") {
+			before := tr.State()
+			if err := tr.Apply(e); err != nil {
+				if tr.State() != before {
+					rt.Fatalf("failed %s moved %s to %s", e, before, tr.State())
+				}
+				if !errors.Is(err, ErrTransition) && !errors.Is(err, ErrMayHaveRun) {
+					rt.Fatal(err)
+				}
+				continue
+			}
+			switch e {
+			case Send:
+				if open > 0 && !idempotent {
+					rt.Fatal("second start of a non-idempotent request")
+				}
+				open++
+			case NotAccepted:
+				open--
+			}
+			if tr.Run() == api.RunNot && open > 0 {
+				rt.Fatalf("not-run in state %s with %d open attempts", tr.State(), open)
+			}
+		}
+		if run := tr.End(); run == api.RunNot && open > 0 {
+			rt.Fatalf("ended as not-run with %d open attempts", open)
+		}
+		if !tr.State().Final() {
+			rt.Fatalf("ended in %s", tr.State())
+		}
+	})
+	if breaches == 0 {
+		t.Fatal("the invariants never fired, so the events did not reach them")
+	}
+}
--- a/standin/endpoint.go
+++ b/standin/endpoint.go
@@ -89,8 +89,10 @@
 
 // RunCount tells how often an endpoint ran a request id.
 type RunCount struct {
-	ID   string `json:"id"`
-	Runs int    `json:"runs"`
+	ID string `json:"id"`
+	// Queue is the queue of the first run.
+	Queue string `json:"queue"`
+	Runs  int    `json:"runs"`
 }
 
 // Endpoint is a stand-in endpoint. It is safe for concurrent use.
@@ -104,7 +106,7 @@
 	mu      sync.Mutex
 	rng     *rand.Rand
 	faults  Faults
-	runs    map[string]int
+	runs    map[string]*RunCount
 	running int
 	stats   EndpointStats
 	state   api.EndpointState
@@ -124,7 +126,7 @@
 		cfg:   cfg,
 		done:  make(chan struct{}),
 		rng:   rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)),
-		runs:  make(map[string]int),
+		runs:  make(map[string]*RunCount),
 		state: api.EndpointReady,
 	}
 	e.listener = &countingListener{Listener: inner, endpoint: e, limit: cfg.Connections}
@@ -168,7 +170,10 @@
 func (e *Endpoint) RunsOf(id string) int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.runs[id]
+	if r := e.runs[id]; r != nil {
+		return r.Runs
+	}
+	return 0
 }
 
 // Runs returns how often each id ran, in no order.
@@ -176,8 +181,8 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	all := make([]RunCount, 0, len(e.runs))
-	for id, n := range e.runs {
-		all = append(all, RunCount{ID: id, Runs: n})
+	for _, r := range e.runs {
+		all = append(all, *r)
 	}
 	return all
 }
@@ -188,7 +193,8 @@
 		return
 	}
 	id := req.Header.Get(api.HeaderRequestID)
-	p, accepted := e.accept(id)
+	queue := req.Header.Get(api.HeaderQueue)
+	p, accepted := e.accept(id, queue)
 	if !accepted {
 		refuse(w, id)
 		return
@@ -197,12 +203,12 @@
 	if !e.run(req.Context(), p) {
 		return
 	}
-	answer := Answer(id, req.Header.Get(api.HeaderQueue), body, e.cfg.AnswerBytes)
-	p.fault.write(w, id, answer)
+	answered := p.fault.answeredID(id)
+	p.fault.write(w, answered, Answer(answered, queue, body, e.cfg.AnswerBytes))
 }
 
 // accept counts a run and draws what will happen to it, or refuses it.
-func (e *Endpoint) accept(id string) (plan, bool) {
+func (e *Endpoint) accept(id, queue string) (plan, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if !e.leftAt.IsZero() && time.Since(e.leftAt) > LeaveGrace {
@@ -224,10 +230,20 @@
 	e.running++
 	e.stats.MaxRunning = max(e.stats.MaxRunning, e.running)
 	e.stats.Accepted++
-	e.runs[id]++
+	e.countRun(id, queue)
 	return p, true
 }
 
+// countRun must be called with the lock held.
+func (e *Endpoint) countRun(id, queue string) {
+	r := e.runs[id]
+	if r == nil {
+		r = &RunCount{ID: id, Queue: queue}
+		e.runs[id] = r
+	}
+	r.Runs++
+}
+
 func (e *Endpoint) end() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/standin/fault.go
+++ b/standin/fault.go
@@ -64,12 +64,18 @@
 	return faultNone
 }
 
+// answeredID returns the id of the request that the answer to id is for.
+func (f fault) answeredID(id string) string {
+	if f == faultCrossed {
+		return id + "-crossed"
+	}
+	return id
+}
+
 // write answers a request that ran.
 func (f fault) write(w http.ResponseWriter, id string, answer []byte) {
 	status := http.StatusOK
 	switch f {
-	case faultCrossed:
-		id += "-crossed"
 	case faultFail:
 		status = http.StatusInternalServerError
 	case faultShort:
