--- a/cmd/magnoliastand/document.go
+++ b/cmd/magnoliastand/document.go
@@ -210,3 +210,17 @@
 		return "", usageError("%q is none of document, history, instances, keys", what)
 	}
 }
+
+// documentFaults returns every fault of a document's text.
+func documentFaults(b []byte) []api.Fault {
+	_, err := api.LoadDocument(b)
+	var de *api.DocumentError
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &de):
+		return de.Faults
+	default:
+		return []api.Fault{{Path: "document", Message: err.Error()}}
+	}
+}
--- a/control/apply.go
+++ b/control/apply.go
@@ -25,7 +25,7 @@
 		r.Refusal.CurrentVersion = s.docVersion
 		return r
 	}
-	if faults := c.Document.Validate(); len(faults) > 0 {
+	if faults := s.checkDocument(&c.Document); len(faults) > 0 {
 		r := refuse(RefusedDocument, "the document has %d faults", len(faults))
 		r.Refusal.Faults = faults[:min(len(faults), maxKeptFaults)]
 		return r
@@ -41,6 +41,18 @@
 	return Result{}
 }
 
+// checkDocument returns the faults that the document has by itself, or those
+// that the delegate finds against its state.
+func (s *State) checkDocument(doc *api.Document) []api.Fault {
+	if faults := doc.Validate(); len(faults) > 0 {
+		return faults
+	}
+	if c, ok := s.opts.Fleet.(DocumentChecker); ok {
+		return c.CheckDocument(doc)
+	}
+	return nil
+}
+
 // install makes doc the document in force.
 func (s *State) install(doc *api.Document) {
 	s.doc = doc
--- a/control/command.go
+++ b/control/command.go
@@ -163,3 +163,10 @@
 type DocumentObserver interface {
 	DocumentApplied(doc *api.Document)
 }
+
+// DocumentChecker is implemented by a Delegate that can refuse a document, for
+// example one that leaves out a pool in use. It depends on nothing but the
+// delegate's state and the document.
+type DocumentChecker interface {
+	CheckDocument(doc *api.Document) []api.Fault
+}
--- a/daemon/arbiterhost.go
+++ b/daemon/arbiterhost.go
@@ -26,11 +26,20 @@
 	refusal *dispatch.Refusal
 }
 
+// waitingAsk is an ask whose handler waits for its outcome.
+type waitingAsk struct {
+	team string
+	// outcome takes one value.
+	outcome chan askOutcome
+}
+
 // limiterHandle is the arbiter's part of the teams' limits for one term.
 type limiterHandle interface {
 	arbiter.Limiter
 	// Adopt counts units that an origin declared as running under an earlier term.
 	Adopt(team string, units int64)
+	// SetWaiting records how many asks of a team wait.
+	SetWaiting(team string, n int64)
 	// End ends the term: nothing can be acquired from now on.
 	End()
 }
@@ -51,7 +60,9 @@
 	cfg     *arbiter.Config
 	arb     *arbiter.Arbiter
 	limiter limiterHandle
-	waiters map[waiterKey]chan askOutcome
+	waiters map[waiterKey]*waitingAsk
+	// waitingOf counts the waiting asks of each team.
+	waitingOf map[string]int64
 	// delivered holds grants whose origin may still say that it did not take them.
 	delivered map[waiterKey]dispatch.GrantID
 	taken     map[dispatch.GrantID]waiterKey
@@ -74,7 +85,8 @@
 
 // clear drops what belongs to one term. The lock is held, or not yet shared.
 func (h *arbiterHost) clear() {
-	h.waiters = make(map[waiterKey]chan askOutcome)
+	h.waiters = make(map[waiterKey]*waitingAsk)
+	h.waitingOf = make(map[string]int64)
 	h.delivered = make(map[waiterKey]dispatch.GrantID)
 	h.taken = make(map[dispatch.GrantID]waiterKey)
 	h.forwards = make(map[waiterKey]context.CancelFunc)
@@ -121,8 +133,8 @@
 	}
 	h.arb = nil
 	h.limiter.End()
-	for _, ch := range h.waiters {
-		ch <- askOutcome{}
+	for _, w := range h.waiters {
+		w.outcome <- askOutcome{}
 	}
 	for _, cancel := range h.forwards {
 		cancel()
@@ -176,43 +188,66 @@
 // origin gave up; a grant made meanwhile is then released unused.
 func (h *arbiterHost) ask(ctx context.Context, term uint64, ask dispatch.Ask) (askReply, error) {
 	key := waiterKey{ask.RequestID, ask.Origin}
-	ch := make(chan askOutcome, 1)
+	w := &waitingAsk{team: ask.Team, outcome: make(chan askOutcome, 1)}
 	h.mu.Lock()
 	if h.arb == nil || h.arb.Term() != term {
 		h.mu.Unlock()
 		return askReply{}, errNotArbiter
 	}
-	if old := h.waiters[key]; old != nil {
-		old <- askOutcome{}
-	}
-	h.waiters[key] = ch
+	h.end(key, askOutcome{})
+	h.addWaiter(key, w)
 	h.deliver(h.arb.Ask(time.Now(), ask))
 	h.mu.Unlock()
 	select {
-	case out := <-ch:
+	case out := <-w.outcome:
 		if out.grant == nil && out.refusal == nil {
 			return askReply{}, errNotArbiter
 		}
 		return askReply{Grant: out.grant, Refusal: out.refusal}, nil
 	case <-ctx.Done():
-		h.giveUp(key, ch)
+		h.giveUp(key, w)
 		return askReply{}, ctx.Err()
 	}
 }
 
+// addWaiter enters a waiting ask. The lock is held.
+func (h *arbiterHost) addWaiter(key waiterKey, w *waitingAsk) {
+	h.waiters[key] = w
+	h.countWaiting(w.team, 1)
+}
+
+// removeWaiter forgets a waiting ask. The lock is held.
+func (h *arbiterHost) removeWaiter(key waiterKey) {
+	if w, ok := h.waiters[key]; ok {
+		delete(h.waiters, key)
+		h.countWaiting(w.team, -1)
+	}
+}
+
+func (h *arbiterHost) countWaiting(team string, n int64) {
+	if team == "" {
+		return
+	}
+	h.waitingOf[team] += n
+	h.limiter.SetWaiting(team, h.waitingOf[team])
+	if h.waitingOf[team] == 0 {
+		delete(h.waitingOf, team)
+	}
+}
+
 // giveUp ends an ask whose handler is gone, unless a repeated ask took its place.
-func (h *arbiterHost) giveUp(key waiterKey, ch chan askOutcome) {
+func (h *arbiterHost) giveUp(key waiterKey, w *waitingAsk) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	select {
-	case out := <-ch:
+	case out := <-w.outcome:
 		if out.grant != nil {
 			h.releaseUnused(key)
 		}
 		return
 	default:
 	}
-	if h.waiters[key] == ch {
+	if h.waiters[key] == w {
 		h.cancelLocked(key)
 	}
 }
@@ -225,8 +260,8 @@
 		return
 	}
 	key := waiterKey{n.RequestID, n.Origin}
-	if ch := h.waiters[key]; ch != nil {
-		ch <- askOutcome{}
+	if w := h.waiters[key]; w != nil {
+		w.outcome <- askOutcome{}
 		h.cancelLocked(key)
 		return
 	}
@@ -234,7 +269,7 @@
 }
 
 func (h *arbiterHost) cancelLocked(key waiterKey) {
-	delete(h.waiters, key)
+	h.removeWaiter(key)
 	if h.arb != nil {
 		h.deliver(h.arb.Cancel(time.Now(), key.requestID, key.origin))
 	}
@@ -325,12 +360,12 @@
 }
 
 func (h *arbiterHost) end(key waiterKey, out askOutcome) bool {
-	ch, ok := h.waiters[key]
+	w, ok := h.waiters[key]
 	if !ok {
 		return false
 	}
-	delete(h.waiters, key)
-	ch <- out
+	h.removeWaiter(key)
+	w.outcome <- out
 	return true
 }
 
--- a/daemon/message.go
+++ b/daemon/message.go
@@ -10,11 +10,20 @@
 // Methods of calls and notifications between daemons.
 const (
 	methodHeartbeat    = "zone.heartbeat"
+	methodPing         = "zone.ping"
 	methodFeed         = "zone.feed"
 	methodSummary      = "zone.summary"
 	methodAsk          = "slot.ask"
 	methodCancel       = "slot.cancel"
 	methodRelease      = "slot.release"
+	methodPoll         = "control.poll"
+	methodPropose      = "control.propose"
+	methodClaim        = "control.claim"
+	methodDemand       = "control.demand"
+	methodJoin         = "control.join"
+	methodLog          = "log.message"
+	methodForm         = "log.form"
+	methodBurn         = "report.burn"
 	methodRecordBegin  = "record.begin"
 	methodRecordFinish = "record.finish"
 	methodRecordLookup = "record.lookup"
@@ -30,6 +39,9 @@
 type arbiterRef struct {
 	Name string `cbor:"1,keyasint"`
 	Term uint64 `cbor:"2,keyasint"`
+	// Incarnation names the process: a daemon that restarted does not go on with
+	// the term of its former process.
+	Incarnation string `cbor:"3,keyasint"`
 }
 
 const (
--- a/daemon/zone.go
+++ b/daemon/zone.go
@@ -65,6 +65,7 @@
 		}
 	}
 	link.Handle(methodHeartbeat, m.handleHeartbeat)
+	link.Handle(methodPing, func(context.Context, peerlink.Identity, []byte) (any, error) { return m.own(), nil })
 	return m
 }
 
@@ -169,6 +170,16 @@
 	return ok && now.Sub(seen) < peerSilence
 }
 
+// arbiterAlive reports whether the process that was made arbiter is alive. The
+// lock is held.
+func (m *zoneMonitor) arbiterAlive(now time.Time) bool {
+	ref := m.arbiter
+	if ref.Name == m.self.Name {
+		return ref.Incarnation == m.self.Incarnation
+	}
+	return ref.Name != "" && m.alive(ref.Name, now) && m.ids[ref.Name].Incarnation == ref.Incarnation
+}
+
 // peersAlive returns the ids of the zone's daemons that are alive, this one included.
 func (m *zoneMonitor) peersAlive(now time.Time) []dispatch.DaemonID {
 	m.mu.Lock()
@@ -224,7 +235,11 @@
 		m.log.Debug().Err(err).Msg("arbiter role not given")
 		return
 	}
-	m.adopt(arbiterRef{Name: m.self.Name, Term: observed - observed%provisionalStep + provisionalStep + m.index})
+	m.adopt(arbiterRef{
+		Name:        m.self.Name,
+		Incarnation: m.self.Incarnation,
+		Term:        observed - observed%provisionalStep + provisionalStep + m.index,
+	})
 }
 
 // claimTimeout bounds one claim of the arbiter role.
@@ -246,7 +261,7 @@
 		return false
 	}
 	provisional := m.arbiter.Term%provisionalTerms != 0
-	usable := m.arbiter.Name != "" && m.alive(m.arbiter.Name, now) && !m.leaving[m.arbiter.Name]
+	usable := m.arbiterAlive(now) && !m.leaving[m.arbiter.Name]
 	if usable && (!provisional || !fresh) {
 		m.missing = time.Time{}
 		return false
@@ -258,7 +273,7 @@
 		if name == m.self.Name {
 			return true
 		}
-		if m.alive(name, now) && !m.leaving[name] && (name != m.arbiter.Name || provisional) {
+		if m.alive(name, now) && !m.leaving[name] {
 			return false
 		}
 	}
