arbiter: random runs against the truth about running work

Cause: slots, limits and succession are promises, so the tests know what really runs at each endpoint process beside what the arbiter believes. Found and mended by the runs: a declared grant that ended before the term stood for an unknown slot; a successor under a lowered slot count missed grants of the higher one; an origin must also declare grants that it released as unknown. Ruled out: taking any new incarnation as the end of all grants (a grant still on its way reaches the new process).

--- a/dispatch/arbiter/arbiter.go
+++ b/dispatch/arbiter/arbiter.go
@@ -41,6 +41,9 @@
 	waiting    int
 	forwarded  int
 
+	byName  []*service // services in the order of their names
+	blocked []*team    // teams that the limiter gave no unit
+
 	dirty  []*service // services to serve before the input returns
 	stuck  []*line    // lines put aside while a service is served
 	events []Event
@@ -50,8 +53,13 @@
 // advanced and told outcomes by the arbiter; announcements and feeds go to the
 // registry directly, followed by Tick or any other input.
 func New(now time.Time, opts Options, cfg *Config, reg *endpoint.Registry, limiter Limiter) *Arbiter {
+	return newArbiter(now, opts, protections{}, cfg, reg, limiter)
+}
+
+func newArbiter(now time.Time, opts Options, off protections, cfg *Config, reg *endpoint.Registry, limiter Limiter) *Arbiter {
 	a := &Arbiter{
 		opts:     opts.withDefaults(),
+		off:      off,
 		reg:      reg,
 		limiter:  limiter,
 		now:      now,
@@ -105,10 +113,12 @@
 func (a *Arbiter) Tick(now time.Time) []Event {
 	a.begin(now)
 	a.tickRecovery()
-	for _, s := range a.services {
+	for _, s := range a.byName {
 		a.resolveEmpty(s)
 	}
-	for _, t := range a.teams {
+	blocked := a.blocked
+	a.blocked = nil
+	for _, t := range blocked {
 		a.unblock(t)
 	}
 	return a.finish()
@@ -155,14 +165,30 @@
 func (a *Arbiter) finish() []Event {
 	a.sync()
 	for len(a.dirty) > 0 {
-		s := a.dirty[len(a.dirty)-1]
-		a.dirty = a.dirty[:len(a.dirty)-1]
+		s := a.nextDirty()
 		s.dirty = false
 		a.serve(s)
 	}
 	return a.events
 }
 
+// nextDirty takes the service to serve next: the first by name, so that equal
+// inputs give equal events.
+func (a *Arbiter) nextDirty() *service {
+	first := 0
+	for i, s := range a.dirty {
+		if s.name < a.dirty[first].name {
+			first = i
+		}
+	}
+	s := a.dirty[first]
+	last := len(a.dirty) - 1
+	a.dirty[first] = a.dirty[last]
+	a.dirty[last] = nil
+	a.dirty = a.dirty[:last]
+	return s
+}
+
 // touch marks a service to be served before the input returns.
 func (a *Arbiter) touch(s *service) {
 	if s != nil && !s.dirty {
--- a/dispatch/arbiter/doc.go
+++ b/dispatch/arbiter/doc.go
@@ -31,7 +31,7 @@
 // # Succession
 //
 // A new arbiter does not know what its predecessor granted. It counts every
-// slot of an endpoint as unknown at first, so that
+// slot that an endpoint announces as unknown at first, so that
 //
 //	granted + unknown <= slots
 //
@@ -45,12 +45,13 @@
 //     more: from then on unknown work is at most that number and only falls; or
 //   - the endpoint's process that the predecessor could have given work to has
 //     ended; or
-//   - start+Margin+StartWithin+LongestRun+Margin has passed.
+//   - the latest start of an earlier term's grant plus the longest run has passed.
 //
 // It follows that no grant has to wait for the slowest origin: what is not
 // declared yet stays within the unknown slots. Duties of the caller: an origin
 // that declared to a term ignores grants of lower terms that it did not
-// declare, and a term is used only once. A predecessor that still grants to
+// declare; a declaration also lists grants that were released with an unknown
+// outcome, as started, until their longest run has passed; and a term is used only once. A predecessor that still grants to
 // origins cut off from its successor can over-ask an endpoint, which then
 // refuses; it can't exceed a team's limit, since each arbiter draws on its own
 // allotment through Limiter.
--- a/dispatch/arbiter/options.go
+++ b/dispatch/arbiter/options.go
@@ -51,6 +51,9 @@
 	// Complete states that no other daemon can hold a grant of an earlier term.
 	// The first arbiter of a zone has no origins and a complete list.
 	Complete bool
+	// LongestRun is the longest run that any service had in earlier terms, if
+	// it was longer than what is configured now.
+	LongestRun time.Duration
 }
 
 // Default values of Options.
@@ -104,6 +107,8 @@
 type protections struct {
 	leavingGetsWork   bool // grants on endpoints that are not ready
 	freeOnUnknown     bool // an unknown outcome frees slot and unit
+	freeUnitOnUnknown bool // an unknown outcome frees the unit only
+	ignoreLimit       bool // the limiter is not asked
 	freeOnOriginLost  bool // a lost origin's grants are freed
 	freeOnRestart     bool // a new incarnation frees every grant
 	assumeFree        bool // a successor takes undeclared slots as free
--- a/dispatch/arbiter/overflow.go
+++ b/dispatch/arbiter/overflow.go
@@ -2,8 +2,6 @@
 
 import (
 	"math"
-	"slices"
-	"strings"
 	"time"
 
 	"magnoliastand.example/dispatch/endpoint"
@@ -24,7 +22,7 @@
 	a.begin(now)
 	a.finish()
 	out := endpoint.Summary{Zone: a.opts.Zone}
-	for _, s := range a.services {
+	for _, s := range a.byName {
 		out.Services = append(out.Services, endpoint.ServiceSummary{
 			Service:   s.name,
 			Endpoints: s.ready,
@@ -33,9 +31,6 @@
 			Waiting:   s.waiting,
 		})
 	}
-	slices.SortFunc(out.Services, func(x, y endpoint.ServiceSummary) int {
-		return strings.Compare(x.Service, y.Service)
-	})
 	return out
 }
 
--- a/dispatch/arbiter/place.go
+++ b/dispatch/arbiter/place.go
@@ -135,7 +135,7 @@
 
 // acquire takes a unit of the team's limit. Asks without a team have none.
 func (a *Arbiter) acquire(t *team) bool {
-	if t.name == "" {
+	if t.name == "" || a.off.ignoreLimit {
 		return true
 	}
 	if !a.limiter.Acquire(t.name) {
@@ -178,7 +178,7 @@
 		slots: sl,
 		class: c,
 		team:  ln.line.team,
-		unit:  ln.line.team.name != "",
+		unit:  ln.line.team.name != "" && !a.off.ignoreLimit,
 		at:    a.now,
 	}
 	c.svc.lastLong = c.name == api.ClassLong
--- a/dispatch/arbiter/reconfig.go
+++ b/dispatch/arbiter/reconfig.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -31,6 +32,47 @@
 	}
 	a.applyTeams()
 	a.applySlots()
+	a.prune()
+}
+
+// prune forgets services and teams that are not in the document and for which
+// nothing runs, and brings the order of services up to date.
+func (a *Arbiter) prune() {
+	for name, s := range a.services {
+		if _, ok := a.cfg.services[name]; !ok && s.quick.running+s.long.running == 0 {
+			a.pruneService(s)
+		}
+	}
+	for name, t := range a.teams {
+		if _, ok := a.cfg.teams[name]; !ok && name != "" && !t.runs() {
+			a.pruneTeam(t)
+		}
+	}
+	a.byName = a.byName[:0]
+	for _, name := range slices.Sorted(maps.Keys(a.services)) {
+		a.byName = append(a.byName, a.services[name])
+	}
+}
+
+func (a *Arbiter) pruneService(s *service) {
+	for _, c := range []*class{s.quick, s.long} {
+		for _, l := range c.lines {
+			l.team.lines = slices.DeleteFunc(l.team.lines, func(other *line) bool { return other == l })
+		}
+	}
+	delete(a.services, s.name)
+}
+
+func (a *Arbiter) pruneTeam(t *team) {
+	for _, l := range t.lines {
+		for _, ln := range l.lanes {
+			delete(ln.queue.lanes, t.name)
+		}
+		l.class.order.Remove(t.name)
+		delete(l.class.lines, t.name)
+	}
+	a.blocked = slices.DeleteFunc(a.blocked, func(other *team) bool { return other == t })
+	delete(a.teams, t.name)
 }
 
 func (a *Arbiter) applyService(name string, sc serviceConfig) {
@@ -109,7 +151,8 @@
 
 // applyTeams sets the teams' shares and refuses what waits for removed teams.
 func (a *Arbiter) applyTeams() {
-	for name, t := range a.teams {
+	for _, name := range slices.Sorted(maps.Keys(a.teams)) {
+		t := a.teams[name]
 		if _, ok := a.cfg.teams[name]; !ok && name != "" {
 			a.refuseTeam(t)
 			continue
--- a/dispatch/arbiter/recovery.go
+++ b/dispatch/arbiter/recovery.go
@@ -76,13 +76,22 @@
 		latest = a.now.Add(-max(h.Running, 0))
 		gr.at = latest
 	}
-	gr.latestStart = latest
-	if a.endedWithProcess(gr) {
+	a.setStart(gr, latest)
+	// The predecessor may have freed and granted again the slot of a grant that
+	// ended before this term, so it must not stand for an unknown slot.
+	if !gr.endsAt.After(a.recovery.startedAt) || a.endedWithProcess(gr) {
 		return
 	}
-	gr.slots.unknown = max(gr.slots.unknown-1, 0)
+	if gr.standsForUnknown() {
+		gr.slots.unknown = max(gr.slots.unknown-1, 0)
+	}
 	a.occupy(gr)
-	a.setStart(gr, latest)
+}
+
+// standsForUnknown reports whether an adopted grant is one of the slots that
+// the predecessor held occupied. One on an earlier process may have been freed.
+func (g *grant) standsForUnknown() bool {
+	return g.Grant.EndpointIncarnation == g.slots.incarnation
 }
 
 // slotsOf returns the slots of a grant's endpoint, which may not have been
@@ -106,8 +115,15 @@
 		return
 	}
 	sl.seen = true
-	if a.recovery.pending && !a.off.assumeFree {
-		sl.unknown = max(min(sl.announced, sl.svc.cfg.slots)-sl.occupied, 0)
+	if !a.recovery.pending || a.off.assumeFree {
+		return
+	}
+	// The predecessor may have worked with more configured slots.
+	sl.unknown = sl.announced
+	for _, gr := range a.grants {
+		if gr.slots == sl && gr.standsForUnknown() && sl.unknown > 0 {
+			sl.unknown--
+		}
 	}
 }
 
@@ -121,7 +137,7 @@
 	switch {
 	case !sl.endedHeard.Before(surely):
 		sl.unknown = 0
-	case !a.now.Before(surely.Add(sl.svc.cfg.longestRun)):
+	case !a.now.Before(surely.Add(max(sl.svc.cfg.longestRun, a.opts.Recovery.LongestRun))):
 		sl.unknown = 0
 	case !e.Heard.Before(surely) && e.State != endpoint.StateGone:
 		sl.unknown = min(sl.unknown, e.Announcement.Running)
@@ -149,11 +165,11 @@
 // recoveryBound returns when nothing that an earlier term granted can be
 // running any more.
 func (a *Arbiter) recoveryBound() time.Time {
-	longest := time.Duration(0)
+	longest := a.opts.Recovery.LongestRun
 	for _, s := range a.services {
 		longest = max(longest, s.cfg.longestRun)
 	}
-	return a.recovery.latestStart.Add(longest + a.opts.Margin)
+	return a.opts.wordAfter(a.recovery.latestStart).Add(longest)
 }
 
 func (a *Arbiter) endRecovery() {
--- a/dispatch/arbiter/release.go
+++ b/dispatch/arbiter/release.go
@@ -63,6 +63,10 @@
 		a.free(gr, a.now.Sub(gr.at))
 		return
 	}
+	if a.off.freeUnitOnUnknown && gr.unit {
+		gr.unit = false
+		a.release(gr.team)
+	}
 	a.unhold(gr)
 	started := a.now.Add(-max(elapsed, 0))
 	if started.Before(gr.at) {
@@ -135,6 +139,7 @@
 func (a *Arbiter) occupy(gr *grant) {
 	a.grants[gr.Grant.ID] = gr
 	a.ends.push(gr)
+	gr.team.grants++
 	sl := gr.slots
 	sl.occupied++
 	sl.usedAt = a.seq
@@ -153,6 +158,7 @@
 	delete(a.grants, gr.Grant.ID)
 	a.unhold(gr)
 	a.ends.remove(gr)
+	gr.team.grants--
 	sl := gr.slots
 	sl.occupied--
 	a.refresh(sl)
--- a/dispatch/arbiter/waiting.go
+++ b/dispatch/arbiter/waiting.go
@@ -41,9 +41,13 @@
 	weight  float64
 	blocked bool // the limiter gave no unit
 	units   int  // units acquired and not released
+	grants  int  // grants that may be running, adopted ones included
 	lines   []*line
 }
 
+// runs reports whether anything of the team may be running.
+func (t *team) runs() bool { return t.grants > 0 }
+
 // line is what one team has waiting in one class of a service.
 type line struct {
 	team    *team
@@ -175,6 +179,7 @@
 // block puts the team's lines aside until a unit may be free again.
 func (a *Arbiter) block(t *team) {
 	t.blocked = true
+	a.blocked = append(a.blocked, t)
 	for _, l := range t.lines {
 		a.refreshLine(l)
 	}
