--- a/daemon/controlplane.go
+++ b/daemon/controlplane.go
@@ -65,6 +65,7 @@
 	link.Handle(methodClaim, c.handleClaim)
 	link.Handle(methodDemand, c.leader.handleDemand)
 	link.Handle(methodJoin, c.handleJoin)
+	link.Handle(methodFleet, c.handleFleet)
 	if set.DataFolder == "" {
 		return c, nil
 	}
--- a/daemon/message.go
+++ b/daemon/message.go
@@ -23,6 +23,7 @@
 	methodJoin         = "control.join"
 	methodLog          = "log.message"
 	methodForm         = "log.form"
+	methodFleet        = "fleet.status"
 	methodBurn         = "report.burn"
 	methodRecordBegin  = "record.begin"
 	methodRecordFinish = "record.finish"
