--- a/cmd/magnoliastand/dev.go
+++ b/cmd/magnoliastand/dev.go
@@ -74,7 +74,9 @@
 	go func() { done <- d.Run(ctx, make(chan struct{})) }()
 	if err := setUpDev(ctx, d, s, operatorKey); err != nil {
 		cancel()
-		<-done
+		if stopErr := <-done; stopErr != nil {
+			return errors.WithMessage(stopErr, err.Error())
+		}
 		return err
 	}
 	return <-done
--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -24,6 +24,7 @@
 	g.GET("/status", d.serveStatus)
 	g.GET("/report", d.serveReport)
 	g.GET("/endpoints", d.serveEndpoints)
+	d.documentRoutes(g)
 	d.fleetRoutes(g)
 	if d.set.TestFaults {
 		g.POST("/test/cut", d.serveCut)
