--- a/consensus/core.go
+++ b/consensus/core.go
@@ -94,7 +94,7 @@
 		c.tickLeader()
 		return
 	}
-	if c.elapsed >= c.timeout && isVoter(c.log.members(), c.cfg.ID) {
+	if c.elapsed >= c.timeout && c.mayCampaign() {
 		c.campaign()
 	}
 }
--- a/consensus/election.go
+++ b/consensus/election.go
@@ -33,6 +33,13 @@
 	c.resetTimeout()
 }
 
+// mayCampaign reports whether this node is a voter, or still is one in the last
+// committed membership. A voter whose removal isn't committed may hold the
+// newest log, so that nobody else can be elected; it then doesn't count itself.
+func (c *Core) mayCampaign() bool {
+	return isVoter(c.log.members(), c.cfg.ID) || isVoter(c.log.membersAt(c.log.commit), c.cfg.ID)
+}
+
 // campaign starts a pre-vote round, or an election where pre-vote is off.
 func (c *Core) campaign() {
 	c.dropReads()
--- a/consensus/read.go
+++ b/consensus/read.go
@@ -51,7 +51,7 @@
 // resolveReads gives reads their index and round once the leader knows all
 // commits of earlier terms. The round is the one that the next Ready starts.
 func (c *Core) resolveReads() {
-	if c.log.commit < c.termStart && !c.cfg.off.termCommit {
+	if c.log.commit < c.termStart {
 		return
 	}
 	for i := range c.reads {
--- a/consensus/storage/memory.go
+++ b/consensus/storage/memory.go
@@ -111,3 +111,9 @@
 	st.Entries = slices.DeleteFunc(keep, func(e consensus.Entry) bool { return e.Index < u.KeepFrom })
 	return st
 }
+
+// Plan sets the next crash; its writes are counted from now on.
+func (m *Memory) Plan(crash Crash) {
+	m.crash = crash
+	m.syncs = 0
+}
