--- a/consensus/bootstrap/machine.go
+++ b/consensus/bootstrap/machine.go
@@ -25,6 +25,10 @@
 	RetryTicks int
 }
 
+// helloRounds is how often the coordinator asks all known nodes for a cluster
+// before it draws a cluster ID.
+const helloRounds = 3
+
 // Machine is the state machine of one node. It isn't safe for concurrent use.
 type Machine struct {
 	cfg     Config
@@ -33,6 +37,7 @@
 	changed bool
 	msgs    []Message
 	ticks   int
+	rounds  int
 	// empty and promises hold the newest answers by name, on the coordinator.
 	empty    map[string]consensus.NodeID
 	promises map[string]consensus.Member
@@ -81,6 +86,7 @@
 	if m.coordinates() && m.binding.Phase == Promised {
 		m.invite()
 	}
+	m.rounds++
 	m.broadcast(MsgHello)
 	m.advance()
 }
@@ -194,7 +200,7 @@
 	}
 	switch m.binding.Phase {
 	case Unbound:
-		if m.allOthers(func(name string) bool { return m.empty[name] != consensus.None }) {
+		if m.rounds > helloRounds && m.allOthers(func(name string) bool { return m.empty[name] != consensus.None }) {
 			m.issue()
 		}
 	case Promised:
--- a/consensus/storage/disk.go
+++ b/consensus/storage/disk.go
@@ -134,7 +134,7 @@
 // a file under the final name always holds its identity.
 func create(path string) error {
 	tmp := path + tmpSuffix
-	db, err := bbolt.Open(tmp, fileMode, nil)
+	db, err := bbolt.Open(tmp, fileMode, &bbolt.Options{PageSize: pageSize})
 	if err != nil {
 		return errors.Wrapf(ErrIO, "%s: %v", tmp, err)
 	}
--- a/consensus/storage/read.go
+++ b/consensus/storage/read.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"io"
 	"os"
 	"path/filepath"
 	"runtime/debug"
@@ -18,7 +17,7 @@
 // openDB opens the database. With readOnly it reads no page but on behalf of a
 // transaction, so that guard can catch what a damaged file causes.
 func openDB(path string, readOnly bool) (*bbolt.DB, error) {
-	if err := checkHead(path); err != nil {
+	if err := checkHeads(path); err != nil {
 		return nil, err
 	}
 	opts := &bbolt.Options{
@@ -52,29 +51,6 @@
 	return closeAfter(db, guard(path, d.verify))
 }
 
-// checkHead refuses files that are no database at all, before they are mapped.
-// Each of the two first pages holds the magic number after its header.
-func checkHead(path string) error {
-	const magicOffset, magic = 16, "\xed\xda\x0c\xed"
-	f, err := os.Open(filepath.Clean(path))
-	if err != nil {
-		return errors.Wrap(ErrIO, err.Error())
-	}
-	head := make([]byte, 2*os.Getpagesize())
-	n, err := io.ReadFull(f, head)
-	if cerr := f.Close(); cerr != nil {
-		return errors.Wrap(ErrIO, cerr.Error())
-	}
-	if err != nil {
-		return errors.Wrapf(ErrCorrupt, "%s is cut to %d bytes: %v", path, n, err)
-	}
-	first, second := head[magicOffset:], head[os.Getpagesize()+magicOffset:]
-	if !bytes.HasPrefix(first, []byte(magic)) && !bytes.HasPrefix(second, []byte(magic)) {
-		return errors.Wrap(ErrForeign, path)
-	}
-	return nil
-}
-
 // guard runs do and turns panics and memory faults, which a damaged file can
 // cause in the database library, into ErrCorrupt naming the file.
 func guard(path string, do func() error) (err error) {
