--- a/consensus/node/harness_test.go
+++ b/consensus/node/harness_test.go
@@ -23,9 +23,14 @@
 type journal struct {
 	mu    sync.Mutex
 	lines []string
+	// hold blocks the loop in Apply of "freeze", as a frozen process would be.
+	hold chan struct{}
 }
 
 func (j *journal) Apply(e consensus.Entry) int {
+	if j.hold != nil && string(e.Data) == "freeze" {
+		<-j.hold
+	}
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.lines = append(j.lines, string(e.Data))
@@ -160,6 +165,12 @@
 	c.cut[name] = cut
 }
 
+func (c *cluster) isolated(name string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.cut[name]
+}
+
 // kill stops the node of a member; its storage stays.
 func (c *cluster) kill(m *member) {
 	c.mu.Lock()
@@ -183,7 +194,7 @@
 	for range 600 {
 		time.Sleep(100 * time.Millisecond)
 		for _, m := range c.members {
-			if m.node == nil || c.cut[m.name] {
+			if m.node == nil || c.isolated(m.name) {
 				continue
 			}
 			if s := m.node.Status(); s.Role == consensus.Leader && s.QuorumKnown {
