endpoint: tables and random feeds; words that may have been overtaken

Cause: endpoints announce themselves to any daemon of the zone, so peers' feeds can contradict each other. Found by the random feeds: an older incarnation's word from a peer replaced a newer direct one and made the true process refused for good; two daemons could each take the other as responsible, so that nobody let the endpoint lapse. Weighed: a sequence number in the announcement (the interface is settled; proposed to the lead), and a full lease of distrust (a restart would go unseen for 3 s); taken: a contradicting word must be later by 500 ms, true ones are repeated. An ejected endpoint that lapses stays on trial.

--- a/dispatch/endpoint/advance.go
+++ b/dispatch/endpoint/advance.go
@@ -52,7 +52,6 @@
 	}
 	if e.State == StateEjected && !now.Before(e.retryAt) {
 		r.move(now, e, eventBackoffPassed)
-		e.Probation = true
 	}
 }
 
--- a/dispatch/endpoint/eject.go
+++ b/dispatch/endpoint/eject.go
@@ -25,6 +25,7 @@
 func (r *Registry) observeSuccess(now time.Time, e *entry) {
 	e.okAt = now
 	e.failures = 0
+	e.onTrial = false
 	if !e.Probation {
 		// A healthy stretch as long as the back-off forgives the ejection.
 		if e.backoff > 0 && now.Sub(e.retryAt) > e.backoff {
@@ -46,7 +47,7 @@
 		return
 	}
 	r.move(now, e, eventEjected)
-	e.Probation = false
+	e.onTrial = true
 	e.failures = 0
 	e.backoff = min(max(2*e.backoff, r.opts.MinBackoff), r.opts.MaxBackoff)
 	e.retryAt = now.Add(e.backoff)
--- a/dispatch/endpoint/feed.go
+++ b/dispatch/endpoint/feed.go
@@ -113,7 +113,7 @@
 	}
 	moved := e.source != source
 	r.setSource(e, source)
-	changed := r.accept(now, e, c.Announcement, heard)
+	changed := r.accept(now, e, c.Announcement, heard, false)
 	if c.EndedAge > 0 {
 		ended := now.Add(-c.EndedAge)
 		if ended.After(e.EndedHeard) {
@@ -128,20 +128,23 @@
 }
 
 // isNews reports whether a peer's word about an endpoint replaces what is known.
+// A word that contradicts the known one, by naming another incarnation or by
+// taking back that the endpoint leaves, must be later by more than Reorder, as
+// it may have been overtaken on its way. A true one is repeated.
 func (r *Registry) isNews(e *entry, source string, c Change, heard time.Time) bool {
 	if slices.Contains(e.ended, c.Announcement.Incarnation) {
 		return false
 	}
-	if e.State == StateGone || e.Announcement.Incarnation != c.Announcement.Incarnation {
+	if e.State == StateGone {
 		return true
 	}
-	if !heard.After(e.Heard) {
-		return false
+	known := e.Announcement
+	restarts := known.Incarnation != c.Announcement.Incarnation
+	reverts := known.State == api.EndpointLeaving && c.Announcement.State == api.EndpointReady
+	if (restarts || reverts) && e.source != source {
+		return heard.Sub(e.Heard) > r.opts.Reorder
 	}
-	// A "ready" that was sent before the "leaving" may arrive after it through
-	// another peer. It counts only from a lease after.
-	reverts := e.Announcement.State == api.EndpointLeaving && c.Announcement.State == api.EndpointReady
-	return !reverts || e.source == source || heard.Sub(e.Heard) > r.opts.Lease
+	return heard.After(e.Heard)
 }
 
 // mergeHandover notes that source no longer vouches for an endpoint that no
--- a/dispatch/endpoint/registry.go
+++ b/dispatch/endpoint/registry.go
@@ -13,6 +13,9 @@
 type Options struct {
 	// Lease is how long an announcement stands. Default 3 s.
 	Lease time.Duration
+	// Reorder bounds how much older than it seems a word from a peer's feed may
+	// be, through delays between daemons. Default 500 ms.
+	Reorder time.Duration
 	// ForgetAfter is the time from lapse to gone, and from gone to removal. Default 1 min.
 	ForgetAfter time.Duration
 	// MaxEndpoints bounds the endpoints known. Default 4,096.
@@ -29,6 +32,7 @@
 // Default values of Options.
 const (
 	DefaultLease           = 3 * time.Second
+	DefaultReorder         = 500 * time.Millisecond
 	DefaultForgetAfter     = time.Minute
 	DefaultMaxEndpoints    = 4096
 	DefaultEjectAfter      = 5
@@ -45,6 +49,7 @@
 
 func (o Options) withDefaults() Options {
 	setDefault(&o.Lease, DefaultLease)
+	setDefault(&o.Reorder, DefaultReorder)
 	setDefault(&o.ForgetAfter, DefaultForgetAfter)
 	setDefault(&o.MaxEndpoints, DefaultMaxEndpoints)
 	setDefault(&o.EjectAfter, DefaultEjectAfter)
@@ -83,11 +88,12 @@
 	handed    bool      // this daemon vouched for it before a peer did
 	disowned  time.Time // when source ceased to vouch, zero while it does
 	changedAt time.Time
-	ended     []string // earlier incarnations, oldest first
+	ended     []string // incarnations that this daemon itself heard being followed by others
 	since     time.Time
 	failures  int       // in a row
 	failedAt  time.Time // first failure of the row
 	okAt      time.Time // latest success
+	onTrial   bool      // was ejected and has not succeeded since
 	backoff   time.Duration
 	retryAt   time.Time
 	version   uint64
@@ -185,7 +191,7 @@
 	}
 	moved := e.source != ""
 	r.setSource(e, "")
-	changed := r.accept(now, e, a, now)
+	changed := r.accept(now, e, a, now, !moved)
 	// A recent change is repeated with the next renewals, so that a peer that
 	// ignored it as possibly reordered takes it later.
 	recent := now.Sub(e.changedAt) < 2*r.opts.Lease
@@ -255,13 +261,14 @@
 	r.dropped = max(r.dropped, e.version)
 }
 
-// accept applies an announcement that was received at heard. It reports
-// whether anything but the load changed.
-func (r *Registry) accept(now time.Time, e *entry, a api.Announcement, heard time.Time) bool {
+// accept applies an announcement that was received at heard. Direct tells that
+// this daemon received both this word and the one before. It reports whether
+// anything but the load changed.
+func (r *Registry) accept(now time.Time, e *entry, a api.Announcement, heard time.Time, direct bool) bool {
 	old := e.Announcement
 	ev := eventAnnouncedReady
 	if old.Incarnation != "" && old.Incarnation != a.Incarnation {
-		r.endIncarnation(e)
+		r.endIncarnation(e, direct)
 		ev = eventRestarted
 	}
 	if a.State == api.EndpointLeaving {
@@ -281,14 +288,16 @@
 }
 
 // endIncarnation records that the entry's present incarnation has ended.
-func (r *Registry) endIncarnation(e *entry) {
+func (r *Registry) endIncarnation(e *entry, direct bool) {
 	e.EndedHeard = e.Heard
+	e.failures = 0
+	if !direct {
+		return
+	}
 	e.ended = append(e.ended, e.Announcement.Incarnation)
 	if len(e.ended) > maxEnded {
 		e.ended = slices.Delete(e.ended, 0, 1)
 	}
-	e.Probation = e.Probation || e.State == StateEjected
-	e.failures = 0
 }
 
 // move applies the transition function and notes when the state changed.
@@ -299,6 +308,7 @@
 	}
 	e.State = to
 	e.since = now
+	e.Probation = to == StateReady && e.onTrial
 	return true
 }
 
--- /dev/null
+++ b/dispatch/endpoint/registry_test.go
@@ -0,0 +1,258 @@
+package endpoint
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/pkg/errors"
+	"pgregory.net/rapid"
+
+	"magnoliastand.example/api"
+	"magnoliastand.example/dispatch"
+)
+
+var epoch = time.Unix(1_000_000, 0)
+
+// zone is a set of daemons with a registry each.
+type zone struct {
+	now     time.Time
+	daemons map[string]*Registry
+	seen    map[string]uint64 // version of the last feed, by "sender receiver"
+}
+
+func newZone() *zone {
+	z := &zone{now: epoch, daemons: make(map[string]*Registry), seen: make(map[string]uint64)}
+	for _, name := range []string{"a", "b", "c"} {
+		z.daemons[name] = NewRegistry(Options{EjectAfter: 3})
+	}
+	return z
+}
+
+// feed passes the sender's changes to the receiver.
+func (z *zone) feed(from, to string) error {
+	f := z.daemons[from].Changes(z.now, z.seen[from+" "+to])
+	z.seen[from+" "+to] = f.Version
+	return z.daemons[to].Merge(z.now, from, f)
+}
+
+func (z *zone) states(daemon string) string {
+	var b strings.Builder
+	for e := range z.daemons[daemon].All {
+		fmt.Fprintf(&b, "%s %s incarnation=%s", e.ID, e.State, e.Announcement.Incarnation)
+		if e.Probation {
+			b.WriteString(" probation")
+		}
+		b.WriteByte('\n')
+	}
+	if b.Len() == 0 {
+		return "none\n"
+	}
+	return b.String()
+}
+
+func arg(d *datadriven.TestData, key, def string) string {
+	if !d.HasArg(key) {
+		return def
+	}
+	var v string
+	for _, a := range d.CmdArgs {
+		if a.Key == key && len(a.Vals) > 0 {
+			v = a.Vals[0]
+		}
+	}
+	return v
+}
+
+func announcement(service, incarnation string, state api.EndpointState) api.Announcement {
+	return api.Announcement{
+		Service:     service,
+		Instance:    "i1",
+		Incarnation: incarnation,
+		Address:     "10.0.0.1:80",
+		State:       state,
+		Slots:       8,
+	}
+}
+
+// command runs one command of a table. Commands: announce, observe, feed,
+// pass and states; "on" names the daemon, a by default.
+func (z *zone) command(t *testing.T, d *datadriven.TestData) string {
+	on := arg(d, "on", "a")
+	id := arg(d, "id", "e1")
+	switch d.Cmd {
+	case "announce":
+		a := announcement("quotes", arg(d, "incarnation", "1"), api.EndpointState(arg(d, "state", "ready")))
+		a.Address = arg(d, "address", a.Address)
+		if _, err := z.daemons[on].Announce(z.now, id, a); err != nil {
+			return err.Error() + "\n"
+		}
+	case "observe":
+		var times int
+		d.ScanArgs(t, "failures", &times)
+		for range times {
+			z.daemons[on].Observe(z.now, id, "1", dispatch.OutcomeFailed)
+		}
+		if times == 0 {
+			z.daemons[on].Observe(z.now, id, "1", dispatch.OutcomeAnswered)
+		}
+	case "feed":
+		if err := z.feed(arg(d, "from", "a"), arg(d, "to", "b")); err != nil {
+			return err.Error() + "\n"
+		}
+	case "pass":
+		step, err := time.ParseDuration(d.CmdArgs[0].Key)
+		if err != nil {
+			t.Fatal(err)
+		}
+		z.now = z.now.Add(step)
+		for _, r := range z.daemons {
+			r.Advance(z.now)
+		}
+	case "states":
+		return z.states(on)
+	default:
+		t.Fatalf("unknown command %q", d.Cmd)
+	}
+	return ""
+}
+
+func TestTables(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		z := newZone()
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			if d.Cmd == "zone" {
+				z = newZone()
+				return ""
+			}
+			return z.command(t, d)
+		})
+	})
+}
+
+func TestBoundAndEviction(t *testing.T) {
+	r := NewRegistry(Options{MaxEndpoints: 2})
+	for _, id := range []string{"e1", "e2"} {
+		if _, err := r.Announce(epoch, id, announcement("s", "1", api.EndpointReady)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if _, err := r.Announce(epoch, "e3", announcement("s", "1", api.EndpointReady)); !errors.Is(err, ErrFull) {
+		t.Fatalf("error %v, want %v", err, ErrFull)
+	}
+	later := epoch.Add(DefaultLease)
+	r.Advance(later)
+	if _, err := r.Announce(later, "e3", announcement("s", "1", api.EndpointReady)); err != nil {
+		t.Fatalf("a lapsed endpoint should make room: %v", err)
+	}
+	if r.Len() != 2 {
+		t.Fatalf("%d endpoints, bound 2", r.Len())
+	}
+}
+
+// TestFeedsAgree lets endpoints announce themselves to any of three daemons
+// that exchange feeds in a random order. Once the feeds have passed, every
+// daemon has the endpoints' latest words, and none keeps a silent endpoint.
+func TestFeedsAgree(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		z := newZone()
+		names := []string{"a", "b", "c"}
+		name := rapid.SampledFrom(names)
+		incarnations := map[string]int{}
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			switch rapid.IntRange(0, 3).Draw(t, "action") {
+			case 0:
+				id := rapid.SampledFrom([]string{"e1", "e2", "e3"}).Draw(t, "id")
+				incarnations[id] += rapid.IntRange(0, 1).Draw(t, "restart")
+				state := rapid.SampledFrom([]api.EndpointState{api.EndpointReady, api.EndpointLeaving}).Draw(t, "state")
+				z.announce(t, name.Draw(t, "daemon"), id, incarnations[id], state)
+			case 1:
+				from, to := name.Draw(t, "from"), name.Draw(t, "to")
+				if from != to {
+					_ = z.feed(from, to)
+				}
+			default:
+				z.advance(time.Duration(rapid.IntRange(1, 2000).Draw(t, "pass")) * time.Millisecond)
+			}
+		}
+		// Two renewals a lease apart, each followed by all feeds.
+		for range 4 {
+			for _, id := range slices.Sorted(maps.Keys(incarnations)) {
+				n := incarnations[id]
+				z.announce(t, name.Draw(t, "daemon"), id, n, api.EndpointReady)
+			}
+			z.feedAll(t, names)
+			z.advance(DefaultLease / renewalsPerLease)
+			z.feedAll(t, names)
+		}
+		for id, n := range incarnations {
+			for _, daemon := range names {
+				e, _ := z.daemons[daemon].Get(id)
+				if e.State != StateReady || e.Announcement.Incarnation != fmt.Sprint(n) {
+					t.Fatalf("daemon %s has %s as %s of incarnation %s, want ready %d", daemon, id, e.State, e.Announcement.Incarnation, n)
+				}
+			}
+		}
+		// Endpoints fall silent while the feeds go on.
+		for range 12 {
+			z.advance(time.Second)
+			z.feedAll(t, names)
+		}
+		for _, daemon := range names {
+			for e := range z.daemons[daemon].All {
+				if e.State != StateLapsed {
+					t.Fatalf("daemon %s still has silent %s as %s", daemon, e.ID, e.State)
+				}
+			}
+		}
+	})
+}
+
+func (z *zone) announce(t *rapid.T, daemon, id string, incarnation int, state api.EndpointState) {
+	z.now = z.now.Add(time.Millisecond)
+	if _, err := z.daemons[daemon].Announce(z.now, id, announcement("s", fmt.Sprint(incarnation), state)); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func (z *zone) advance(d time.Duration) {
+	z.now = z.now.Add(d)
+	for _, r := range z.daemons {
+		r.Advance(z.now)
+	}
+}
+
+func (z *zone) feedAll(t *rapid.T, names []string) {
+	for _, from := range names {
+		for _, to := range names {
+			if from == to {
+				continue
+			}
+			if err := z.feed(from, to); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+}
+
+func BenchmarkRenewal1000(b *testing.B) {
+	r := NewRegistry(Options{})
+	a := announcement("s", "1", api.EndpointReady)
+	ids := make([]string, 1000)
+	for i := range ids {
+		ids[i] = fmt.Sprint("e", i)
+	}
+	now := epoch
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		now = now.Add(time.Millisecond)
+		if _, err := r.Announce(now, ids[i%len(ids)], a); err != nil {
+			b.Fatal(err)
+		}
+		r.Advance(now)
+	}
+}
