--- a/dispatch/origin/httpapi.go
+++ b/dispatch/origin/httpapi.go
@@ -161,6 +161,10 @@
 func writeProblem(w http.ResponseWriter, p *api.Problem) {
 	h := w.Header()
 	h.Set("Content-Type", api.ProblemMediaType)
+	if p.Code == api.CodeShuttingDown {
+		// The caller's next request should go to another daemon.
+		h.Set("Connection", "close")
+	}
 	if p.RetryAfterMS > 0 {
 		seconds := (p.RetryAfterMS + 999) / 1000
 		h.Set("Retry-After", strconv.FormatInt(seconds, 10))
--- /dev/null
+++ b/dispatch/origin/limits_test.go
@@ -0,0 +1,111 @@
+package origin
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"magnoliastand.example/api"
+	"magnoliastand.example/standin"
+)
+
+func TestOriginRefusesBeyondItsLimits(t *testing.T) {
+	b := newBed(t, standin.EndpointConfig{RunTime: standin.Delay{Min: 50 * time.Millisecond}})
+	cases := map[string]func(*Limits){
+		"requests": func(l *Limits) { l.MaxInFlight = 1 },
+		"bytes":    func(l *Limits) { l.MaxBufferedBytes = 100 },
+	}
+	for name, set := range cases {
+		t.Run(name, func(t *testing.T) {
+			before := b.origin.cfg.Limits
+			defer func() { b.origin.cfg.Limits = before }()
+			set(&b.origin.cfg.Limits)
+			body := strings.Repeat("x", 80)
+			var wg sync.WaitGroup
+			wg.Go(func() {
+				if r := b.post("book", body); r.status != http.StatusOK {
+					t.Errorf("first: status %d: %s", r.status, r.body)
+				}
+			})
+			waitFor(t, func() bool { return b.endpoint.Running() == 1 })
+			if r := b.post("book", body); !r.hasCode(api.CodeQueueFull) || r.run() != api.RunNot {
+				t.Errorf("second: status %d: %s", r.status, r.body)
+			}
+			wg.Wait()
+			waitFor(t, func() bool { return b.origin.InFlight() == 0 })
+			if n := b.origin.buffered.Load(); n != 0 {
+				t.Errorf("%d bytes stay reserved", n)
+			}
+		})
+	}
+}
+
+// TestSlowCallerHoldsNoSlot sends half a body and stalls.
+func TestSlowCallerHoldsNoSlot(t *testing.T) {
+	b := newBed(t, standin.EndpointConfig{})
+	b.origin.cfg.Limits.BodyTimeout = 50 * time.Millisecond
+	conn, err := net.Dial("tcp", strings.TrimPrefix(b.server.URL, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	fmt.Fprintf(conn, "POST /v1/queues/open/requests HTTP/1.1\r\nHost: x\r\nContent-Length: 10\r\n\r\nhalf")
+	res, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer res.Body.Close()
+	text, _ := io.ReadAll(res.Body)
+	if res.StatusCode != http.StatusBadRequest || res.Header.Get(api.HeaderRun) != string(api.RunNot) || len(b.slots.asks) != 0 {
+		t.Fatalf("status %d after %d asks: %s", res.StatusCode, len(b.slots.asks), text)
+	}
+}
+
+// TestRetriesStayWithinTheBudget lets every attempt of idempotent requests fail.
+func TestRetriesStayWithinTheBudget(t *testing.T) {
+	b := newBed(t, standin.EndpointConfig{})
+	b.endpoint.SetFaults(standin.Faults{Cut: 1})
+	policy := Retry{Ratio: 0.1, Burst: 5, BackoffBase: time.Millisecond, BackoffMax: time.Millisecond}
+	b.origin.cfg.Retry = policy
+	b.origin.budget = newBudget(policy)
+	const requests = 60
+	for range requests {
+		if r := b.post("quote", "x"); r.run() != api.RunUnknown {
+			t.Fatalf("status %d: %s", r.status, r.body)
+		}
+	}
+	attempts := b.endpoint.Stats().Accepted
+	if attempts <= requests || float64(attempts) > requests*(1+policy.Ratio)+policy.Burst {
+		t.Fatalf("%d attempts for %d requests", attempts, requests)
+	}
+}
+
+// TestWaitEndsAtTheDeadline lets requests wait for a slot that never comes.
+func TestWaitEndsAtTheDeadline(t *testing.T) {
+	b := newBedAt(t, "127.0.0.1:1")
+	for range standin.DefaultSlots {
+		<-b.slots.slots
+	}
+	r := b.post("book", "x", with(api.HeaderDeadline, "30ms"), with(api.HeaderRequestID, "mine"))
+	if r.run() != api.RunNot || !r.hasCode(api.CodeDeadline) || r.status != http.StatusGatewayTimeout {
+		t.Fatalf("status %d: %s", r.status, r.body)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_, _ = b.tryPost(ctx, "book", "x")
+	}()
+	waitFor(t, func() bool { return b.origin.InFlight() == 1 })
+	cancel()
+	<-done
+	waitFor(t, func() bool { return b.origin.InFlight() == 0 })
+}
--- a/dispatch/origin/problem.go
+++ b/dispatch/origin/problem.go
@@ -55,6 +55,10 @@
 	return p
 }
 
+func keyInvalid(detail string) *api.Problem {
+	return api.NewProblem(http.StatusUnauthorized, api.CodeKeyInvalid, api.RunNot, detail)
+}
+
 func outcomeUnknown(detail string) *api.Problem {
 	return api.NewProblem(http.StatusBadGateway, api.CodeOutcomeUnknown, api.RunUnknown, detail)
 }
@@ -108,8 +112,7 @@
 	case err == nil:
 		return team, nil
 	case errors.Is(err, ErrKeyInvalid):
-		return "", api.NewProblem(http.StatusUnauthorized, api.CodeKeyInvalid, api.RunNot,
-			"the team key is not valid")
+		return "", keyInvalid("the team key is not valid")
 	default:
 		return "", api.NewProblem(http.StatusInternalServerError, api.CodeInternal, api.RunNot,
 			"the team key could not be checked")
--- a/dispatch/origin/run.go
+++ b/dispatch/origin/run.go
@@ -149,10 +149,11 @@
 	if p != nil {
 		return &problemError{p}
 	}
-	if !invariant.Check(c.queue.Queue.Open || team == c.team, invariant.KeyedWork,
-		"request %s: key of team %q at receipt, of team %q at dispatch", c.claim.ID, c.team, team) {
-		return errors.Wrap(errGateClosed, "the key changed its team")
+	if team != c.team {
+		return &problemError{keyInvalid("the team key changed its team meanwhile")}
 	}
+	invariant.Check(c.queue.Queue.Open || c.team != "", invariant.KeyedWork,
+		"request %s: dispatch to keyed queue %s without a team", c.claim.ID, c.r.Queue)
 	if err := c.tracker.Apply(request.Send); err != nil {
 		return err
 	}
--- a/dispatch/record/doc.go
+++ b/dispatch/record/doc.go
@@ -49,5 +49,11 @@
 //
 // Duties of callers: an id stands for one content (team, queue and body), is
 // sent again only within ResendWindow, and a request is resent only with the
-// same id.
+// same id. An id of a caller's own must not have the home form; it would count
+// as one whose home is gone.
+//
+// Duties of the daemon: member names are unique and stable over restarts,
+// incarnations differ, FirstIncarnation is only set when that is certain, and
+// a change of the members is passed on by SetMembers, or by AddFormerMembers
+// if it came within Retention before the start.
 package record
--- a/dispatch/record/member.go
+++ b/dispatch/record/member.go
@@ -81,12 +81,11 @@
 func (s *memberSets) update(members []Member, retention time.Duration, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	members = slices.Clone(members)
-	slices.SortFunc(members, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
-	if len(s.sets) > 0 && slices.Equal(s.sets[0].members, members) {
-		return false
-	}
-	if len(s.sets) > 0 {
+	members = sorted(members)
+	if len(s.sets) > 0 && s.sets[0].replaced.IsZero() {
+		if slices.Equal(s.sets[0].members, members) {
+			return false
+		}
 		s.sets[0].replaced = now
 	}
 	live := []memberSet{{members: members}}
@@ -99,6 +98,19 @@
 	return true
 }
 
+// addFormer adds a set that was replaced earlier.
+func (s *memberSets) addFormer(members []Member, replaced time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sets = append(s.sets, memberSet{members: sorted(members), replaced: replaced})
+}
+
+func sorted(members []Member) []Member {
+	members = slices.Clone(members)
+	slices.SortFunc(members, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
+	return members
+}
+
 // keepers returns the keepers of id in each live set.
 func (s *memberSets) keepers(id string, retention time.Duration, now time.Time) [][]string {
 	s.mu.RLock()
--- a/dispatch/record/message.go
+++ b/dispatch/record/message.go
@@ -94,7 +94,7 @@
 // BeginReply answers a BeginRequest.
 type BeginReply struct {
 	Verdict Verdict `cbor:"1,keyasint"`
-	Holder  Token   `cbor:"2,keyasint,omitempty"`
+	Holder  Token   `cbor:"2,keyasint"`
 	Answer  *Answer `cbor:"3,keyasint,omitempty"`
 	// Refused tells that an earlier attempt was told "not run", RefusedAgo before the reply.
 	Refused    bool          `cbor:"4,keyasint,omitempty"`
--- a/dispatch/record/serve.go
+++ b/dispatch/record/serve.go
@@ -144,8 +144,8 @@
 func (s *Service) OriginGone(origin dispatch.DaemonID) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	keepers := []*Keeper{s.keeper, s.home.keeper}
-	for _, h := range s.former {
+	keepers := []*Keeper{s.keeper}
+	for _, h := range s.homes() {
 		keepers = append(keepers, h.keeper)
 	}
 	for _, k := range keepers {
--- a/dispatch/record/service.go
+++ b/dispatch/record/service.go
@@ -120,6 +120,52 @@
 	s.members.update(members, s.cfg.Keeper.Retention, time.Now())
 }
 
+// AddFormerMembers installs a set of daemons that was replaced some time before
+// this daemon started. A daemon that does not learn of a change within the
+// retention could decide with a majority that shares no keeper with another's.
+func (s *Service) AddFormerMembers(members []Member, replacedAgo time.Duration) {
+	s.members.addFormer(members, time.Now().Add(-replacedAgo))
+}
+
+// Stats counts what a Service remembers.
+type Stats struct {
+	// HomeIDs, KeeperIDs and Copies are numbers of ids.
+	HomeIDs   int
+	KeeperIDs int
+	Copies    int
+	// AnswerBytes is the memory of all kept answers.
+	AnswerBytes int
+	// Waiting is the number of lookups that wait for a running request.
+	Waiting int
+	// Abstaining tells that the daemon does not vote on ids of callers yet.
+	Abstaining bool
+}
+
+// Stats returns what the service remembers now.
+func (s *Service) Stats() Stats {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	st := Stats{
+		KeeperIDs: s.keeper.Len(), Copies: s.copies.Len(), Waiting: s.waiterCount,
+		AnswerBytes: s.keeper.AnswerBytes() + s.copies.AnswerBytes(),
+		Abstaining:  s.sealed || time.Now().Before(s.keeper.abstainUntil),
+	}
+	for _, h := range s.homes() {
+		st.HomeIDs += h.keeper.Len()
+		st.AnswerBytes += h.keeper.AnswerBytes()
+	}
+	return st
+}
+
+// homes returns the own home and those inherited. It must be called with the lock held.
+func (s *Service) homes() []*Home {
+	all := []*Home{s.home}
+	for _, h := range s.former {
+		all = append(all, h)
+	}
+	return all
+}
+
 // Close waits for the reports of finished requests, each bounded by CallTimeout.
 func (s *Service) Close() { s.finishing.Wait() }
 
@@ -201,12 +247,13 @@
 
 func (s *Service) decideByHome(ctx context.Context, id ID, c *Claim) Decision {
 	if id.Daemon != s.cfg.Self.Name && !s.members.known(id.Daemon) {
-		return Decision{Verdict: Unknown}
+		return s.decideByCopies(ctx, id, c)
 	}
 	r := s.newToken(c)
 	reply, err := s.begin(ctx, id.Daemon, r)
 	if err != nil {
-		s.finishAt(ctx, id.Daemon, FinishRequest{ID: c.ID, Token: c.token, Result: ResultWithdrawn})
+		// The start may have been permitted, with only the reply lost.
+		_ = s.finishAt(ctx, id.Daemon, FinishRequest{ID: c.ID, Token: c.token, Result: ResultWithdrawn})
 		return s.decideByCopies(ctx, id, c)
 	}
 	switch reply.Verdict {
@@ -266,89 +313,6 @@
 	}
 }
 
-// Finish records how a claim that may proceed ended. ResultNotRun returns after
-// the deciders were told or CallTimeout passed, other results at once.
-func (s *Service) Finish(ctx context.Context, c *Claim, result Result, answer *Answer) {
-	if c.Own || c.token == (Token{}) {
-		return
-	}
-	r := FinishRequest{ID: c.ID, Token: c.token, Digest: c.Digest, Result: result, Answer: s.small(answer)}
-	ctx = context.WithoutCancel(ctx)
-	targets := s.holders(c.ID, result)
-	if result == ResultNotRun || result == ResultWithdrawn {
-		s.report(ctx, targets, r)
-		return
-	}
-	s.reportLater(ctx, targets, r)
-}
-
-func (s *Service) small(a *Answer) *Answer {
-	if a == nil || a.Size() > s.cfg.Keeper.MaxAnswer {
-		return nil
-	}
-	return a
-}
-
-// holders returns the daemons that record the end of an id.
-func (s *Service) holders(id string, result Result) []string {
-	p, ok := ParseID(id)
-	if !ok {
-		return union(s.members.keepers(id, s.cfg.Keeper.Retention, time.Now()))
-	}
-	targets := []string{p.Daemon}
-	if result == ResultAnswered {
-		targets = append(targets, s.members.copies(id, p.Daemon, copyCount)...)
-	}
-	return targets
-}
-
-// reportLater reports in the background, this daemon's own share at once.
-func (s *Service) reportLater(ctx context.Context, targets []string, r FinishRequest) {
-	var remote []string
-	for _, daemon := range targets {
-		if daemon == s.cfg.Self.Name {
-			s.HandleFinish(r)
-		} else {
-			remote = append(remote, daemon)
-		}
-	}
-	if len(remote) == 0 {
-		return
-	}
-	select {
-	case s.slots <- struct{}{}:
-	default:
-		return
-	}
-	s.finishing.Go(func() {
-		defer func() { <-s.slots }()
-		s.report(ctx, remote, r)
-	})
-}
-
-func (s *Service) report(ctx context.Context, targets []string, r FinishRequest) {
-	var wg sync.WaitGroup
-	for _, daemon := range targets {
-		if daemon == s.cfg.Self.Name {
-			s.HandleFinish(r)
-			continue
-		}
-		wg.Go(func() { s.finishAt(ctx, daemon, r) })
-	}
-	wg.Wait()
-}
-
-func (s *Service) finishAt(ctx context.Context, daemon string, r FinishRequest) {
-	if daemon == s.cfg.Self.Name {
-		s.HandleFinish(r)
-		return
-	}
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), s.cfg.CallTimeout)
-	defer cancel()
-	// A lost report leaves the id running until its hold ends, then unknown.
-	_ = s.cfg.Peers.Finish(ctx, daemon, r)
-}
-
 func (s *Service) begin(ctx context.Context, daemon string, r BeginRequest) (BeginReply, error) {
 	if daemon == s.cfg.Self.Name {
 		return s.HandleBegin(r), nil
