--- a/dispatch/origin/httpapi.go
+++ b/dispatch/origin/httpapi.go
@@ -64,6 +64,9 @@
 	}
 	_ = rc.SetWriteDeadline(time.Now().Add(o.cfg.Limits.WriteTimeout))
 	WriteResult(w, result)
+	// The deadline must not outlive this answer: the connection serves others.
+	_ = rc.Flush()
+	_ = rc.SetWriteDeadline(time.Time{})
 }
 
 func (o *Origin) refuse(req *http.Request, r *Request, p *api.Problem) *Result {
@@ -158,6 +161,10 @@
 func writeProblem(w http.ResponseWriter, p *api.Problem) {
 	h := w.Header()
 	h.Set("Content-Type", api.ProblemMediaType)
+	if p.Code == api.CodeShuttingDown {
+		// The caller's next request should go to another daemon.
+		h.Set("Connection", "close")
+	}
 	if p.RetryAfterMS > 0 {
 		seconds := (p.RetryAfterMS + 999) / 1000
 		h.Set("Retry-After", strconv.FormatInt(seconds, 10))
--- a/dispatch/origin/run.go
+++ b/dispatch/origin/run.go
@@ -14,6 +14,8 @@
 	"magnoliastand.example/invariant"
 )
 
+var errCallerGone = errors.New("the caller is gone")
+
 // problemError carries a problem through the gate.
 type problemError struct{ problem *api.Problem }
 
@@ -104,9 +106,15 @@
 	g := &gate{mayStart: startCheck(granted, grant.StartWithin, func() error { return c.recheck(ctx, grant) })}
 	longest := orInt(grant.LongestRun, c.longestRun())
 	sendCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), longest)
+	lapse := time.AfterFunc(grant.StartWithin, func() {
+		if !g.close() {
+			cancel()
+		}
+	})
 	ch := make(chan attemptEnd, 1)
 	go func() {
 		defer cancel()
+		defer lapse.Stop()
 		end := c.o.client.send(sendCtx, g, grant, c.r, c.claim.ID, c.team, n)
 		elapsed := time.Since(granted)
 		c.o.release(grant, end.outcome, elapsed)
@@ -141,10 +149,11 @@
 	if p != nil {
 		return &problemError{p}
 	}
-	if !invariant.Check(c.queue.Queue.Open || team == c.team, invariant.KeyedWork,
-		"request %s: key of team %q at receipt, of team %q at dispatch", c.claim.ID, c.team, team) {
-		return errors.Wrap(errGateClosed, "the key changed its team")
+	if team != c.team {
+		return &problemError{keyInvalid("the team key changed its team meanwhile")}
 	}
+	invariant.Check(c.queue.Queue.Open || c.team != "", invariant.KeyedWork,
+		"request %s: dispatch to keyed queue %s without a team", c.claim.ID, c.r.Queue)
 	if err := c.tracker.Apply(request.Send); err != nil {
 		return err
 	}
@@ -242,6 +251,8 @@
 }
 
 func (c *call) finishAnswered(ctx context.Context, end attemptEnd) *Result {
+	invariant.Check(end.echoed == c.claim.ID, invariant.WholeOwnAnswer,
+		"request %s: answer of endpoint for request %q", c.claim.ID, end.echoed)
 	c.apply(request.Answer)
 	c.o.cfg.Records.Finish(ctx, &c.claim, record.ResultAnswered, end.answer)
 	return c.answered(end.answer)
