--- a/placement/choose.go
+++ b/placement/choose.go
@@ -1,6 +1,10 @@
 package placement
 
-import "slices"
+import (
+	"slices"
+
+	"magnoliastand.example/api"
+)
 
 // Weights of the score of a worker; lower scores are better.
 const (
@@ -19,7 +23,7 @@
 	var bestScore float64
 	for n := range p.workers {
 		w := &p.workers[n]
-		if !w.Open || !size.Fits(w.Capacity.Sub(w.Used)) {
+		if !w.Open || !size.Fits(p.room(t, w)) {
 			continue
 		}
 		score := p.score(t, size, w)
@@ -30,11 +34,23 @@
 	return best
 }
 
+// room returns what the worker has left for the class of the task. Long tasks
+// leave the quick reserve of each resource free, but on an empty worker.
+func (p *placer) room(t *Task, w *Worker) Size {
+	free := w.Capacity.Sub(w.Used)
+	if t.Class != api.ClassLong || w.Used == (Size{}) {
+		return free
+	}
+	return free.Sub(w.Capacity.scale(p.in.Classes.QuickReserve))
+}
+
 // score prefers workers with much left, racks with few tasks of the queue, and
 // workers on which the task did not fail.
 func (p *placer) score(t *Task, size Size, w *Worker) float64 {
 	score := w.Used.Add(size).Dominant(w.Capacity)
-	score += rackWeight * float64(p.onRack[t.Queue+"\x00"+w.rackName()])
+	if len(p.onRack) > 0 {
+		score += rackWeight * float64(p.onRack[rackKey{t.Queue, w.Zone, w.Rack}])
+	}
 	if slices.Contains(t.FailedOn, w.ID) {
 		score += failedWeight
 	}
--- a/placement/place.go
+++ b/placement/place.go
@@ -18,7 +18,8 @@
 
 // Classes bounds what each class may take of a pool's slots.
 type Classes struct {
-	// QuickReserve is the fraction of slots that long tasks leave free.
+	// QuickReserve is the fraction of the pool's slots, and of each worker's
+	// processors and memory, that long tasks leave free.
 	QuickReserve float64
 	// LongReserve is the fraction of slots that quick tasks leave free while long tasks wait.
 	LongReserve float64
@@ -47,6 +48,9 @@
 	Size Size
 }
 
+// rackKey identifies the tasks of one queue on one rack.
+type rackKey struct{ queue, zone, rack string }
+
 // placer is the working copy of an input.
 type placer struct {
 	in      *Input
@@ -57,7 +61,7 @@
 	long    int
 	starts  []Start
 	tries   int
-	onRack  map[string]int
+	onRack  map[rackKey]int
 }
 
 // Place returns the tasks to start now, in the order in which they were
@@ -68,7 +72,7 @@
 		workers: slices.Clone(in.Workers),
 		quick:   in.Classes.QuickRunning,
 		long:    in.Classes.LongRunning,
-		onRack:  map[string]int{},
+		onRack:  map[rackKey]int{},
 	}
 	for n := range p.workers {
 		w := &p.workers[n]
@@ -185,7 +189,7 @@
 		return false
 	}
 	w.Used = w.Used.Add(size)
-	p.onRack[t.Queue+"\x00"+w.rackName()]++
+	p.onRack[rackKey{t.Queue, w.Zone, w.Rack}]++
 	u.Use += size.Dominant(p.total)
 	if class == api.ClassLong {
 		p.long++
--- a/placement/preempt.go
+++ b/placement/preempt.go
@@ -49,7 +49,12 @@
 // demand as fractions of it.
 func Preempt(teams []TeamUse, running []Running, total Size, now Millis) []Preemption {
 	var out []Preemption
-	entitled := Entitlements(1, teams)
+	// What is in use now is what the teams can divide.
+	capacity := 0.0
+	for n := range teams {
+		capacity += teams[n].Use
+	}
+	entitled := Entitlements(capacity, teams)
 	missing := 0.0
 	excess := map[string]float64{}
 	for n := range teams {
--- a/placement/size.go
+++ b/placement/size.go
@@ -36,6 +36,12 @@
 	}
 }
 
+// scale returns s times f for processors and memory. Slots are bounded over the
+// pool and accelerators are not reserved.
+func (s Size) scale(f float64) Size {
+	return Size{Processors: int(float64(s.Processors) * f), MemoryMB: int(float64(s.MemoryMB) * f)}
+}
+
 // Dominant returns the largest fraction of total that s takes in any
 // resource.
 func (s Size) Dominant(total Size) float64 {
--- a/placement/task.go
+++ b/placement/task.go
@@ -34,6 +34,3 @@
 	// Open workers may receive tasks. Draining, failed and quarantined workers are not open.
 	Open bool
 }
-
-// rackName returns the name of the worker's rack, unique over zones.
-func (w *Worker) rackName() string { return w.Zone + "/" + w.Rack }
