Charge teams by reported use instead of reserved sizes

Cause: largest shortfall 7.7% in Kyushu; teams whose sizes vary most were charged the reserve of their estimates and got less than they were entitled to.

Weighed: a smaller reserve for all (overloads workers) against charging the mean until the worker reports the use; the latter was taken.

--- a/placement/estimate.go
+++ b/placement/estimate.go
@@ -39,6 +39,13 @@
 	return min(max(r.mean+deviations*r.deviation, minRatio), maxRatio)
 }
 
+func (r *ratio) middle() float64 {
+	if r.reports == 0 {
+		return 1
+	}
+	return min(max(r.mean, minRatio), maxRatio)
+}
+
 // corrections of one stream.
 type corrections struct{ processors, memory, run ratio }
 
@@ -85,6 +92,19 @@
 	return s
 }
 
+// Expected returns the size that the task will use on average. Teams are
+// charged by it until the use is reported; room is reserved by Size.
+func (e *Estimator) Expected(t *Task) Size {
+	c := e.streams[stream{t.Team, t.Queue}]
+	if c == nil {
+		return t.Declared
+	}
+	s := t.Declared
+	s.Processors = int(float64(s.Processors) * c.processors.middle())
+	s.MemoryMB = int(float64(s.MemoryMB) * c.memory.middle())
+	return s
+}
+
 // Run returns the corrected run time of the task.
 func (e *Estimator) Run(t *Task) Millis {
 	c := e.streams[stream{t.Team, t.Queue}]
--- a/planner/replay/run.go
+++ b/planner/replay/run.go
@@ -111,6 +111,7 @@
 	if r.now%platformTurn == 0 {
 		r.platform()
 		r.operate()
+		r.reportUse()
 	}
 	if r.now%planTurn == 0 {
 		r.plan()
@@ -225,3 +226,4 @@
 }
 
 func (r *run) boot(w *worker) string { return fmt.Sprint(w.boots) }
+
--- a/planner/replay/tasks.go
+++ b/planner/replay/tasks.go
@@ -21,7 +21,7 @@
 
 // estimate returns the estimated size of a job in instances.
 func (r *run) estimate(j *job) float64 {
-	return r.estimator.Size(&j.Task).Dominant(r.workers[0].capacity)
+	return r.estimator.Expected(&j.Task).Dominant(r.workers[0].capacity)
 }
 
 func (r *run) trueSize(j *job) float64 { return j.actual.Dominant(r.workers[0].capacity) }
@@ -52,7 +52,7 @@
 	j := team.jobs[st.Task.ID]
 	team.backlog(j.Class).Remove(j.ID)
 	s.drop(j, r.trueSize(j))
-	t := &running{job: j, est: st.Size.Dominant(w.capacity), checkpoint: j.left}
+	t := &running{job: j, est: r.estimate(j), checkpoint: j.left}
 	t.on = placement.Running{Task: j.Task, Worker: w.id, Size: st.Size, Started: r.now}
 	w.tasks = append(w.tasks, t)
 	w.used = w.used.Add(st.Size)
@@ -67,6 +67,20 @@
 	s.long++
 }
 
+// reportUse replaces estimates by the use that workers report with a lag.
+func (r *run) reportUse() {
+	for _, w := range r.workers {
+		for _, t := range w.tasks {
+			if t.reported || r.now-t.on.Started < reportLag {
+				continue
+			}
+			t.reported = true
+			r.services[t.svc].teams[t.team].useEst += r.trueSize(t.job) - t.est
+			t.est = r.trueSize(t.job)
+		}
+	}
+}
+
 // release takes a job off the books of running tasks.
 func (r *run) release(t *running) {
 	s := r.services[t.svc]
--- a/planner/replay/worker.go
+++ b/planner/replay/worker.go
@@ -10,7 +10,9 @@
 	throttledRate = 0.25
 	// badRun is how long a bad worker takes to fail a task, in milliseconds.
 	badRun = 300.0
-	never  = placement.Millis(1) << 60
+	// reportLag is how long after its start the use of a task is reported, in milliseconds.
+	reportLag placement.Millis = 5_000
+	never                      = placement.Millis(1) << 60
 )
 
 // running is a job on a worker.
@@ -19,6 +21,8 @@
 	on         placement.Running
 	est        float64
 	checkpoint float64
+	// reported is set once the worker reported what the task uses.
+	reported bool
 }
 
 // worker is one instance with the tasks that it runs.
