--- a/planner/replay/run.go
+++ b/planner/replay/run.go
@@ -226,4 +226,3 @@
 }
 
 func (r *run) boot(w *worker) string { return fmt.Sprint(w.boots) }
-
