Let first incarnations decide on ids at once; hand records over a restart

The log now tells a daemon whether its name was known before; a graceful stop hands the records to a peer. Ruled out: a shorter retention, which would break the resend window.

--- a/control/apply.go
+++ b/control/apply.go
@@ -156,7 +156,7 @@
 	}
 	next.Version = s.bump()
 	s.daemons[c.Name] = next
-	return Result{}
+	return Result{First: !known}
 }
 
 func (s *State) countDaemons() int {
--- a/control/command.go
+++ b/control/command.go
@@ -115,6 +115,8 @@
 	Fleet []byte `cbor:"6,keyasint,omitempty"`
 	// Repeated tells that the operation id was known and this is its first result.
 	Repeated bool `cbor:"7,keyasint,omitempty"`
+	// First tells that a registered daemon was not known before under its name.
+	First bool `cbor:"8,keyasint,omitempty"`
 }
 
 // RefusalCode tells why a command was refused.
--- a/daemon/controlplane.go
+++ b/daemon/controlplane.go
@@ -34,6 +34,9 @@
 	zoneArbiter func() arbiterRef
 	// ping asks a daemon whether it is alive and may stay arbiter.
 	ping func(ctx context.Context, daemon string) (heartbeat, error)
+	// onFirstIncarnation is called when the control log had no entry of this
+	// daemon's name before.
+	onFirstIncarnation func()
 
 	clockMu   sync.Mutex
 	clock     *control.Clock
@@ -191,7 +194,7 @@
 func (c *controlPlane) proposeSelf(ctx context.Context) {
 	callCtx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	_, err := c.propose(callCtx, &control.Command{RegisterDaemon: &control.RegisterDaemon{
+	result, err := c.propose(callCtx, &control.Command{RegisterDaemon: &control.RegisterDaemon{
 		Name:        c.self.Name,
 		Incarnation: c.self.Incarnation,
 		Zone:        c.set.AvailabilityZone,
@@ -199,6 +202,10 @@
 	}})
 	if err != nil {
 		c.log.Debug().Err(err).Msg("daemon not registered yet")
+		return
+	}
+	if result.First {
+		c.onFirstIncarnation()
 	}
 }
 
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -146,6 +146,7 @@
 	}
 	d.records.SetMembers(members)
 	serveRecords(d.link, d.records)
+	d.control.onFirstIncarnation = d.records.BeginAsFirst
 	d.origin = origin.New(origin.Config{
 		Self:    d.self,
 		Zone:    d.set.AvailabilityZone,
@@ -220,6 +221,7 @@
 			d.fail(err)
 		}
 	})
+	d.spawn(d.inheritRecords)
 	d.servers.start(d.fail)
 	d.log.Info().Str("incarnation", d.self.Incarnation).Str("callers", d.set.Listen.Callers).
 		Str("operators", d.set.Listen.Operators).Msg("serving")
@@ -281,6 +283,7 @@
 	if len(cuts) == 0 {
 		d.awaitSuccessor(graceCtx)
 	}
+	d.handOverRecords()
 	d.servers.stop()
 	d.cancel()
 	d.link.Close()
@@ -315,6 +318,27 @@
 	}
 }
 
+// inheritRecords takes over the request records that a former incarnation
+// handed over. Without them this daemon abstains from deciding on ids of the
+// callers' own form for the retention.
+func (d *Daemon) inheritRecords() {
+	err := d.records.Inherit(d.ctx, recordPeers{link: d.link})
+	if err != nil {
+		d.log.Info().Err(err).Msg("no request records inherited")
+	}
+}
+
+// handOverTimeout bounds handing records to a peer at shutdown.
+const handOverTimeout = 2 * time.Second
+
+func (d *Daemon) handOverRecords() {
+	ctx, cancel := context.WithTimeout(context.Background(), handOverTimeout)
+	defer cancel()
+	if err := d.records.HandOver(ctx, recordPeers{link: d.link}); err != nil {
+		d.log.Warn().Err(err).Msg("request records not handed over")
+	}
+}
+
 // Document returns the document in force and its version.
 func (d *Daemon) Document() (api.Document, uint64) {
 	v := d.control.holder.View()
--- a/daemon/message.go
+++ b/daemon/message.go
@@ -28,6 +28,9 @@
 	methodRecordBegin  = "record.begin"
 	methodRecordFinish = "record.finish"
 	methodRecordLookup = "record.lookup"
+	// methodRecordHold and methodRecordInherit carry records over a restart.
+	methodRecordHold    = "record.hold"
+	methodRecordInherit = "record.inherit"
 )
 
 // codeNotArbiter is the fault of a call to a daemon that is not the arbiter of
--- a/daemon/recordpeers.go
+++ b/daemon/recordpeers.go
@@ -32,6 +32,18 @@
 	return reply, err
 }
 
+// Hold implements record.HandOverPeers.
+func (p recordPeers) Hold(ctx context.Context, daemon string, r record.HoldRequest) error {
+	return p.link.Call(ctx, daemon, methodRecordHold, r, nil)
+}
+
+// Inherit implements record.HandOverPeers.
+func (p recordPeers) Inherit(ctx context.Context, daemon string, r record.InheritRequest) (record.InheritReply, error) {
+	var reply record.InheritReply
+	err := p.link.Call(ctx, daemon, methodRecordInherit, r, &reply)
+	return reply, err
+}
+
 // serveRecords answers the record messages of peers from svc.
 func serveRecords(link *peerlink.Node, svc *record.Service) {
 	link.Handle(methodRecordBegin, func(_ context.Context, _ peerlink.Identity, payload []byte) (any, error) {
@@ -56,4 +68,27 @@
 		}
 		return svc.HandleLookup(ctx, r), nil
 	})
+	link.Handle(methodRecordHold, func(_ context.Context, from peerlink.Identity, payload []byte) (any, error) {
+		var r record.HoldRequest
+		if err := decodeMessage(payload, &r); err != nil {
+			return nil, err
+		}
+		if r.Daemon != from.Name {
+			return nil, errNotOwn
+		}
+		return nil, svc.HandleHold(r)
+	})
+	link.Handle(methodRecordInherit, func(_ context.Context, from peerlink.Identity, payload []byte) (any, error) {
+		var r record.InheritRequest
+		if err := decodeMessage(payload, &r); err != nil {
+			return nil, err
+		}
+		if r.Daemon != from.Name {
+			return nil, errNotOwn
+		}
+		return svc.HandleInherit(r), nil
+	})
 }
+
+// errNotOwn means that a daemon asked for the records of another one.
+var errNotOwn = &peerlink.RemoteError{Code: "not-own", Detail: "a daemon hands over and inherits its own records only"}
