--- a/cmd/magnoliastand/e2e_test.go
+++ b/cmd/magnoliastand/e2e_test.go
@@ -192,7 +192,7 @@
 	var wg sync.WaitGroup
 	for i, m := range c.members {
 		wg.Go(func() {
-			path := "/v1/document?base="+base+"&operation_id=race-" + m.name
+			path := "/v1/document?base=" + base + "&operation_id=race-" + m.name
 			status, b, err := c.operator(m, http.MethodPost, path, c.document(30+i))
 			if err != nil {
 				t.Error(err)
@@ -203,7 +203,7 @@
 	wg.Wait()
 	won := 0
 	for i, a := range answers {
-		path := "/v1/document?base="+base+"&operation_id=race-" + c.members[i].name
+		path := "/v1/document?base=" + base + "&operation_id=race-" + c.members[i].name
 		again, b, err := c.operator(c.members[(i+1)%len(c.members)], http.MethodPost, path, c.document(30+i))
 		if err != nil || again != a.status {
 			t.Errorf("resend of %s: %d %s %v, first answer %d", path, again, b, err, a.status)
