--- /dev/null
+++ b/consensus/bench_test.go
@@ -0,0 +1,128 @@
+package consensus_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"magnoliastand.example/consensus"
+)
+
+// Sizes of benchmark entries, in bytes, and of proposals in one sync.
+const (
+	benchEntryBytes = 512
+	benchBatch      = 64
+)
+
+// bench connects cores in memory and counts the encoded bytes of all messages.
+type bench struct {
+	cores map[consensus.NodeID]*consensus.Core
+	order []consensus.NodeID
+	bytes int
+	msgs  int
+}
+
+// newBench returns a cluster of voters and learners that has a leader.
+func newBench(b *testing.B, voters, learners int) (*bench, *consensus.Core) {
+	c := &bench{cores: make(map[consensus.NodeID]*consensus.Core)}
+	var members []consensus.Member
+	for i := range voters + learners {
+		id := consensus.NodeID(1<<60 + uint64(i))
+		members = append(members, consensus.Member{ID: id, Name: fmt.Sprint("entry-", i), Voter: i < voters})
+		c.order = append(c.order, id)
+	}
+	for i, id := range c.order {
+		core, err := consensus.New(consensus.DefaultConfig(id, 1<<61, rand.NewPCG(1, uint64(i))), consensus.InitialState(members))
+		if err != nil {
+			b.Fatal(err)
+		}
+		c.cores[id] = core
+	}
+	for range 100 {
+		c.tick(b)
+	}
+	for _, id := range c.order {
+		if c.cores[id].Leads() {
+			c.bytes, c.msgs = 0, 0
+			return c, c.cores[id]
+		}
+	}
+	b.Fatal("no leader")
+	return nil, nil
+}
+
+func (c *bench) tick(b *testing.B) {
+	for _, id := range c.order {
+		c.cores[id].Tick()
+		c.turn(b, id)
+	}
+}
+
+// turn carries out the work of a node and of those it sends to, each message
+// encoded and decoded once.
+func (c *bench) turn(b *testing.B, id consensus.NodeID) {
+	core := c.cores[id]
+	for rd := core.Ready(); !rd.Empty(); rd = core.Ready() {
+		core.Advance()
+		for i := range rd.Messages {
+			raw, err := rd.Messages[i].Marshal()
+			if err != nil {
+				b.Fatal(err)
+			}
+			c.bytes += len(raw)
+			c.msgs++
+			m, err := consensus.UnmarshalMessage(raw)
+			if err != nil {
+				b.Fatal(err)
+			}
+			if err := c.cores[m.To].Step(m); err != nil {
+				b.Fatal(err)
+			}
+			c.turn(b, m.To)
+		}
+	}
+}
+
+// BenchmarkIdleTick measures one tick of a whole idle cluster, with codec.
+func BenchmarkIdleTick(b *testing.B) {
+	for _, size := range [][2]int{{3, 0}, {3, 6}, {5, 0}, {5, 18}} {
+		b.Run(fmt.Sprintf("voters=%d,learners=%d", size[0], size[1]), func(b *testing.B) {
+			c, _ := newBench(b, size[0], size[1])
+			b.ReportAllocs()
+			for b.Loop() {
+				c.tick(b)
+			}
+			b.ReportMetric(float64(c.bytes)/float64(b.N), "wireB/op")
+			b.ReportMetric(float64(c.msgs)/float64(b.N), "msgs/op")
+		})
+	}
+}
+
+// BenchmarkReplicate measures the commit of one batch of entries in memory.
+func BenchmarkReplicate(b *testing.B) {
+	for _, size := range [][2]int{{3, 0}, {3, 6}, {5, 0}, {5, 18}} {
+		b.Run(fmt.Sprintf("voters=%d,learners=%d", size[0], size[1]), func(b *testing.B) {
+			c, lead := newBench(b, size[0], size[1])
+			data := make([]byte, benchEntryBytes)
+			b.ReportAllocs()
+			for b.Loop() {
+				for range benchBatch {
+					if _, _, err := lead.Propose(data); err != nil {
+						b.Fatal(err)
+					}
+				}
+				c.turn(b, lead.Status().ID)
+				for _, id := range c.order {
+					if s := c.cores[id].Status(); s.Applied-s.Snapshot > 8192 {
+						if err := c.cores[id].Compact(s.Applied, nil); err != nil {
+							b.Fatal(err)
+						}
+					}
+				}
+			}
+			entries := float64(b.N) * benchBatch
+			b.ReportMetric(entries/b.Elapsed().Seconds(), "entries/s")
+			b.ReportMetric(float64(c.bytes)/entries, "wireB/entry")
+		})
+	}
+}
--- a/consensus/codec.go
+++ b/consensus/codec.go
@@ -71,7 +71,7 @@
 // Validate returns an error wrapping ErrBadMessage if the fields of the message
 // contradict its type.
 func (m *Message) Validate() error {
-	if m.Type < MsgPreVote || m.Type > MsgReadResp || m.From == None || m.Term == 0 {
+	if m.Type < MsgPreVote || m.Type > MsgHandover || m.From == None || m.Term == 0 {
 		return errors.Wrapf(ErrBadMessage, "type %d, from %x, term %d", m.Type, uint64(m.From), m.Term)
 	}
 	if m.From == m.To {
--- a/consensus/config.go
+++ b/consensus/config.go
@@ -19,6 +19,9 @@
 	ElectionTicks int
 	// HeartbeatTicks is the time between two heartbeats, in ticks.
 	HeartbeatTicks int
+	// LearnerHeartbeatTicks is the same for learners, whose answers count for
+	// no quorum. It is rounded up to a heartbeat.
+	LearnerHeartbeatTicks int
 	// MaxAppendBytes bounds the data in one append message; one entry is
 	// always sent.
 	MaxAppendBytes int
@@ -60,36 +63,39 @@
 
 // Default limits of a Config.
 const (
-	DefaultElectionTicks    = 10
-	DefaultHeartbeatTicks   = 1
-	DefaultMaxAppendBytes   = 256 << 10
-	DefaultMaxInflight      = 64
-	DefaultMaxPending       = 4096
-	DefaultMaxPendingBytes  = 16 << 20
-	DefaultMaxEntryBytes    = 4 << 20
-	DefaultChunkBytes       = 128 << 10
-	DefaultMaxSnapshotBytes = 1 << 30
-	DefaultCatchUpEntries   = 64
-	DefaultTrailEntries     = 1024
+	DefaultElectionTicks         = 10
+	DefaultHeartbeatTicks        = 2
+	DefaultLearnerHeartbeatTicks = 4
+	DefaultMaxAppendBytes        = 256 << 10
+	DefaultMaxInflight           = 64
+	DefaultMaxPending            = 4096
+	DefaultMaxPendingBytes       = 16 << 20
+	DefaultMaxEntryBytes         = 4 << 20
+	DefaultChunkBytes            = 128 << 10
+	DefaultMaxSnapshotBytes      = 1 << 30
+	DefaultCatchUpEntries        = 64
+	DefaultTrailEntries          = 1024
 )
 
 // DefaultConfig returns the default settings for a node.
 func DefaultConfig(id NodeID, cluster ClusterID, src rand.Source) Config {
 	return Config{
-		ID:               id,
-		Cluster:          cluster,
-		Rand:             src,
-		ElectionTicks:    DefaultElectionTicks,
-		HeartbeatTicks:   DefaultHeartbeatTicks,
-		MaxAppendBytes:   DefaultMaxAppendBytes,
-		MaxInflight:      DefaultMaxInflight,
-		MaxPending:       DefaultMaxPending,
-		MaxPendingBytes:  DefaultMaxPendingBytes,
-		MaxEntryBytes:    DefaultMaxEntryBytes,
-		ChunkBytes:       DefaultChunkBytes,
-		MaxSnapshotBytes: DefaultMaxSnapshotBytes,
-		CatchUpEntries:   DefaultCatchUpEntries,
-		TrailEntries:     DefaultTrailEntries,
+		ID:             id,
+		Cluster:        cluster,
+		Rand:           src,
+		ElectionTicks:  DefaultElectionTicks,
+		HeartbeatTicks: DefaultHeartbeatTicks,
+		MaxAppendBytes: DefaultMaxAppendBytes,
+
+		LearnerHeartbeatTicks: DefaultLearnerHeartbeatTicks,
+		MaxInflight:           DefaultMaxInflight,
+		MaxPending:            DefaultMaxPending,
+		MaxPendingBytes:       DefaultMaxPendingBytes,
+		MaxEntryBytes:         DefaultMaxEntryBytes,
+		ChunkBytes:            DefaultChunkBytes,
+		MaxSnapshotBytes:      DefaultMaxSnapshotBytes,
+		CatchUpEntries:        DefaultCatchUpEntries,
+		TrailEntries:          DefaultTrailEntries,
 	}
 }
 
@@ -104,8 +110,8 @@
 		return errors.Wrap(ErrBadConfig, "no random source")
 	case c.HeartbeatTicks < 1:
 		return errors.Wrap(ErrBadConfig, "heartbeat ticks below 1")
-	case c.ElectionTicks < 2*c.HeartbeatTicks+1:
-		return errors.Wrap(ErrBadConfig, "election ticks must exceed twice the heartbeat ticks")
+	case c.ElectionTicks < 2*c.HeartbeatTicks+1 || c.ElectionTicks < c.LearnerHeartbeatTicks+c.HeartbeatTicks:
+		return errors.Wrap(ErrBadConfig, "election ticks too few for the heartbeat ticks")
 	case c.MaxAppendBytes < 1, c.MaxInflight < 1, c.MaxPending < 1, c.MaxPendingBytes < 1:
 		return errors.Wrap(ErrBadConfig, "flow control limits must be positive")
 	case c.MaxEntryBytes < 1, c.ChunkBytes < 1, c.MaxSnapshotBytes < 1:
--- a/consensus/core.go
+++ b/consensus/core.go
@@ -153,7 +153,7 @@
 	switch {
 	case m.Type == MsgPreVote, m.Type == MsgPreVoteResp && !m.Reject:
 		return true
-	case m.Type == MsgVote && c.hasLease():
+	case m.Type == MsgVote && !m.Handover && c.hasLease():
 		return false
 	case m.fromLeader():
 		c.becomeFollower(m.Term, m.From)
@@ -168,12 +168,8 @@
 		return
 	}
 	switch m.Type {
-	case MsgPreVote:
-		c.handlePreVote(m)
-	case MsgVote:
-		c.handleVote(m)
-	case MsgPreVoteResp, MsgVoteResp:
-		c.handleVoteResp(m)
+	case MsgPreVote, MsgVote, MsgPreVoteResp, MsgVoteResp:
+		c.dispatchVote(m)
 	case MsgAppend:
 		c.handleAppend(m)
 	case MsgHeartbeat:
@@ -184,11 +180,24 @@
 		c.handleRead(m)
 	case MsgReadResp:
 		c.handleReadResp(m)
+	case MsgHandover:
+		c.handleHandover(m)
 	case MsgAppendResp, MsgHeartbeatResp, MsgSnapshotResp:
 		c.handleFollower(m)
 	}
 }
 
+func (c *Core) dispatchVote(m *Message) {
+	switch m.Type {
+	case MsgPreVote:
+		c.handlePreVote(m)
+	case MsgVote:
+		c.handleVote(m)
+	default:
+		c.handleVoteResp(m)
+	}
+}
+
 // acceptLeader notes the sender as leader of the current term.
 func (c *Core) acceptLeader(m *Message) bool {
 	ok := c.role != Leader && (c.leader == None || c.leader == m.From)
--- a/consensus/election.go
+++ b/consensus/election.go
@@ -45,29 +45,32 @@
 	c.dropReads()
 	c.leader = None
 	if c.cfg.off.preVote {
-		c.becomeCandidate()
+		c.becomeCandidate(false)
 		return
 	}
 	c.role = PreCandidate
-	c.startVotes(MsgPreVote, c.term+1)
+	c.startVotes(Message{Type: MsgPreVote, Term: c.term + 1})
 }
 
-func (c *Core) becomeCandidate() {
+// becomeCandidate starts an election. With handover the old leader asked for
+// it, and those who still hear from that leader vote nevertheless.
+func (c *Core) becomeCandidate(handover bool) {
 	c.role = Candidate
 	c.term++
 	c.vote = c.cfg.ID
-	c.startVotes(MsgVote, c.term)
+	c.startVotes(Message{Type: MsgVote, Term: c.term, Handover: handover})
 }
 
 // startVotes votes for this node and asks the other voters. The own vote may
 // be counted at once, because no answer arrives before it is durable.
-func (c *Core) startVotes(typ MessageType, term uint64) {
+func (c *Core) startVotes(m Message) {
 	c.resetTimeout()
 	c.campaignTick = c.now
 	c.votes = map[NodeID]bool{c.cfg.ID: true}
 	for _, id := range voterIDs(c.log.members()) {
 		if id != c.cfg.ID {
-			c.send(Message{Type: typ, To: id, Term: term, Index: c.log.last(), LogTerm: c.log.lastTerm()})
+			m.To, m.Index, m.LogTerm = id, c.log.last(), c.log.lastTerm()
+			c.send(m)
 		}
 	}
 	c.countVotes()
@@ -89,7 +92,7 @@
 	need := quorum(len(voters))
 	switch {
 	case granted >= need && c.role == PreCandidate:
-		c.becomeCandidate()
+		c.becomeCandidate(false)
 	case granted >= need:
 		c.becomeLeader()
 	case refused > len(voters)-need:
@@ -161,6 +164,8 @@
 		c.send(Message{Type: MsgVoteResp, To: m.From, Reject: true})
 		return
 	}
+	invariant.Check(c.vote == None || c.vote == m.From, invariant.Consensus,
+		"votes for %x and %x in term %d", uint64(c.vote), uint64(m.From), c.term)
 	c.vote = m.From
 	c.elapsed = 0
 	c.send(Message{Type: MsgVoteResp, To: m.From})
--- a/consensus/message.go
+++ b/consensus/message.go
@@ -29,6 +29,8 @@
 	MsgRead
 	// MsgReadResp answers MsgRead.
 	MsgReadResp
+	// MsgHandover asks a voter to start an election at once.
+	MsgHandover
 )
 
 // Message is sent from one member to another. Which fields are used depends on
@@ -57,6 +59,8 @@
 	Chunk *Chunk `cbor:"15,keyasint,omitempty"`
 	// Offset is, in MsgSnapshotResp, the number of bytes received so far.
 	Offset uint64 `cbor:"16,keyasint,omitempty"`
+	// Handover is set in MsgVote when the leader itself asked for the election.
+	Handover bool `cbor:"17,keyasint,omitempty"`
 }
 
 // Chunk is a part of the data of a snapshot, from Offset on.
--- /dev/null
+++ b/consensus/node/bench_test.go
@@ -0,0 +1,73 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"magnoliastand.example/consensus/storage"
+)
+
+// BenchmarkDiskCluster measures proposals to three nodes with disks in one
+// process, by number of concurrent callers.
+func BenchmarkDiskCluster(b *testing.B) {
+	for _, callers := range []int{1, 16, 256} {
+		b.Run(fmt.Sprintf("callers=%d", callers), func(b *testing.B) {
+			c := newCluster(b)
+			names := []string{"a", "b", "c"}
+			var ms []*member
+			for _, n := range names {
+				d, err := storage.Open(b.TempDir())
+				if err != nil {
+					b.Fatal(err)
+				}
+				defer d.Close()
+				ms = append(ms, c.form(n, d, names, nil))
+			}
+			for _, m := range ms {
+				c.start(m)
+			}
+			defer c.stop()
+			lead := c.leader()
+			syncs := lead.node.Status().Syncs
+			data := make([]byte, 512)
+			var wg sync.WaitGroup
+			work := make(chan struct{})
+			for range callers {
+				wg.Go(func() {
+					for range work {
+						if _, err := lead.node.Propose(context.Background(), data); err != nil {
+							b.Error(err)
+						}
+					}
+				})
+			}
+			for b.Loop() {
+				work <- struct{}{}
+			}
+			close(work)
+			wg.Wait()
+			b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "entries/s")
+			b.ReportMetric(float64(lead.node.Status().Syncs-syncs)/float64(b.N), "syncs/entry")
+		})
+	}
+}
+
+// BenchmarkReadIndex measures linearizable reads on the leader of three nodes
+// in memory.
+func BenchmarkReadIndex(b *testing.B) {
+	c := newCluster(b)
+	three(c)
+	defer c.stop()
+	lead := c.leader()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	for b.Loop() {
+		if err := lead.node.ReadIndex(ctx); err != nil && !errors.Is(err, context.DeadlineExceeded) {
+			b.Fatal(err)
+		}
+	}
+}
--- a/consensus/node/doc.go
+++ b/consensus/node/doc.go
@@ -11,6 +11,11 @@
 //     lock, and call ReadIndex first where they must not see old state. After a
 //     restart the state machine starts from the last snapshot, so what must
 //     never show older state waits for one ReadIndex.
+//   - Apply, Snapshot and Restore hold up the loop; they take well below the
+//     shortest election timeout, or a leader loses its lead.
+//   - A leader calls Handover before a planned Stop.
+//   - The transport carries a message with an entry of MaxEntryBytes, or with
+//     MaxAppendBytes of smaller ones, plus 64 KiB.
 //   - When Done is closed without Stop, the node has failed; Err tells why. The
 //     process then ends or opens the storage again.
 //
--- a/consensus/node/fault_test.go
+++ b/consensus/node/fault_test.go
@@ -42,7 +42,7 @@
 					t.Fatalf("node ended with %v", err)
 				}
 				c.kill(lead)
-				lead.store = mem.Reopen(storage.Crash{})
+				c.swap(lead, mem.Reopen(storage.Crash{}))
 				c.start(lead)
 				next := c.leader()
 				propose(t, ctx, next, 100, 101)
--- a/consensus/node/harness_test.go
+++ b/consensus/node/harness_test.go
@@ -182,6 +182,13 @@
 	}
 }
 
+// swap gives a stopped member the disk that a restarted process finds.
+func (c *cluster) swap(m *member, st storage.Storage) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	m.store = st
+}
+
 func (c *cluster) stop() {
 	for _, m := range c.members {
 		c.kill(m)
--- a/consensus/node/loop.go
+++ b/consensus/node/loop.go
@@ -86,6 +86,10 @@
 		return
 	case callPropose:
 		index, term, err = n.core.Propose(c.data)
+	case callHandover:
+		_, err := n.core.Handover()
+		c.answer(err)
+		return
 	case callChange:
 		index, term, err = n.core.ProposeMembership(c.change)
 	}
--- a/consensus/node/node.go
+++ b/consensus/node/node.go
@@ -51,6 +51,7 @@
 	callPropose callKind = iota
 	callRead
 	callChange
+	callHandover
 )
 
 // call is a request of a caller to the loop. The loop answers it once.
@@ -209,6 +210,15 @@
 	return n.change(ctx, consensus.Change{Kind: consensus.Remove, Member: consensus.Member{ID: id}})
 }
 
+// Handover asks the best voter to take the lead, so that a planned stop of the
+// leader costs no election timeout. It returns when the request is sent; Status
+// shows the outcome. Errors are those of consensus.Handover, ErrStopped or that
+// of ctx.
+func (n *Node[R]) Handover(ctx context.Context) error {
+	_, err := n.call(call[R]{ctx: ctx, kind: callHandover})
+	return err
+}
+
 func (n *Node[R]) change(ctx context.Context, ch consensus.Change) error {
 	_, err := n.call(call[R]{ctx: ctx, kind: callChange, change: ch})
 	return err
@@ -237,7 +247,7 @@
 	case <-n.done:
 		return n.lateOutcome(&c)
 	case <-c.ctx.Done():
-		if c.kind == callRead {
+		if c.kind == callRead || c.kind == callHandover {
 			return zero, c.ctx.Err()
 		}
 		return zero, errors.Wrap(ErrOutcomeUnknown, c.ctx.Err().Error())
--- a/consensus/node/node_test.go
+++ b/consensus/node/node_test.go
@@ -115,3 +115,31 @@
 		}
 	})
 }
+
+// TestHandoverCostsNoElectionTimeout stops a leader after a handover; another
+// one takes proposals at once.
+func TestHandoverCostsNoElectionTimeout(t *testing.T) {
+	inBubble(t, func(t *testing.T, ctx context.Context) {
+		c := newCluster(t)
+		defer c.stop()
+		ms := three(c)
+		old := c.leader()
+		propose(t, ctx, old, 0, 3)
+		time.Sleep(time.Second)
+		if err := old.node.Handover(ctx); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Millisecond)
+		if s := old.node.Status(); s.Role == consensus.Leader || s.Leader == consensus.None {
+			t.Fatalf("%s, leader %d after the handover", s.Role, s.Leader)
+		}
+		c.kill(old)
+		for _, m := range ms {
+			if m != old && m.node.Status().Role == consensus.Leader {
+				propose(t, ctx, m, 3, 6)
+				return
+			}
+		}
+		t.Error("no successor leads")
+	})
+}
--- a/consensus/progress.go
+++ b/consensus/progress.go
@@ -32,6 +32,8 @@
 	answered bool
 	// sentCommit is the highest commit index that was sent.
 	sentCommit uint64
+	// beatTick is the tick of the last heartbeat.
+	beatTick uint64
 	// ackTick and ackRound are the newest echoes of this member.
 	ackTick  uint64
 	ackRound uint64
--- a/consensus/replicate.go
+++ b/consensus/replicate.go
@@ -141,13 +141,15 @@
 	}
 }
 
+// broadcastHeartbeat starts a round. Learners take part in some rounds only.
 func (c *Core) broadcastHeartbeat() {
 	c.round++
 	for _, m := range c.log.members() {
 		p := c.peers[m.ID]
-		if p == nil {
+		if p == nil || !m.Voter && c.now < p.beatTick+uint64(c.cfg.LearnerHeartbeatTicks) {
 			continue
 		}
+		p.beatTick = c.now
 		commit := min(p.match, c.log.commit)
 		p.sentCommit = max(p.sentCommit, commit)
 		c.send(Message{Type: MsgHeartbeat, To: m.ID, Commit: commit, Round: c.round, Tick: c.now})
--- a/consensus/schedule_test.go
+++ b/consensus/schedule_test.go
@@ -36,6 +36,7 @@
 		"propose":    s.propose,
 		"propose2":   s.propose,
 		"read":       s.read,
+		"handover":   s.handover,
 		"compact":    s.compact,
 		"crash":      s.crash,
 		"restart":    s.restart,
@@ -153,7 +154,7 @@
 		}
 	}()
 	names := []string{
-		"propose", "propose", "read", "compact", "crash", "restart", "restart", "partition", "heal", "freeze",
+		"propose", "propose", "read", "compact", "crash", "restart", "restart", "partition", "heal", "freeze", "handover",
 		"lose disk", "change", "change", "lossy", "run", "long quiet",
 	}
 	actions := s.actions()
--- a/consensus/sim_test.go
+++ b/consensus/sim_test.go
@@ -84,6 +84,8 @@
 	s.serial++
 	c := consensus.DefaultConfig(id, simCluster, rand.NewPCG(s.rnd.Uint64(), s.serial))
 	c.ElectionTicks = 5
+	c.HeartbeatTicks = 1
+	c.LearnerHeartbeatTicks = 2
 	c.MaxAppendBytes = 100
 	c.MaxInflight = 4
 	c.MaxPending = 12
@@ -275,6 +277,13 @@
 	}
 }
 
+func (s *sim) handover() {
+	if n := s.leader(); n != nil {
+		_, _ = n.core.Handover()
+		s.turn(n)
+	}
+}
+
 func (s *sim) read() {
 	n := s.pick()
 	if n.core == nil {
--- /dev/null
+++ b/consensus/storage/bench_test.go
@@ -0,0 +1,93 @@
+package storage
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+
+	"github.com/cespare/xxhash/v2"
+
+	"magnoliastand.example/consensus"
+)
+
+// BenchmarkSave measures one durable update with a batch of entries.
+func BenchmarkSave(b *testing.B) {
+	for _, batch := range []int{1, 64, 512} {
+		b.Run(fmt.Sprintf("entries=%d", batch), func(b *testing.B) {
+			d, err := Open(b.TempDir())
+			if err != nil {
+				b.Fatal(err)
+			}
+			defer d.Close()
+			data := make([]byte, 512)
+			next := uint64(1)
+			for b.Loop() {
+				u := consensus.Update{HardState: &consensus.HardState{Term: 1}}
+				for range batch {
+					u.Entries = append(u.Entries, consensus.Entry{Index: next, Term: 1, Kind: consensus.EntryData, Data: data})
+					next++
+				}
+				if next > 8192 {
+					u.KeepFrom = next - 8192
+				}
+				save(b, d, u)
+			}
+			b.ReportMetric(float64(b.N*batch)/b.Elapsed().Seconds(), "entries/s")
+		})
+	}
+}
+
+// BenchmarkSnapshot measures a durable snapshot by size of its data.
+func BenchmarkSnapshot(b *testing.B) {
+	for _, size := range []int{64 << 10, 1 << 20, 16 << 20} {
+		b.Run(fmt.Sprintf("KiB=%d", size>>10), func(b *testing.B) {
+			d, err := Open(b.TempDir())
+			if err != nil {
+				b.Fatal(err)
+			}
+			defer d.Close()
+			data := make([]byte, size)
+			b.SetBytes(int64(size))
+			index := uint64(1)
+			for b.Loop() {
+				index++
+				save(b, d, consensus.Update{Snapshot: &consensus.Snapshot{Data: data, SnapshotMeta: consensus.SnapshotMeta{
+					Index: index, Term: 1, Size: uint64(size), Sum: xxhash.Sum64(data),
+				}}})
+			}
+		})
+	}
+}
+
+// heap returns the bytes of live heap.
+func heap() int64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
+
+// BenchmarkOpen measures the start of a node with 500 entries of 512 bytes.
+func BenchmarkOpen(b *testing.B) {
+	dir := b.TempDir()
+	d, err := Open(dir)
+	if err != nil {
+		b.Fatal(err)
+	}
+	u := consensus.Update{HardState: &consensus.HardState{Term: 1}}
+	for i := range uint64(500) {
+		u.Entries = append(u.Entries, consensus.Entry{Index: i + 1, Term: 1, Kind: consensus.EntryData, Data: make([]byte, 512)})
+	}
+	save(b, d, u)
+	if err := d.Close(); err != nil {
+		b.Fatal(err)
+	}
+	var kept consensus.State
+	before := heap()
+	for b.Loop() {
+		if kept, err = tryLoad(dir); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(heap()-before)/float64(len(kept.Entries)), "heapB/entry")
+}
--- a/consensus/storage/memory.go
+++ b/consensus/storage/memory.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"sync"
 
 	"github.com/pkg/errors"
 
@@ -21,9 +22,11 @@
 }
 
 // Memory is a Storage in memory for tests and for nodes without disk. It can
-// crash at a chosen write.
+// crash at a chosen write. It is safe for concurrent use.
 type Memory struct {
-	node    consensus.NodeID
+	node consensus.NodeID
+
+	mu      sync.Mutex
 	binding bootstrap.Binding
 	state   consensus.State
 	crash   Crash
@@ -38,6 +41,8 @@
 
 // Reopen returns what a restarted process finds, with a new plan to crash.
 func (m *Memory) Reopen(crash Crash) *Memory {
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	return &Memory{node: m.node, binding: m.binding, state: m.state, crash: crash}
 }
 
@@ -45,10 +50,16 @@
 func (m *Memory) Node() consensus.NodeID { return m.node }
 
 // Binding returns the stored binding.
-func (m *Memory) Binding() bootstrap.Binding { return m.binding }
+func (m *Memory) Binding() bootstrap.Binding {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.binding
+}
 
 // SaveBinding stores a binding.
 func (m *Memory) SaveBinding(b bootstrap.Binding) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	if err := checkBinding(m.binding); err != nil {
 		return err
 	}
@@ -62,6 +73,8 @@
 
 // Load returns the stored state.
 func (m *Memory) Load() (consensus.State, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	st := m.state
 	st.Entries = slices.Clone(st.Entries)
 	return st, nil
@@ -69,13 +82,16 @@
 
 // Save stores an update.
 func (m *Memory) Save(u consensus.Update) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	return m.write(func() { m.state = apply(m.state, u) })
 }
 
 // Close does nothing.
 func (m *Memory) Close() error { return nil }
 
-// write carries out one write, unless the storage crashed or crashes now.
+// write carries out one write, unless the storage crashed or crashes now. The
+// caller holds the lock.
 func (m *Memory) write(do func()) error {
 	if m.crashed {
 		return ErrCrashed
@@ -114,6 +130,8 @@
 
 // Plan sets the next crash; its writes are counted from now on.
 func (m *Memory) Plan(crash Crash) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	m.crash = crash
 	m.syncs = 0
 }
