arbiter: queues of a team share its slots, reconnection, bursts and figures

Taken: equal slot time among a team's queues, and a wait judged by the starts seen, refused from nine tenths of the patience. Ruled out: a factor above one on the estimate (the queue then stands beyond patience) and the lesser of two estimates (noise admits too much). Reconnected frees what a broken link lost.

--- a/dispatch/arbiter/ask.go
+++ b/dispatch/arbiter/ask.go
@@ -107,7 +107,7 @@
 	if wait > a.opts.OverflowWait && a.forward(s, w) {
 		return nil
 	}
-	if wait > earlyRefusalFactor*patience && !a.off.noEarlyRefusal {
+	if wait > time.Duration(patiencePart*float64(patience)) && !a.off.noEarlyRefusal {
 		detail := fmt.Sprintf("the expected wait of %s is longer than the %s left", wait.Round(time.Millisecond), patience)
 		return refuse(api.CodeDeadline, wait, detail)
 	}
--- a/dispatch/arbiter/doc.go
+++ b/dispatch/arbiter/doc.go
@@ -40,19 +40,31 @@
 // that nobody declares become usable when
 //
 //   - every daemon that may hold a grant has declared (Recovery.Complete), or
-//   - the endpoint announces how many requests it runs, in a word heard after
-//     start+Margin+StartWithin, when no grant of an earlier term can start any
-//     more: from then on unknown work is at most that number and only falls; or
+//   - the endpoint announces how many requests it runs, in a word from after
+//     the last possible start of an earlier term's grant: from then on unknown
+//     work is at most that number and only falls, or
 //   - the endpoint's process that the predecessor could have given work to has
-//     ended; or
+//     ended, or
 //   - the latest start of an earlier term's grant plus the longest run has passed.
 //
+// A declared grant counts against the slots, not against the number that the
+// endpoint said to be running, since it may have ended before that word.
+//
 // It follows that no grant has to wait for the slowest origin: what is not
-// declared yet stays within the unknown slots. Duties of the caller: an origin
-// that declared to a term ignores grants of lower terms that it did not
-// declare; a declaration also lists grants that were released with an unknown
-// outcome, as started, until their longest run has passed; and a term is used only once. A predecessor that still grants to
-// origins cut off from its successor can over-ask an endpoint, which then
+// declared yet stays within the unknown slots. A predecessor that still grants
+// to origins cut off from its successor can over-ask an endpoint, which then
 // refuses; it can't exceed a team's limit, since each arbiter draws on its own
 // allotment through Limiter.
+//
+// # Duties of the caller
+//
+//   - A term is used once.
+//   - An origin that declared to a term ignores grants of lower terms that it
+//     did not declare, and uses each grant once.
+//   - A declaration also lists grants that were released with an unknown
+//     outcome, as started, until their longest run has passed.
+//   - The link between an origin and the arbiter delivers in order and within
+//     Margin, or breaks. When it is made anew, Reconnected comes first, and the
+//     origin repeats its waiting asks.
+//   - Endpoints enforce the longest run, or it is set so that they can't exceed it.
 package arbiter
--- a/dispatch/arbiter/estimate.go
+++ b/dispatch/arbiter/estimate.go
@@ -7,12 +7,12 @@
 )
 
 const (
-	// earlyRefusalFactor is how many times its patience an ask's expected wait
-	// may be before it is refused at once.
-	earlyRefusalFactor = 2
-	// runTimeWeight is the number of observations that the moving mean of slot
-	// times spans.
-	runTimeWeight = 16
+	// patiencePart is the part of its patience that an ask's expected wait may
+	// take. At the whole of it, every second ask at the end of a full queue
+	// would wait in vain.
+	patiencePart = 0.9
+	// meanWeight is the number of observations that a moving mean spans.
+	meanWeight = 32
 	// firstRunTime is charged for a start before any slot time was observed.
 	firstRunTime = 50 * time.Millisecond
 	// minRetryAfter is the least time after which a refused caller is told to retry.
@@ -21,42 +21,51 @@
 	minShare = 1e-6
 )
 
-// observeRun takes one slot time into the class's moving mean.
-func (c *class) observeRun(d time.Duration) {
-	if c.runTime == 0 {
-		c.runTime = max(d, 1)
-		return
+// observeRun takes one slot time into the queue's moving mean.
+func (q *queue) observeRun(d time.Duration) {
+	q.runTime = movingMean(q.runTime, d)
+}
+
+// movingMean takes one observation into a mean, where zero means none so far.
+func movingMean(mean, d time.Duration) time.Duration {
+	if mean == 0 {
+		return max(d, 1)
 	}
-	c.runTime += (d - c.runTime) / runTimeWeight
+	return max(mean+(d-mean)/meanWeight, 1)
 }
 
 // expectedRun returns the slot time that a start is charged with.
-func (c *class) expectedRun() time.Duration {
-	if c.runTime == 0 {
+func (q *queue) expectedRun() time.Duration {
+	if q.runTime == 0 {
 		return firstRunTime
 	}
-	return c.runTime
+	return q.runTime
 }
 
 // expectedWait estimates how long a new ask of the team would wait behind the
-// team's own asks, at the rate that its share of the slots gives it now. It is
-// zero while the service or the class has nothing to judge by.
+// team's own asks in the queue: at the rate at which these have started while
+// others waited behind them, or before any did, at the rate that the team's
+// share of the slots gives the queue. It is zero while there is nothing to
+// judge by.
 func (a *Arbiter) expectedWait(q *queue, teamName string) time.Duration {
-	c := q.class
-	l, ok := c.lines[teamName]
-	if !ok || l.waiting == 0 || c.runTime == 0 || a.recovery.pending {
+	ln, ok := q.lanes[teamName]
+	if !ok || ln.count == 0 || q.runTime == 0 || a.recovery.pending {
 		return 0
 	}
-	slots := a.slotsFor(q.svc, c)
+	if ln.interval > 0 {
+		return time.Duration(ln.count) * ln.interval
+	}
+	slots := a.slotsFor(q.svc, q.class)
 	if slots == 0 {
 		return 0
 	}
 	part := 1.0
-	if active := c.order.ActiveWeight(); active > 0 {
-		part = min(l.team.weight/active, 1)
+	if active := q.class.order.ActiveWeight(); active > 0 {
+		part = min(ln.line.team.weight/active, 1)
 	}
-	rate := float64(slots) * max(part, minShare) / c.runTime.Seconds()
-	return time.Duration(float64(l.waiting) / rate * float64(time.Second))
+	part = max(part, minShare) / float64(ln.line.active())
+	rate := float64(slots) * part / q.runTime.Seconds()
+	return time.Duration(float64(ln.count) / rate * float64(time.Second))
 }
 
 // slotsFor returns the most slots that the class may occupy.
@@ -76,6 +85,6 @@
 	if slots == 0 {
 		return a.opts.EndpointGrace
 	}
-	d := time.Duration(q.waiting) * q.class.expectedRun() / time.Duration(slots)
+	d := time.Duration(q.waiting) * q.expectedRun() / time.Duration(slots)
 	return max(d, minRetryAfter)
 }
--- a/dispatch/arbiter/overflow.go
+++ b/dispatch/arbiter/overflow.go
@@ -17,10 +17,9 @@
 	credits map[string]int // asks that may still be passed on, by service
 }
 
-// Summary returns the sums of this zone for the arbiters of other zones.
-func (a *Arbiter) Summary(now time.Time) endpoint.Summary {
-	a.begin(now)
-	a.finish()
+// Summary returns the sums of this zone, as of the latest input, for the
+// arbiters of other zones.
+func (a *Arbiter) Summary() endpoint.Summary {
 	out := endpoint.Summary{Zone: a.opts.Zone}
 	for _, s := range a.byName {
 		out.Services = append(out.Services, endpoint.ServiceSummary{
--- a/dispatch/arbiter/place.go
+++ b/dispatch/arbiter/place.go
@@ -113,26 +113,36 @@
 	return first.lane.line
 }
 
-// pick returns the oldest ask of the line that a free slot suits, and the slot.
+// pick returns the ask of the line that goes next and can use a free slot, and
+// the slot: of the queue with the least slot time, the oldest ask.
 func (s *service) pick(l *line) (*waiter, *slots) {
 	var best *waiter
 	var bestSlots *slots
 	for _, ln := range l.lanes {
-		w := ln.head
-		for range lookahead {
-			if w == nil || best != nil && w.arrival > best.arrival {
-				break
-			}
-			if sl := s.choose(w.ask.Exclude); sl != nil {
-				best, bestSlots = w, sl
-				break
-			}
-			w = w.next
+		if ln.head == nil || best != nil && !ln.before(best.lane) {
+			continue
+		}
+		if w, sl := s.pickFrom(ln); w != nil {
+			best, bestSlots = w, sl
 		}
 	}
 	return best, bestSlots
 }
 
+func (s *service) pickFrom(ln *lane) (*waiter, *slots) {
+	w := ln.head
+	for range lookahead {
+		if w == nil {
+			break
+		}
+		if sl := s.choose(w.ask.Exclude); sl != nil {
+			return w, sl
+		}
+		w = w.next
+	}
+	return nil, nil
+}
+
 // acquire takes a unit of the team's limit. Asks without a team have none.
 func (a *Arbiter) acquire(t *team) bool {
 	if t.name == "" || a.off.ignoreLimit {
@@ -160,6 +170,7 @@
 func (a *Arbiter) grant(w *waiter, sl *slots) {
 	ln := w.lane
 	c := ln.line.class
+	ln.charge(a.now)
 	a.drop(w)
 	a.seq++
 	gr := &grant{
@@ -177,6 +188,7 @@
 		key:   w.key,
 		slots: sl,
 		class: c,
+		queue: ln.queue,
 		team:  ln.line.team,
 		unit:  ln.line.team.name != "" && !a.off.ignoreLimit,
 		at:    a.now,
--- a/dispatch/arbiter/random_test.go
+++ b/dispatch/arbiter/random_test.go
@@ -31,7 +31,7 @@
 	alive := slices.DeleteFunc(slices.Clone(w.entries), func(e *entry) bool { return !e.alive })
 	e := alive[w.choose.n(len(alive))]
 	p := w.procs[w.choose.n(len(w.procs))]
-	switch w.choose.n(18) {
+	switch w.choose.n(20) {
 	case 0, 1, 2, 3, 4, 5:
 		w.newAsk(e)
 	case 6:
@@ -53,6 +53,8 @@
 			w.succeed()
 		}
 	case 14:
+		w.reconnect(e)
+	case 15:
 		if w.choose.n(3) == 0 {
 			w.reconfigure()
 		}
@@ -153,6 +155,18 @@
 	w.addEntry()
 }
 
+// reconnect breaks an origin's link, with what is on its way, and makes it anew.
+func (w *world) reconnect(e *entry) {
+	if e.term != w.term {
+		return
+	}
+	e.inbox = nil
+	w.handle(w.arb.Reconnected(w.now, e.declaration(w.now)))
+	for _, id := range slices.Sorted(maps.Keys(e.asks)) {
+		w.ask(e, e.asks[id])
+	}
+}
+
 // reconfigure puts one of several documents in force.
 func (w *world) reconfigure() {
 	w.doc = worldDocument()
--- a/dispatch/arbiter/reconfig.go
+++ b/dispatch/arbiter/reconfig.go
@@ -179,6 +179,8 @@
 	for _, sl := range a.slots {
 		e, ok := a.reg.Get(sl.id)
 		if !ok {
+			sl.present = false
+			a.forget(sl)
 			continue
 		}
 		name := e.Announcement.Service
--- a/dispatch/arbiter/recovery.go
+++ b/dispatch/arbiter/recovery.go
@@ -1,6 +1,7 @@
 package arbiter
 
 import (
+	"slices"
 	"time"
 
 	"magnoliastand.example/dispatch"
@@ -14,6 +15,7 @@
 	latestStart time.Time // no grant of an earlier term starts after this
 	complete    bool      // no origin outside the list can hold a grant, none was lost
 	awaited     map[dispatch.DaemonID]struct{}
+	adopted     map[dispatch.GrantID]struct{} // declared grants, so that each counts once
 }
 
 func newRecovery(now time.Time, opts Options) recovery {
@@ -22,6 +24,7 @@
 		latestStart: now.Add(opts.Margin + opts.StartWithin),
 		complete:    opts.Recovery.Complete,
 		awaited:     make(map[dispatch.DaemonID]struct{}, len(opts.Recovery.Origins)),
+		adopted:     make(map[dispatch.GrantID]struct{}),
 	}
 	for _, o := range opts.Recovery.Origins {
 		r.awaited[o] = struct{}{}
@@ -57,9 +60,14 @@
 // adopt counts a grant of an earlier term. Its team's unit, if any, belongs to
 // the allotment of that term's arbiter.
 func (a *Arbiter) adopt(origin dispatch.DaemonID, h dispatch.HeldGrant) {
-	if _, ok := a.grants[h.Grant.ID]; ok || h.Grant.ID.Zone != a.opts.Zone || h.Grant.ID.Term >= a.opts.Term {
+	id := h.Grant.ID
+	if id.Zone != a.opts.Zone || id.Term >= a.opts.Term {
 		return
 	}
+	if _, ok := a.recovery.adopted[id]; ok {
+		return
+	}
+	a.recovery.adopted[id] = struct{}{}
 	gr := &grant{
 		Grant: h.Grant,
 		key:   askKey{h.Grant.RequestID, origin},
@@ -68,6 +76,7 @@
 		at:    a.now,
 	}
 	if q, ok := a.queues[h.Grant.Queue]; ok {
+		gr.queue = q
 		gr.class = q.class
 		a.lineOf(q.class, gr.team)
 	}
@@ -83,7 +92,7 @@
 		return
 	}
 	if gr.standsForUnknown() {
-		gr.slots.unknown = max(gr.slots.unknown-1, 0)
+		gr.slots.bound(gr.slots.undeclared-1, gr.slots.mayRun)
 	}
 	a.occupy(gr)
 }
@@ -94,6 +103,35 @@
 	return g.Grant.EndpointIncarnation == g.slots.incarnation
 }
 
+// Reconnected tells that the link to an origin was made anew, and what the
+// origin holds. Messages of the earlier link that did not arrive never will: a
+// grant of this term that the origin does not hold was not received, or its
+// release was lost, so it is not running and is freed. The caller passes this
+// on before any other message of the new link. The origin then repeats its
+// waiting asks.
+func (a *Arbiter) Reconnected(now time.Time, d dispatch.Declaration) []Event {
+	a.begin(now)
+	holds := make(map[dispatch.GrantID]struct{}, len(d.Held))
+	for _, h := range d.Held {
+		holds[h.Grant.ID] = struct{}{}
+	}
+	var lost []*grant
+	for id, gr := range a.grants {
+		_, held := holds[id]
+		if gr.key.origin == d.Origin && id.Term == a.opts.Term && !held && !gr.unknown {
+			lost = append(lost, gr)
+		}
+	}
+	slices.SortFunc(lost, compareGrants)
+	for _, gr := range lost {
+		a.free(gr, 0)
+	}
+	for _, h := range d.Held {
+		a.adopt(d.Origin, h)
+	}
+	return a.finish()
+}
+
 // slotsOf returns the slots of a grant's endpoint, which may not have been
 // heard of yet.
 func (a *Arbiter) slotsOf(g dispatch.Grant) *slots {
@@ -119,12 +157,13 @@
 		return
 	}
 	// The predecessor may have worked with more configured slots.
-	sl.unknown = sl.announced
+	undeclared := sl.announced
 	for _, gr := range a.grants {
-		if gr.slots == sl && gr.standsForUnknown() && sl.unknown > 0 {
-			sl.unknown--
+		if gr.slots == sl && gr.standsForUnknown() {
+			undeclared--
 		}
 	}
+	sl.bound(undeclared, sl.announced)
 }
 
 // recoverSlots frees unknown slots that the endpoint's own word, the end of its
@@ -136,11 +175,11 @@
 	surely := a.opts.wordAfter(a.recovery.latestStart)
 	switch {
 	case !sl.endedHeard.Before(surely):
-		sl.unknown = 0
+		sl.bound(0, 0)
 	case !a.now.Before(surely.Add(max(sl.svc.cfg.longestRun, a.opts.Recovery.LongestRun))):
-		sl.unknown = 0
+		sl.bound(0, 0)
 	case !e.Heard.Before(surely) && e.State != endpoint.StateGone:
-		sl.unknown = min(sl.unknown, e.Announcement.Running)
+		sl.bound(sl.undeclared, min(sl.mayRun, e.Announcement.Running))
 	}
 }
 
@@ -175,7 +214,7 @@
 func (a *Arbiter) endRecovery() {
 	a.recovery.pending = false
 	for _, sl := range a.slots {
-		sl.unknown = 0
+		sl.bound(0, 0)
 		a.refresh(sl)
 	}
 }
--- a/dispatch/arbiter/release.go
+++ b/dispatch/arbiter/release.go
@@ -13,8 +13,10 @@
 	key         askKey
 	slots       *slots
 	class       *class // nil when an adopted grant's queue is not in the document
+	queue       *queue // nil when class is
 	team        *team
 	unit        bool // a unit of the team's limit is held for it
+	unknown     bool // released with an unknown outcome
 	at          time.Time
 	latestStart time.Time     // no first byte is sent after this
 	endsAt      time.Time     // nothing runs for it after this
@@ -47,8 +49,8 @@
 		a.free(gr, 0)
 	case dispatch.OutcomeAnswered, dispatch.OutcomeFailed, dispatch.OutcomeRefused:
 		held := a.now.Sub(gr.at)
-		if gr.class != nil {
-			gr.class.observeRun(held)
+		if gr.queue != nil {
+			gr.queue.observeRun(held)
 		}
 		a.free(gr, held)
 	case dispatch.OutcomeUnknown:
@@ -68,6 +70,7 @@
 		a.release(gr.team)
 	}
 	a.unhold(gr)
+	gr.unknown = true
 	started := a.now.Add(-max(elapsed, 0))
 	if started.Before(gr.at) {
 		started = gr.at
@@ -149,7 +152,7 @@
 		return
 	}
 	c.running++
-	gr.expected = c.expectedRun()
+	gr.expected = gr.queue.expectedRun()
 	c.order.Start(gr.team.name, gr.expected)
 }
 
--- a/dispatch/arbiter/slots.go
+++ b/dispatch/arbiter/slots.go
@@ -20,7 +20,9 @@
 	seen        bool      // an announcement was seen, so unknown has been set
 	endedHeard  time.Time // when the latest ended incarnation was last heard
 	occupied    int       // grants that may be running
-	unknown     int       // slots that an earlier term may have granted
+	unknown     int       // slots that an earlier term may have granted: the lesser of the next two
+	undeclared  int       // bound by count: the slots less the grants declared
+	mayRun      int       // bound by word: what the endpoint said to be running
 	capacity    int       // slots counted in svc.capacity
 	free        int       // slots counted in svc.free
 	usedAt      uint64    // sequence number of the latest grant
@@ -42,6 +44,13 @@
 
 func (sl *slots) place() *int { return &sl.index }
 
+// bound sets the number of unknown slots from its two bounds.
+func (sl *slots) bound(undeclared, mayRun int) {
+	sl.undeclared = max(undeclared, 0)
+	sl.mayRun = mayRun
+	sl.unknown = min(sl.undeclared, sl.mayRun)
+}
+
 // limit returns how many requests the endpoint may run at once now.
 func (sl *slots) limit() int {
 	if sl.svc == nil {
--- a/dispatch/arbiter/waiting.go
+++ b/dispatch/arbiter/waiting.go
@@ -32,7 +32,6 @@
 	lines   map[string]*line // by team
 	running int
 	waiting int
-	runTime time.Duration // moving mean of slot times, zero before the first
 }
 
 // team is the state of one team over all services.
@@ -48,12 +47,15 @@
 // runs reports whether anything of the team may be running.
 func (t *team) runs() bool { return t.grants > 0 }
 
-// line is what one team has waiting in one class of a service.
+// line is what one team has waiting in one class of a service. Its queues get
+// equal slot time while all of them wait, so that a queue at its peak does not
+// hold up the others.
 type line struct {
 	team    *team
 	class   *class
 	lanes   []*lane
 	waiting int
+	virtual time.Duration // virtual time of the lane served last
 }
 
 // lane is the FIFO of one team in one queue.
@@ -62,6 +64,9 @@
 	line       *line
 	head, tail *waiter
 	count      int
+	virtual    time.Duration // slot time charged, not less than the line's when it began to wait
+	startedAt  time.Time     // latest start while the lane has waited since
+	interval   time.Duration // moving mean of the time between such starts, zero before the first
 }
 
 // queue is the state of one queue of the document.
@@ -72,6 +77,7 @@
 	class   *class
 	waiting int
 	lanes   map[string]*lane // by team
+	runTime time.Duration    // moving mean of slot times, zero before the first
 }
 
 // waiter is an ask that waits here or was passed on to another zone.
@@ -97,6 +103,7 @@
 	w.prev = ln.tail
 	if ln.tail == nil {
 		ln.head = w
+		ln.virtual = max(ln.virtual, ln.line.virtual)
 	} else {
 		ln.tail.next = w
 	}
@@ -132,6 +139,38 @@
 	a.waiting += n
 }
 
+// charge counts a start against the lane.
+func (ln *lane) charge(now time.Time) {
+	ln.line.virtual = ln.virtual
+	ln.virtual += ln.queue.expectedRun()
+	if !ln.startedAt.IsZero() {
+		ln.interval = movingMean(ln.interval, now.Sub(ln.startedAt))
+	}
+	ln.startedAt = now
+	if ln.count == 1 {
+		ln.startedAt = time.Time{}
+	}
+}
+
+// active returns the number of the line's queues that wait.
+func (l *line) active() int {
+	n := 0
+	for _, ln := range l.lanes {
+		if ln.count > 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// before reports whether the lane goes before another one of its line.
+func (ln *lane) before(other *lane) bool {
+	if ln.virtual != other.virtual {
+		return ln.virtual < other.virtual
+	}
+	return ln.head.arrival < other.head.arrival
+}
+
 // refreshLine tells the order whether the team has work that may start.
 func (a *Arbiter) refreshLine(l *line) {
 	l.class.order.SetWaiting(l.team.name, l.waiting > 0 && !l.team.blocked)
--- a/dispatch/arbiter/world_test.go
+++ b/dispatch/arbiter/world_test.go
@@ -219,15 +219,21 @@
 	}
 }
 
-func (w *world) declare(e *entry) {
+// declaration lists what the origin holds or gave up without an answer.
+func (e *entry) declaration(now time.Time) dispatch.Declaration {
 	d := dispatch.Declaration{Origin: e.id}
 	for _, h := range append(slices.Clone(e.held), e.unknown...) {
 		held := dispatch.HeldGrant{Grant: h.grant, Started: h.work != nil}
 		if held.Started {
-			held.Running = w.now.Sub(h.startedAt)
+			held.Running = now.Sub(h.startedAt)
 		}
 		d.Held = append(d.Held, held)
 	}
+	return d
+}
+
+func (w *world) declare(e *entry) {
+	d := e.declaration(w.now)
 	e.term = w.term
 	for key := range w.open {
 		// What the origin no longer wants ended with the earlier arbiter.
@@ -310,7 +316,8 @@
 }
 
 func (w *world) release(e *entry, g dispatch.Grant, outcome dispatch.Outcome, elapsed time.Duration) {
-	if e.alive && e.term == w.term {
+	lost := w.choose.n(20) == 0
+	if e.alive && e.term == w.term && !lost {
 		w.handle(w.arb.Release(w.now, dispatch.Release{Grant: g.ID, Outcome: outcome, Elapsed: elapsed}))
 	}
 }
