--- a/cmd/magnoliastand/cluster_test.go
+++ b/cmd/magnoliastand/cluster_test.go
@@ -37,6 +37,8 @@
 
 const (
 	testOperatorKey = "operator-key-of-the-tests"
+	// slowOutcome is the latency from which on an outcome is printed.
+	slowOutcome = 16 * time.Second
 	// convergence bounds waits for a state that the system must reach; it is no
 	// claim about speed.
 	convergence = 30 * time.Second
@@ -452,6 +454,11 @@
 		ledger.AddRuns(e.Runs())
 		ledger.AddStats(fmt.Sprintf("endpoint %d", i+1), e.Stats())
 	}
+	for _, o := range all {
+		if o.Latency > slowOutcome {
+			c.t.Logf("slow: %+v", o)
+		}
+	}
 	for _, v := range ledger.Check() {
 		c.t.Errorf("violation: %s", v)
 	}
