Hand over the rest of an abstention; join again after a refused attempt

Cause: a random run showed not-run said of an id that had run. A daemon that was killed, restarted, and restarted again in order handed its partial memory over, and the heir voted at once. The adoption also replaced what the heir had recorded meanwhile by older states. Mended: the rest of the abstention is handed over; states merge, the one that permits less wins.

--- a/dispatch/origin/call.go
+++ b/dispatch/origin/call.go
@@ -143,15 +143,13 @@
 	if !c.claim.Own {
 		c.claim.Digest = record.NewDigest(c.team, c.r.Queue, c.r.Body)
 	}
-	d := c.o.cfg.Records.Begin(ctx, &c.claim)
+	d := c.begin(ctx)
 	c.tracker = request.NewTracker(c.claim.ID, c.claim.Idempotent, d.Earlier)
 	switch d.Verdict {
 	case record.Proceed:
 		return c.run(ctx)
 	case record.Answered:
 		return c.kept(d.Answer)
-	case record.Running:
-		return c.join(ctx)
 	case record.Superseded:
 		return c.ended(api.NewProblem(http.StatusServiceUnavailable, api.CodeConflict, api.RunNot,
 			"a later attempt of this id was refused meanwhile; send the request again"))
@@ -162,17 +160,25 @@
 		return c.lost(api.NewProblem(http.StatusServiceUnavailable, api.CodeUnavailable, api.RunUnknown,
 			"too few daemons can be reached to rule out that an earlier attempt ran"))
 	default:
-		return c.lost(outcomeUnknown("an earlier attempt of this id may have run, and no answer is kept"))
+		return c.lost(outcomeUnknown("another attempt of this id runs or may have run, and no answer is kept"))
 	}
 }
 
-// join waits for the answer of another attempt of the same request.
-func (c *call) join(ctx context.Context) *Result {
-	answer := c.o.cfg.Records.Await(ctx, &c.claim, time.Until(c.deadline))
-	if answer == nil {
-		return c.lost(outcomeUnknown("another attempt of this id is running or ended without a kept answer"))
+// begin asks the records whether the request may start. While another attempt
+// of the same request runs, it waits for its end; one that ended without running
+// leaves the id to this call, so it asks again.
+func (c *call) begin(ctx context.Context) record.Decision {
+	for range maxJoins {
+		d := c.o.cfg.Records.Begin(ctx, &c.claim)
+		if d.Verdict != record.Running {
+			return d
+		}
+		d = c.o.cfg.Records.Await(ctx, &c.claim, time.Until(c.deadline))
+		if d.Verdict != record.Absent || !time.Now().Before(c.deadline) {
+			return d
+		}
 	}
-	return c.kept(answer)
+	return record.Decision{Verdict: record.Unknown}
 }
 
 func (c *call) kept(answer *record.Answer) *Result {
--- a/dispatch/origin/config.go
+++ b/dispatch/origin/config.go
@@ -52,7 +52,7 @@
 	HomeOf(id string) string
 	Begin(ctx context.Context, c *record.Claim) record.Decision
 	MayRefuse(ctx context.Context, c *record.Claim) bool
-	Await(ctx context.Context, c *record.Claim, d time.Duration) *record.Answer
+	Await(ctx context.Context, c *record.Claim, d time.Duration) record.Decision
 	Finish(ctx context.Context, c *record.Claim, result record.Result, answer *record.Answer)
 }
 
@@ -93,7 +93,8 @@
 	// DialTimeout bounds a connect to an endpoint.
 	DialTimeout time.Duration
 	// ConnsPerEndpoint and IdleConnsPerEndpoint bound this origin's connections
-	// to one endpoint.
+	// to one endpoint. The idle ones of all daemons plus the endpoint's slots
+	// must stay below the connections that the endpoint accepts.
 	ConnsPerEndpoint     int
 	IdleConnsPerEndpoint int
 }
@@ -118,6 +119,8 @@
 	maxAnswerHeaderBytes = 32 << 10
 	// maxAttempts bounds the attempts of one request.
 	maxAttempts = 4
+	// maxJoins bounds how often a call waits for another attempt of its id.
+	maxJoins = 4
 )
 
 // Retry is the policy for further attempts of one request.
--- a/dispatch/record/doc.go
+++ b/dispatch/record/doc.go
@@ -30,8 +30,9 @@
 // them there; the peer serves only the first incarnation that asks, and only
 // for half a Retention. So the memory of a daemon stands in one place at a
 // time: an incarnation in between either claimed it, or abstains until no claim
-// is possible any more. After a claim, the new incarnation votes at once and
-// decides on the ids of the former homes.
+// is possible any more. After a claim, the new incarnation decides on the ids of
+// the former homes and votes as the former one did: what an incarnation before
+// lost stays lost, so the rest of an abstention is handed over too.
 //
 // # What "not run" promises
 //
--- a/dispatch/record/estate.go
+++ b/dispatch/record/estate.go
@@ -48,13 +48,16 @@
 type Part struct {
 	Home    *HandedHome   `cbor:"1,keyasint,omitempty"`
 	Entries []HandedEntry `cbor:"2,keyasint,omitempty"`
+	// AbstainLeft is how long the keeper of ids in the callers' own form must
+	// still abstain: what an incarnation before lost stays lost.
+	AbstainLeft time.Duration `cbor:"3,keyasint,omitempty"`
 }
 
-// export returns the keeper's entries in parts, at least one if home is set.
+// export returns the keeper's entries in parts, at least one.
 func (k *Keeper) export(home *HandedHome, now time.Time) []Part {
 	k.expire(now)
 	var parts []Part
-	part := Part{Home: home}
+	part := Part{Home: home, AbstainLeft: max(0, k.abstainUntil.Sub(now))}
 	bytes := 0
 	for el := k.order.Front(); el != nil; el = el.Next() {
 		h := el.Value.(*entry).hand(now)
@@ -68,10 +71,7 @@
 			bytes = 0
 		}
 	}
-	if len(part.Entries) > 0 || home != nil {
-		parts = append(parts, part)
-	}
-	return parts
+	return append(parts, part)
 }
 
 func (e *entry) hand(now time.Time) HandedEntry {
@@ -89,24 +89,46 @@
 	return h
 }
 
-// adopt takes over entries of a former incarnation. They are older than what
-// this keeper recorded while it abstained, and replace it.
+// adopt takes over entries of a former incarnation.
 func (k *Keeper) adopt(entries []HandedEntry, now time.Time) {
 	for _, h := range entries {
 		e := k.entries[h.ID]
 		if e == nil {
-			e = k.add(h.ID, h.Token, h.Digest, entryState(h.State), now)
-		}
-		k.dropAnswer(e)
-		e.token, e.digest, e.state = h.Token, h.Digest, entryState(h.State)
-		e.until = now.Add(h.HoldLeft)
-		// Entries are ordered by expiry, so a handed one gets the full retention.
-		if h.Refused {
-			e.refused = now.Add(-h.RefusedAgo)
-		}
-		if h.Answer != nil {
-			k.keep(e, h.Answer)
+			e = k.add(h.ID, h.Token, h.Digest, entryReleased, now)
 		}
+		k.merge(e, h, now)
+	}
+}
+
+// merge joins what was handed over with what this incarnation recorded since
+// its start. The state that permits less wins. Of two running tokens the handed
+// one holds the vote, since this incarnation gave none while it abstained.
+func (k *Keeper) merge(e *entry, h HandedEntry, now time.Time) {
+	if refused := now.Add(-h.RefusedAgo); h.Refused && refused.After(e.refused) {
+		e.refused = refused
+	}
+	if strength(entryState(h.State)) < strength(e.state) {
+		return
+	}
+	k.dropAnswer(e)
+	e.token, e.digest, e.state = h.Token, h.Digest, entryState(h.State)
+	e.until = now.Add(h.HoldLeft)
+	if h.Answer != nil {
+		k.keep(e, h.Answer)
+	}
+}
+
+// strength orders states by how little they permit.
+func strength(s entryState) int {
+	switch s {
+	case entryReleased:
+		return 0
+	case entryRunning:
+		return 1
+	case entryUnknown:
+		return 2
+	default:
+		return 3
 	}
 }
 
@@ -118,8 +140,10 @@
 
 // adoptHome returns the home that a former incarnation handed over, without entries.
 func adoptHome(handed *HandedHome, cfg KeeperConfig) *Home {
+	var secret [secretBytes]byte
+	copy(secret[:], handed.Secret)
 	h := NewHome(handed.Home, cfg)
-	copy(h.minter.secret[:], handed.Secret)
+	h.minter = newMinterWith(handed.Home, secret)
 	h.counter = handed.Counter
 	h.watermark = handed.Watermark
 	return h
--- a/dispatch/record/handover.go
+++ b/dispatch/record/handover.go
@@ -175,8 +175,8 @@
 	return InheritReply{Found: true, Last: r.Index == len(e.parts)-1, Part: e.parts[r.Index]}
 }
 
-// Inherit claims what the former incarnation of this daemon handed over, and
-// ends the abstention. Call it once, after the start and SetMembers; without it,
+// Inherit claims what the former incarnation of this daemon handed over. The
+// daemon abstains no longer than that one would have. Call it once, after the start and SetMembers; without it,
 // or when it fails, the daemon abstains for the retention as after a crash.
 func (s *Service) Inherit(ctx context.Context, peers HandOverPeers) error {
 	for _, daemon := range s.members.copies(s.cfg.Self.Name, s.cfg.Self.Name, maxHeirs) {
@@ -237,9 +237,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
+	s.keeper.abstainUntil = time.Time{}
 	for _, p := range parts {
 		if p.Home == nil {
 			s.keeper.adopt(p.Entries, now)
+			s.keeper.abstainFor(p.AbstainLeft, now)
 			continue
 		}
 		h := s.former[p.Home.Home]
@@ -250,5 +252,4 @@
 		}
 		h.keeper.adopt(p.Entries, now)
 	}
-	s.keeper.abstainUntil = time.Time{}
 }
--- a/dispatch/record/id.go
+++ b/dispatch/record/id.go
@@ -5,6 +5,7 @@
 	"crypto/rand"
 	"crypto/sha256"
 	"encoding/base32"
+	"hash"
 	"strconv"
 	"strings"
 
@@ -23,7 +24,8 @@
 	KindHanded Kind = 'h'
 	// KindOwn ids were given by an origin to a request without an id. Only that
 	// origin starts them, within the same call, so no record of them is needed:
-	// a resend of one is always answered as unknown.
+	// a resend of one is always answered as unknown. Guessing one gains nothing,
+	// so they carry no tag.
 	KindOwn Kind = 'a'
 )
 
@@ -36,7 +38,7 @@
 var tagEncoding = base32.NewEncoding("abcdefghijklmnopqrstuvwxyz234567").WithPadding(base32.NoPadding)
 
 // ID is a parsed id of the home form
-// "<zone>.<daemon>-<incarnation>.<kind><counter>-<tag>".
+// "<zone>.<daemon>-<incarnation>.<kind><counter>[-<tag>]".
 type ID struct {
 	Zone        string
 	Daemon      string
@@ -78,8 +80,8 @@
 	if id.Kind != KindHanded && id.Kind != KindOwn {
 		return false
 	}
-	counter, tag, ok := strings.Cut(unique[1:], "-")
-	if !ok || len(tag) != tagBytes {
+	counter, tag, tagged := strings.Cut(unique[1:], "-")
+	if tagged != (id.Kind == KindHanded) || tagged && len(tag) != tagBytes {
 		return false
 	}
 	n, err := strconv.ParseUint(counter, counterBase, 64)
@@ -118,27 +120,36 @@
 }
 
 // minter makes and verifies the ids of one daemon incarnation. The tag keeps
-// callers from guessing the ids of others.
+// callers from guessing the ids of others. It is not safe for concurrent use.
 type minter struct {
 	prefix string // "<zone>.<daemon>-<incarnation>."
 	secret [secretBytes]byte
+	mac    hash.Hash
 }
 
 func newMinter(home string) *minter {
-	m := &minter{prefix: home + "."}
+	var secret [secretBytes]byte
 	// crypto/rand.Read never fails; it ends the process instead.
-	_, _ = rand.Read(m.secret[:])
-	return m
+	_, _ = rand.Read(secret[:])
+	return newMinterWith(home, secret)
+}
+
+func newMinterWith(home string, secret [secretBytes]byte) *minter {
+	return &minter{prefix: home + ".", secret: secret, mac: hmac.New(sha256.New, secret[:])}
 }
 
 func (m *minter) mint(kind Kind, counter uint64) string {
 	var buf [24]byte
 	unique := append(buf[:0], byte(kind))
 	unique = strconv.AppendUint(unique, counter, counterBase)
+	if kind == KindOwn {
+		return m.prefix + string(unique)
+	}
 	tag := m.tag(unique)
 	return m.prefix + string(unique) + "-" + tag
 }
 
+// verify reports whether the minter made a handed-out id.
 func (m *minter) verify(id ID) bool {
 	var buf [24]byte
 	unique := append(buf[:0], byte(id.Kind))
@@ -147,8 +158,8 @@
 }
 
 func (m *minter) tag(unique []byte) string {
-	mac := hmac.New(sha256.New, m.secret[:])
-	mac.Write(unique)
+	m.mac.Reset()
+	m.mac.Write(unique)
 	var sum [sha256.Size]byte
-	return tagEncoding.EncodeToString(mac.Sum(sum[:0]))[:tagBytes]
+	return tagEncoding.EncodeToString(m.mac.Sum(sum[:0]))[:tagBytes]
 }
--- a/dispatch/record/keeper.go
+++ b/dispatch/record/keeper.go
@@ -97,6 +97,13 @@
 	}
 }
 
+// abstainFor makes the keeper abstain for d from now, or longer if it already does.
+func (k *Keeper) abstainFor(d time.Duration, now time.Time) {
+	if until := now.Add(d); d > 0 && until.After(k.abstainUntil) {
+		k.abstainUntil = until
+	}
+}
+
 // Len returns the number of ids remembered.
 func (k *Keeper) Len() int { return len(k.entries) }
 
--- a/dispatch/record/message_test.go
+++ b/dispatch/record/message_test.go
@@ -19,7 +19,7 @@
 	part := Part{Home: home, Entries: []HandedEntry{{
 		ID: "x", Token: token, Digest: digest, State: 2, Answer: answer,
 		Refused: true, RefusedAgo: 1, HoldLeft: 2, Left: 3,
-	}}}
+	}}, AbstainLeft: time.Second}
 	messages := []any{
 		BeginRequest{ID: "x", Token: token, Digest: digest, Hold: time.Second},
 		BeginReply{Verdict: Answered, Holder: token, Answer: answer, Refused: true, RefusedAgo: 4},
--- a/dispatch/record/random_test.go
+++ b/dispatch/record/random_test.go
@@ -54,7 +54,8 @@
 		seed := rapid.Uint64().Draw(rt, "seed")
 		home := rapid.Bool().Draw(rt, "home")
 		quiet := rapid.Bool().Draw(rt, "quiet")
-		s := simulate(t, seed, variant{}, home, quiet)
+		churn := rapid.Bool().Draw(rt, "churn")
+		s := simulate(t, seed, variant{churn: churn}, home, quiet)
 		if len(s.breaches) > 0 {
 			rt.Fatalf("breaches: %v", s.breaches)
 		}
@@ -80,6 +81,7 @@
 		{"home forgets its watermark", variant{forgetsWatermark: true, maxEntries: 2}, true},
 		{"records are used after the hand-over, home ids", variant{unsealed: true}, true},
 		{"records are used after the hand-over, own ids", variant{unsealed: true}, false},
+		{"a hand-over ends the abstention", variant{endsAbstention: true, churn: true}, false},
 		{"refusals are ignored, home ids", variant{ignoresRefusals: true}, true},
 		{"refusals are ignored, own ids", variant{ignoresRefusals: true}, false},
 	}
--- a/dispatch/record/serve.go
+++ b/dispatch/record/serve.go
@@ -155,21 +155,24 @@
 	}
 }
 
-// Await waits up to d for the answer of a request that another token is
-// running. It returns nil if the outcome stays unknown.
-func (s *Service) Await(ctx context.Context, c *Claim, d time.Duration) *Answer {
+// Await waits up to d for the end of a request that another token is running.
+// The verdict is Answered, Absent if that token ended without running, so that
+// the claim may begin again, or Unknown.
+func (s *Service) Await(ctx context.Context, c *Claim, d time.Duration) Decision {
 	deadline := time.Now().Add(d)
 	for _, daemon := range s.deciders(c.ID) {
 		r := LookupRequest{ID: c.ID, Digest: c.Digest, Wait: max(0, time.Until(deadline))}
 		reply, err := s.lookup(ctx, daemon, r)
-		if err == nil && reply.Verdict == Answered {
-			return reply.Answer
-		}
-		if ctx.Err() != nil {
-			return nil
+		switch {
+		case err == nil && reply.Verdict == Answered:
+			return Decision{Verdict: Answered, Answer: reply.Answer}
+		case err == nil && reply.Verdict == Absent:
+			return Decision{Verdict: Absent}
+		case ctx.Err() != nil:
+			return Decision{Verdict: Unknown}
 		}
 	}
-	return nil
+	return Decision{Verdict: Unknown}
 }
 
 func (s *Service) deciders(id string) []string {
--- a/dispatch/record/service_test.go
+++ b/dispatch/record/service_test.go
@@ -83,6 +83,10 @@
 		}
 		err := home.service.Inherit(context.Background(), simPeers{sim: s, from: home})
 		s.start(home)
+		if s.restart(home); !home.service.Stats().Abstaining {
+			t.Fatal("votes although an incarnation before lost its records")
+		}
+		s.start(home)
 		heir := home.service.Inherit(context.Background(), simPeers{sim: s, from: home})
 		if err != nil || !errors.Is(heir, ErrNoEstate) {
 			t.Fatalf("same incarnation again: %v; another incarnation: %v", err, heir)
@@ -160,8 +164,8 @@
 				n.service.OriginGone(dispatch.DaemonID{Name: "d0", Incarnation: "i1"})
 			}
 		}()
-		if a := s.nodes[1].service.Await(context.Background(), claimFor("mine", "x"), time.Minute); a != nil {
-			t.Fatalf("answer %v", a)
+		if d := s.nodes[1].service.Await(context.Background(), claimFor("mine", "x"), time.Minute); d.Verdict != Unknown {
+			t.Fatalf("verdict %d", d.Verdict)
 		}
 		if waited := time.Since(start); waited > 10*time.Second {
 			t.Fatalf("waited %s", waited)
@@ -215,7 +219,7 @@
 
 // FuzzParseID checks that what parses is rebuilt exactly from its parts.
 func FuzzParseID(f *testing.F) {
-	for _, s := range []string{"za.d-1-i1.h1z-abcdefghij", "mine", "a.b-c.d", "..-.h0-", "z.d-.h1-aaaaaaaaaa", "z.-i.h1-aaaaaaaaaa"} {
+	for _, s := range []string{"za.d-1-i1.h1z-abcdefghij", "mine", "a.b-c.d", "..-.h0-", "z.d-.h1-aaaaaaaaaa", "z.-i.h1-aaaaaaaaaa", "z.d-i.a1", "z.d-i.a1-aaaaaaaaaa"} {
 		f.Add(s)
 	}
 	m := newMinter("z.d-i")
@@ -225,7 +229,7 @@
 			return
 		}
 		rebuilt := id.Home() + "." + m.mint(id.Kind, id.Counter)[len(m.prefix):]
-		if cut := len(rebuilt) - tagBytes; rebuilt[:cut]+id.Tag != s {
+		if cut := len(rebuilt) - len(id.Tag); rebuilt[:cut]+id.Tag != s {
 			t.Fatalf("%q was parsed as %+v", s, id)
 		}
 		if m.verify(id) && id.Home() == "z.d-i" {
--- a/dispatch/record/sim_test.go
+++ b/dispatch/record/sim_test.go
@@ -35,8 +35,13 @@
 	forgetsWatermark   bool
 	ignoresRefusals    bool
 	maxEntries         int
+	// churn runs three daemons that are killed or restarted about twice a
+	// second, and never cut off.
+	churn bool
 	// unsealed lets a daemon go on deciding after it handed over.
 	unsealed bool
+	// endsAbstention lets a hand-over end the abstention of its giver.
+	endsAbstention bool
 }
 
 // simNode is one daemon of the simulation; incarnations replace its service.
@@ -54,6 +59,7 @@
 	mu      sync.Mutex
 	rng     *rand.Rand
 	nodes   []*simNode
+	members []Member
 	cut     map[string]bool // zones cut off
 	runs    map[string]int
 	// ranFor is when the attempt that ran an id arrived.
@@ -76,7 +82,14 @@
 		variant: v, rng: rand.New(rand.NewPCG(seed, seed)), cut: map[string]bool{},
 		runs: map[string]int{}, ranFor: map[string]time.Time{}, covered: map[string]time.Time{},
 	}
-	for i := range 5 {
+	count := 5
+	if v.churn {
+		count = 3
+	}
+	for i := range count {
+		s.members = append(s.members, Member{Name: fmt.Sprintf("d%d", i), Zone: simZones[i%len(simZones)]})
+	}
+	for i := range count {
 		n := &simNode{name: fmt.Sprintf("d%d", i), zone: simZones[i%len(simZones)]}
 		s.nodes = append(s.nodes, n)
 		s.start(n)
@@ -97,14 +110,7 @@
 	n.service.keeper.votesWithoutMemory = s.variant.votesWithoutMemory
 	n.service.home.forgetsWatermark = s.variant.forgetsWatermark
 	n.service.ignoresRefusals = s.variant.ignoresRefusals
-	var members []Member
-	for _, m := range s.nodes {
-		members = append(members, Member{Name: m.name, Zone: m.zone})
-	}
-	for i := len(s.nodes); i < 5; i++ {
-		members = append(members, Member{Name: fmt.Sprintf("d%d", i), Zone: simZones[i%len(simZones)]})
-	}
-	n.service.SetMembers(members)
+	n.service.SetMembers(s.members)
 }
 
 func (s *sim) intn(n int) int {
@@ -225,6 +231,11 @@
 		s.mu.Unlock()
 	}
 	if service.Inherit(context.Background(), peers) == nil {
+		if s.variant.endsAbstention {
+			service.mu.Lock()
+			service.keeper.abstainUntil = time.Time{}
+			service.mu.Unlock()
+		}
 		s.mu.Lock()
 		s.inherited++
 		s.mu.Unlock()
@@ -289,12 +300,33 @@
 	case Superseded:
 		s.saidNotRun(id, c.Received)
 	case Running:
-		s.told(id, service.Await(context.Background(), c, 10*time.Second))
+		d = service.Await(context.Background(), c, 10*time.Second)
+		if d.Verdict == Absent {
+			s.again(service, c, alive)
+			return
+		}
+		s.told(id, d.Answer)
 	default:
 		s.told(id, d.Answer)
 	}
 }
 
+// again begins once more after the attempt that was waited for did not run.
+func (s *sim) again(service *Service, c *Claim, alive func() bool) {
+	d := service.Begin(context.Background(), c)
+	if !alive() {
+		return
+	}
+	switch d.Verdict {
+	case Proceed:
+		s.proceed(service, c, alive)
+	case Superseded:
+		s.saidNotRun(c.ID, c.Received)
+	default:
+		s.told(c.ID, d.Answer)
+	}
+}
+
 func (s *sim) told(id string, a *Answer) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -337,10 +369,14 @@
 
 // faults kills daemons, which restart without memory, and cuts zones off.
 func (s *sim) faults(until time.Time) {
+	pause, kinds := 4*time.Second, 4
+	if s.variant.churn {
+		pause, kinds = time.Second, 2
+	}
 	for time.Now().Before(until) {
-		time.Sleep(s.upTo(4 * time.Second))
+		time.Sleep(s.upTo(pause))
 		n := s.nodes[s.intn(len(s.nodes))]
-		switch s.intn(4) {
+		switch s.intn(kinds) {
 		case 0:
 			s.mu.Lock()
 			s.start(n)
