--- a/dispatch/record/estate.go
+++ b/dispatch/record/estate.go
@@ -60,7 +60,7 @@
 	part := Part{Home: home, AbstainLeft: max(0, k.abstainUntil.Sub(now))}
 	bytes := 0
 	for el := k.order.Front(); el != nil; el = el.Next() {
-		h := el.Value.(*entry).hand(now)
+		h := k.hand(el.Value.(*entry), now)
 		if h.Answer != nil {
 			bytes += h.Answer.Size()
 		}
@@ -74,17 +74,21 @@
 	return append(parts, part)
 }
 
-func (e *entry) hand(now time.Time) HandedEntry {
+func (k *Keeper) hand(e *entry, now time.Time) HandedEntry {
+	at := k.at(now)
 	h := HandedEntry{
-		ID: e.id, Token: e.token, Digest: e.digest, State: uint8(e.state),
-		HoldLeft: e.until.Sub(now), Left: e.expiry.Sub(now),
+		ID: e.id, Token: e.token(), State: uint8(e.state),
+		HoldLeft: time.Duration(e.until - at), Left: time.Duration(e.expiry - at),
+	}
+	if e.hasDigest {
+		h.Digest = e.digest[:]
 	}
 	if e.answer != nil && e.answer.Size() <= maxHandedAnswer {
 		h.Answer = e.answer
 	}
-	if !e.refused.IsZero() {
+	if e.refused != never {
 		h.Refused = true
-		h.RefusedAgo = now.Sub(e.refused)
+		h.RefusedAgo = time.Duration(at - e.refused)
 	}
 	return h
 }
@@ -104,15 +108,17 @@
 // its start. The state that permits less wins. Of two running tokens the handed
 // one holds the vote, since this incarnation gave none while it abstained.
 func (k *Keeper) merge(e *entry, h HandedEntry, now time.Time) {
-	if refused := now.Add(-h.RefusedAgo); h.Refused && refused.After(e.refused) {
-		e.refused = refused
+	if h.Refused {
+		e.refused = max(e.refused, k.at(now.Add(-h.RefusedAgo)), never+1)
 	}
 	if strength(entryState(h.State)) < strength(e.state) {
 		return
 	}
 	k.dropAnswer(e)
-	e.token, e.digest, e.state = h.Token, h.Digest, entryState(h.State)
-	e.until = now.Add(h.HoldLeft)
+	e.state = entryState(h.State)
+	e.setToken(h.Token)
+	e.setDigest(h.Digest)
+	e.until = k.at(now.Add(h.HoldLeft))
 	if h.Answer != nil {
 		k.keep(e, h.Answer)
 	}
--- a/dispatch/record/keeper.go
+++ b/dispatch/record/keeper.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"container/list"
 	"time"
+	"unique"
 
 	"magnoliastand.example/dispatch"
 )
@@ -14,7 +15,7 @@
 	ResendWindow = 10 * time.Minute
 	// DefaultRetention exceeds ResendWindow by the longest delay of a resend in transit.
 	DefaultRetention      = 12 * time.Minute
-	DefaultMaxEntries     = 100_000
+	DefaultMaxEntries     = 200_000
 	DefaultMaxAnswerBytes = 8 << 20
 	DefaultMaxAnswer      = 64 << 10
 )
@@ -50,26 +51,51 @@
 	entryReleased
 )
 
+// instant is a time on a keeper's clock, in nanoseconds since its first use; it
+// takes a third of the memory of a time.Time. Never is the zero value.
+type instant int64
+
+const never instant = 0
+
+// entry is one remembered id. There are many of them, so it is kept small.
 type entry struct {
-	id      string
-	token   Token
-	digest  Digest
-	state   entryState
-	answer  *Answer
-	refused time.Time // when "not run" was last said; zero if never
-	until   time.Time // a running token must have finished by then
-	expiry  time.Time
-	kept    *list.Element // place among kept answers; nil if there is no answer
+	id     string
+	origin unique.Handle[dispatch.DaemonID]
+	seq    uint64
+	digest [DigestBytes]byte
+	// hasDigest is false until the content of the request is known.
+	hasDigest bool
+	state     entryState
+	answer    *Answer
+	refused   instant // when "not run" was last said
+	until     instant // a running token must have finished by then
+	expiry    instant
+	kept      *list.Element // place among kept answers; nil if there is no answer
+}
+
+func (e *entry) token() Token { return Token{Origin: e.origin.Value(), Seq: e.seq} }
+
+func (e *entry) setToken(t Token) {
+	e.origin = unique.Make(t.Origin)
+	e.seq = t.Seq
+}
+
+func (e *entry) holds(t Token) bool { return e.seq == t.Seq && e.origin.Value() == t.Origin }
+
+func (e *entry) setDigest(d Digest) {
+	e.hasDigest = len(d) == DigestBytes
+	copy(e.digest[:], d)
 }
 
 func (e *entry) matches(d Digest) bool {
-	return e.digest == nil || d == nil || bytes.Equal(e.digest, d)
+	return !e.hasDigest || d == nil || bytes.Equal(e.digest[:], d)
 }
 
 // Keeper remembers which token was permitted to start each id, and answers for
 // a while. It is pure: time is passed in. It is not safe for concurrent use.
 type Keeper struct {
-	cfg KeeperConfig
+	cfg  KeeperConfig
+	base time.Time // origin of instants; set at first use
 	// abstainUntil is the end of the abstention of a keeper whose former
 	// incarnation may have permitted starts that this one does not know.
 	abstainUntil time.Time
@@ -104,6 +130,14 @@
 	}
 }
 
+// at returns now on the keeper's clock, which starts at 1 so as to differ from never.
+func (k *Keeper) at(now time.Time) instant {
+	if k.base.IsZero() {
+		k.base = now
+	}
+	return instant(now.Sub(k.base)) + 1
+}
+
 // Len returns the number of ids remembered.
 func (k *Keeper) Len() int { return len(k.entries) }
 
@@ -120,7 +154,7 @@
 			return BeginReply{Verdict: Abstain}
 		}
 		e = k.add(r.ID, r.Token, r.Digest, entryRunning, now)
-		e.until = now.Add(r.Hold)
+		e.until = k.at(now.Add(r.Hold))
 		return k.permit(e, now)
 	}
 	if !e.matches(r.Digest) {
@@ -146,25 +180,25 @@
 }
 
 func (k *Keeper) beginRunning(e *entry, r BeginRequest, now time.Time) BeginReply {
-	if e.token == r.Token {
+	if e.holds(r.Token) {
 		return k.permit(e, now)
 	}
-	if now.After(e.until) {
+	if k.at(now) > e.until {
 		e.state = entryUnknown
 		return BeginReply{Verdict: Unknown}
 	}
-	return BeginReply{Verdict: Running, Holder: e.token}
+	return BeginReply{Verdict: Running, Holder: e.token()}
 }
 
 func (k *Keeper) beginReleased(e *entry, r BeginRequest, now time.Time) BeginReply {
-	if e.token == r.Token {
+	if e.holds(r.Token) {
 		return BeginReply{Verdict: Superseded}
 	}
-	e.token = r.Token
+	e.setToken(r.Token)
 	e.state = entryRunning
-	e.until = now.Add(r.Hold)
-	if e.digest == nil {
-		e.digest = r.Digest
+	e.until = k.at(now.Add(r.Hold))
+	if !e.hasDigest {
+		e.setDigest(r.Digest)
 	}
 	return k.permit(e, now)
 }
@@ -173,10 +207,10 @@
 	if now.Before(k.abstainUntil) && !k.votesWithoutMemory {
 		return BeginReply{Verdict: Abstain}
 	}
-	reply := BeginReply{Verdict: Proceed, Holder: e.token}
-	if !e.refused.IsZero() {
+	reply := BeginReply{Verdict: Proceed, Holder: e.token()}
+	if e.refused != never {
 		reply.Refused = true
-		reply.RefusedAgo = now.Sub(e.refused)
+		reply.RefusedAgo = time.Duration(k.at(now) - e.refused)
 	}
 	return reply
 }
@@ -187,7 +221,7 @@
 	e := k.entries[r.ID]
 	switch r.Result {
 	case ResultNotRun, ResultWithdrawn:
-		return release(e, r, now)
+		return k.release(e, r, now)
 	case ResultAnswered:
 		return k.finishAnswered(e, r, now)
 	default:
@@ -195,13 +229,13 @@
 	}
 }
 
-func release(e *entry, r FinishRequest, now time.Time) bool {
-	if e == nil || e.state != entryRunning || e.token != r.Token {
+func (k *Keeper) release(e *entry, r FinishRequest, now time.Time) bool {
+	if e == nil || e.state != entryRunning || !e.holds(r.Token) {
 		return false
 	}
 	e.state = entryReleased
 	if r.Result == ResultNotRun {
-		e.refused = now
+		e.refused = k.at(now)
 	}
 	return true
 }
@@ -217,7 +251,7 @@
 		return false
 	}
 	e.state = entryAnswered
-	e.token = r.Token
+	e.setToken(r.Token)
 	if r.Answer != nil && r.Answer.Size() <= k.cfg.MaxAnswer {
 		k.keep(e, r.Answer)
 	}
@@ -249,7 +283,7 @@
 		return LookupReply{Verdict: Mismatch}
 	}
 	switch {
-	case e.state == entryRunning && !now.After(e.until):
+	case e.state == entryRunning && k.at(now) <= e.until:
 		return LookupReply{Verdict: Running}
 	case e.state == entryAnswered && e.answer != nil:
 		return LookupReply{Verdict: Answered, Answer: e.answer}
@@ -262,8 +296,9 @@
 // returns the ids.
 func (k *Keeper) OriginGone(origin dispatch.DaemonID) []string {
 	var ids []string
+	handle := unique.Make(origin)
 	for id, e := range k.entries {
-		if e.state == entryRunning && e.token.Origin == origin {
+		if e.state == entryRunning && e.origin == handle {
 			e.state = entryUnknown
 			ids = append(ids, id)
 		}
@@ -272,7 +307,9 @@
 }
 
 func (k *Keeper) add(id string, t Token, d Digest, s entryState, now time.Time) *entry {
-	e := &entry{id: id, token: t, digest: d, state: s, expiry: now.Add(k.cfg.Retention)}
+	e := &entry{id: id, state: s, expiry: k.at(now.Add(k.cfg.Retention))}
+	e.setToken(t)
+	e.setDigest(d)
 	k.entries[id] = e
 	k.order.PushBack(e)
 	return e
@@ -301,11 +338,11 @@
 func (k *Keeper) expire(now time.Time) {
 	for front := k.order.Front(); front != nil; front = k.order.Front() {
 		e := front.Value.(*entry)
-		if now.Before(e.expiry) {
+		if k.at(now) < e.expiry {
 			return
 		}
-		if e.state == entryRunning && now.Before(e.until) {
-			e.expiry = now.Add(k.cfg.Retention)
+		if e.state == entryRunning && k.at(now) < e.until {
+			e.expiry = k.at(now.Add(k.cfg.Retention))
 			k.order.MoveToBack(front)
 			continue
 		}
