Requests wait for a restarting home; heirs ask until peers reply

Cause: a home that restarts gave no word for about a second, in which its ids were answered as unknown though they had not run. The daemon claims its records before its links stand, and then abstained for 12 minutes. Weighed: Begin is idempotent for a token, so it is repeated for up to 3 s; a new incarnation gives no word on ids of former ones until its claim is decided. Also: the queue is looked up again before dispatch; the hand-over waits for reports under way. Conclusion: an orderly restart costs a wait, no unknown.

--- a/dispatch/origin/call.go
+++ b/dispatch/origin/call.go
@@ -168,6 +168,11 @@
 // of the same request runs, it waits for its end; one that ended without running
 // leaves the id to this call, so it asks again.
 func (c *call) begin(ctx context.Context) record.Decision {
+	if c.claim.Own {
+		return c.o.cfg.Records.Begin(ctx, &c.claim)
+	}
+	ctx, cancel := context.WithDeadline(ctx, c.deadline)
+	defer cancel()
 	for range maxJoins {
 		d := c.o.cfg.Records.Begin(ctx, &c.claim)
 		if d.Verdict != record.Running {
--- a/dispatch/origin/problem.go
+++ b/dispatch/origin/problem.go
@@ -55,6 +55,11 @@
 	return p
 }
 
+func queueChanged() *api.Problem {
+	return api.NewProblem(http.StatusServiceUnavailable, api.CodeUnavailable, api.RunNot,
+		"the queue is no longer idempotent; send the request again")
+}
+
 func keyInvalid(detail string) *api.Problem {
 	return api.NewProblem(http.StatusUnauthorized, api.CodeKeyInvalid, api.RunNot, detail)
 }
--- a/dispatch/origin/run.go
+++ b/dispatch/origin/run.go
@@ -145,14 +145,21 @@
 	if !time.Now().Before(c.deadline) {
 		return &problemError{deadlinePassed("the deadline passed before the request was sent")}
 	}
-	team, p := c.o.authorize(c.queue, c.r.Key)
+	queue, ok := c.o.cfg.Control.Queue(c.r.Queue)
+	if !ok {
+		return &problemError{unknownQueue(c.r.Queue)}
+	}
+	if c.claim.Idempotent && !queue.Queue.Idempotent {
+		return &problemError{queueChanged()}
+	}
+	team, p := c.o.authorize(queue, c.r.Key)
 	if p != nil {
 		return &problemError{p}
 	}
 	if team != c.team {
 		return &problemError{keyInvalid("the team key changed its team meanwhile")}
 	}
-	invariant.Check(c.queue.Queue.Open || c.team != "", invariant.KeyedWork,
+	invariant.Check(queue.Queue.Open || c.team != "", invariant.KeyedWork,
 		"request %s: dispatch to keyed queue %s without a team", c.claim.ID, c.r.Queue)
 	if err := c.tracker.Apply(request.Send); err != nil {
 		return err
--- a/dispatch/record/handover.go
+++ b/dispatch/record/handover.go
@@ -69,6 +69,7 @@
 // At most one peer may hold the whole: once the last part was sent to a peer,
 // no other is tried, whatever the reply.
 func (s *Service) HandOver(ctx context.Context, peers HandOverPeers) error {
+	s.flush(ctx)
 	parts := s.seal()
 	ctx, cancel := context.WithTimeout(ctx, s.cfg.Keeper.Retention/(2*handOverWindow))
 	defer cancel()
@@ -81,11 +82,26 @@
 	return ErrNoHeir
 }
 
+// flush waits for the reports of finished requests that are under way.
+func (s *Service) flush(ctx context.Context) {
+	done := make(chan struct{})
+	go func() {
+		s.finishing.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
+
 const (
 	// maxHeirs bounds the peers that are tried.
 	maxHeirs = 5
 	// inheritTries bounds how often one part is asked for.
 	inheritTries = 3
+	// inheritPause is the time between asking silent peers again.
+	inheritPause = 250 * time.Millisecond
 )
 
 func (s *Service) seal() []Part {
@@ -176,32 +192,57 @@
 }
 
 // Inherit claims what the former incarnation of this daemon handed over. The
-// daemon abstains no longer than that one would have. Call it once, after the start and SetMembers; without it,
-// or when it fails, the daemon abstains for the retention as after a crash.
+// daemon abstains no longer than that one would have. Call it once, after the
+// start and SetMembers; without it, or when it fails, the daemon abstains for
+// the retention as after a crash. It asks until every candidate replied, ctx
+// ended, or hand-overs can be claimed no longer.
 func (s *Service) Inherit(ctx context.Context, peers HandOverPeers) error {
-	for _, daemon := range s.members.copies(s.cfg.Self.Name, s.cfg.Self.Name, maxHeirs) {
-		parts, err := s.claim(ctx, peers, daemon)
-		if err != nil {
+	defer s.endInheritance()
+	ctx, cancel := context.WithTimeout(ctx, s.cfg.Keeper.Retention/handOverWindow)
+	defer cancel()
+	candidates := s.members.copies(s.cfg.Self.Name, s.cfg.Self.Name, maxHeirs)
+	for {
+		parts, silent, err := s.claimFromAny(ctx, peers, candidates)
+		switch {
+		case err != nil:
 			return err
-		}
-		if parts != nil {
+		case parts != nil:
 			s.adopt(parts)
 			return nil
+		case len(silent) == 0 || !sleep(ctx, inheritPause):
+			return ErrNoEstate
 		}
+		candidates = silent
 	}
-	return ErrNoEstate
 }
 
-// claim returns all parts that a peer holds, or nil if it holds none or cannot
-// be reached. After the first part an error ends the claim for good.
-func (s *Service) claim(ctx context.Context, peers HandOverPeers, daemon string) ([]Part, error) {
-	reply, err := s.inherit(ctx, peers, daemon, 0)
-	if err != nil || !reply.Found {
-		// A peer that cannot be reached, or holds nothing, leaves the others to ask.
-		return nil, ctx.Err()
+// claimFromAny returns the parts of the first candidate that holds some, or the
+// candidates that gave no reply.
+func (s *Service) claimFromAny(ctx context.Context, peers HandOverPeers, candidates []string) (parts []Part, silent []string, err error) {
+	for _, daemon := range candidates {
+		first, err := s.inherit(ctx, peers, daemon, 0)
+		switch {
+		case err != nil:
+			silent = append(silent, daemon)
+		case first.Found:
+			parts, err := s.claimRest(ctx, peers, daemon, first)
+			return parts, nil, err
+		}
 	}
+	return nil, silent, nil
+}
+
+func (s *Service) endInheritance() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.inheritUntil = time.Time{}
+}
+
+// claimRest claims the parts after the first. An error ends the claim for good.
+func (s *Service) claimRest(ctx context.Context, peers HandOverPeers, daemon string, reply InheritReply) ([]Part, error) {
 	parts := []Part{reply.Part}
 	for !reply.Last {
+		var err error
 		reply, err = s.inherit(ctx, peers, daemon, len(parts))
 		if err != nil {
 			return nil, errors.Wrapf(err, "claim part %d from %s", len(parts), daemon)
--- a/dispatch/record/serve.go
+++ b/dispatch/record/serve.go
@@ -22,6 +22,9 @@
 	if h := s.homeFor(id); h != nil {
 		return h.Begin(id, r, now)
 	}
+	if id.Daemon == s.cfg.Self.Name && now.Before(s.inheritUntil) {
+		return BeginReply{Verdict: Abstain}
+	}
 	return BeginReply{Verdict: Unknown}
 }
 
--- a/dispatch/record/service.go
+++ b/dispatch/record/service.go
@@ -23,6 +23,14 @@
 const (
 	DefaultCallTimeout = 500 * time.Millisecond
 	DefaultMaxWaiters  = 1024
+	// DefaultPatience covers a restart.
+	DefaultPatience = 3 * time.Second
+	// inheritWindow bounds how long a new incarnation leaves open what became of
+	// ids of the former one.
+	inheritWindow = 5 * time.Second
+	// homePause is the time between asking a home twice; it doubles up to maxHomePause.
+	homePause    = 20 * time.Millisecond
+	maxHomePause = 320 * time.Millisecond
 	// copyCount is the number of peers that keep a copy of a small answer.
 	copyCount = 2
 	// finishLimit bounds the finish reports in flight; more are dropped, which
@@ -40,6 +48,9 @@
 	Keeper           KeeperConfig
 	// CallTimeout bounds one call to a peer.
 	CallTimeout time.Duration
+	// Patience bounds how long the home of an id is asked for its word on a
+	// request that must not run twice.
+	Patience time.Duration
 	// MaxWaiters bounds lookups that wait for a running request.
 	MaxWaiters int
 	Peers      Peers
@@ -58,6 +69,9 @@
 	copies *Keeper
 	// former holds the homes of earlier incarnations that handed over to this one.
 	former map[string]*Home
+	// inheritUntil is until when this daemon may still become the home of ids of
+	// former incarnations; zero once Inherit returned.
+	inheritUntil time.Time
 	// sealed tells that this daemon handed over and permits no start any more.
 	sealed bool
 	// held holds what stopped daemons handed over, until their successors claim it.
@@ -85,28 +99,33 @@
 	if cfg.CallTimeout == 0 {
 		cfg.CallTimeout = DefaultCallTimeout
 	}
+	if cfg.Patience == 0 {
+		cfg.Patience = DefaultPatience
+	}
 	if cfg.MaxWaiters == 0 {
 		cfg.MaxWaiters = DefaultMaxWaiters
 	}
 	if cfg.Keeper == (KeeperConfig{}) {
 		cfg.Keeper = DefaultKeeperConfig()
 	}
-	var abstain time.Time
+	var abstain, inherit time.Time
 	if !cfg.FirstIncarnation {
 		abstain = time.Now().Add(cfg.Keeper.Retention)
+		inherit = time.Now().Add(inheritWindow)
 	}
 	copies := NewKeeper(cfg.Keeper, time.Time{})
 	// Copies permit no start, so old ones may make room for new ones.
 	copies.evicted = func(string) {}
 	return &Service{
-		cfg:     cfg,
-		home:    NewHome(homeName(cfg.Zone, cfg.Self), cfg.Keeper),
-		keeper:  NewKeeper(cfg.Keeper, abstain),
-		copies:  copies,
-		former:  make(map[string]*Home),
-		held:    make(map[string]*heldEstate),
-		waiting: make(map[string]*waiters),
-		slots:   make(chan struct{}, finishLimit),
+		cfg:          cfg,
+		home:         NewHome(homeName(cfg.Zone, cfg.Self), cfg.Keeper),
+		keeper:       NewKeeper(cfg.Keeper, abstain),
+		copies:       copies,
+		former:       make(map[string]*Home),
+		inheritUntil: inherit,
+		held:         make(map[string]*heldEstate),
+		waiting:      make(map[string]*waiters),
+		slots:        make(chan struct{}, finishLimit),
 	}
 }
 
@@ -220,10 +239,10 @@
 	if c.Own {
 		return Decision{Verdict: Proceed}
 	}
-	d := s.decide(ctx, c)
 	if !c.Idempotent {
-		return d
+		return s.decide(ctx, c, s.cfg.Patience)
 	}
+	d := s.decide(ctx, c, 0)
 	switch d.Verdict {
 	case Unknown, NoQuorum:
 		return Decision{Verdict: Proceed, Earlier: true}
@@ -232,12 +251,17 @@
 	}
 }
 
-func (s *Service) decide(ctx context.Context, c *Claim) Decision {
+// decide decides on c. Patience bounds how long it tries to reach the home of an
+// id, which may be restarting.
+func (s *Service) decide(ctx context.Context, c *Claim, patience time.Duration) Decision {
 	id, ok := ParseID(c.ID)
 	if !ok {
 		return s.decideByKeepers(ctx, c)
 	}
-	return s.decideByHome(ctx, id, c)
+	if id.Daemon != s.cfg.Self.Name && !s.members.known(id.Daemon) {
+		return s.decideByCopies(ctx, id, c)
+	}
+	return s.decideByHome(ctx, id, c, patience)
 }
 
 func (s *Service) newToken(c *Claim) BeginRequest {
@@ -245,24 +269,33 @@
 	return BeginRequest{ID: c.ID, Token: c.token, Digest: c.Digest, Hold: c.Hold}
 }
 
-func (s *Service) decideByHome(ctx context.Context, id ID, c *Claim) Decision {
-	if id.Daemon != s.cfg.Self.Name && !s.members.known(id.Daemon) {
-		return s.decideByCopies(ctx, id, c)
-	}
+// decideByHome asks the home, again and again with the same token if it gives
+// no word: asking twice permits one start only.
+func (s *Service) decideByHome(ctx context.Context, id ID, c *Claim, patience time.Duration) Decision {
 	r := s.newToken(c)
-	reply, err := s.begin(ctx, id.Daemon, r)
-	if err != nil {
-		// The start may have been permitted, with only the reply lost.
-		_ = s.finishAt(ctx, id.Daemon, FinishRequest{ID: c.ID, Token: c.token, Result: ResultWithdrawn})
-		return s.decideByCopies(ctx, id, c)
+	ctx, cancel := context.WithTimeout(ctx, patience+s.cfg.CallTimeout)
+	defer cancel()
+	deadline := time.Now().Add(patience)
+	for pause := homePause; ; pause = min(2*pause, maxHomePause) {
+		reply, err := s.begin(ctx, id.Daemon, r)
+		if err == nil && reply.Verdict != Abstain {
+			return s.decideByReply(ctx, id, c, reply)
+		}
+		if time.Now().Add(pause).After(deadline) || !sleep(ctx, pause) {
+			break
+		}
 	}
+	// The start may have been permitted, with only the reply lost.
+	_ = s.finishAt(ctx, id.Daemon, FinishRequest{ID: c.ID, Token: c.token, Result: ResultWithdrawn})
+	return s.decideByCopies(context.WithoutCancel(ctx), id, c)
+}
+
+func (s *Service) decideByReply(ctx context.Context, id ID, c *Claim, reply BeginReply) Decision {
 	switch reply.Verdict {
 	case Proceed:
 		return s.proceedUnlessRefused(ctx, c, time.Now(), []BeginReply{reply})
 	case Unknown:
 		return s.decideByCopies(ctx, id, c)
-	case Abstain:
-		return Decision{Verdict: NoQuorum}
 	default:
 		return Decision{Verdict: reply.Verdict, Answer: reply.Answer}
 	}
@@ -301,7 +334,7 @@
 	if c.Own {
 		return true
 	}
-	d := s.decide(ctx, c)
+	d := s.decide(ctx, c, 0)
 	switch d.Verdict {
 	case Proceed:
 		s.Finish(ctx, c, ResultNotRun, nil)
--- a/dispatch/record/service_test.go
+++ b/dispatch/record/service_test.go
@@ -44,7 +44,7 @@
 		}
 		finish(home, c, ResultAnswered, "the answer")
 		begin(home, claimFor(lost, "x"))
-		s.start(home)
+		s.kill(home)
 		if d := begin(other, claimFor(answered, "x")); d.Verdict != Answered || string(d.Answer.Body) != "the answer" {
 			t.Fatalf("kept answer: verdict %d", d.Verdict)
 		}
@@ -82,11 +82,11 @@
 			t.Fatalf("handed out, not begun: verdict %d", d.Verdict)
 		}
 		err := home.service.Inherit(context.Background(), simPeers{sim: s, from: home})
-		s.start(home)
+		s.kill(home)
 		if s.restart(home); !home.service.Stats().Abstaining {
 			t.Fatal("votes although an incarnation before lost its records")
 		}
-		s.start(home)
+		s.kill(home)
 		heir := home.service.Inherit(context.Background(), simPeers{sim: s, from: home})
 		if err != nil || !errors.Is(heir, ErrNoEstate) {
 			t.Fatalf("same incarnation again: %v; another incarnation: %v", err, heir)
@@ -94,6 +94,29 @@
 	})
 }
 
+// TestRequestsWaitForARestartingHome begins ids while their home restarts.
+func TestRequestsWaitForARestartingHome(t *testing.T) {
+	calm(t, func(s *sim) {
+		home := s.nodes[0]
+		id := home.service.Fresh()
+		peers := simPeers{sim: s, from: home}
+		if err := home.service.HandOver(context.Background(), peers); err != nil {
+			t.Fatal(err)
+		}
+		done := make(chan Decision)
+		go func() { done <- begin(s.nodes[1], claimFor(id, "x")) }()
+		time.Sleep(time.Second) // the daemon stops and starts
+		s.kill(home)
+		time.Sleep(time.Second) // it joins its peers
+		if err := home.service.Inherit(context.Background(), peers); err != nil {
+			t.Fatal(err)
+		}
+		if d := <-done; d.Verdict != Proceed {
+			t.Fatalf("verdict %d", d.Verdict)
+		}
+	})
+}
+
 func TestKeepersNeedAMajority(t *testing.T) {
 	calm(t, func(s *sim) {
 		keepers := union(s.nodes[0].service.deciders("mine"))
@@ -102,7 +125,7 @@
 		for _, n := range s.nodes {
 			if strings.Contains(strings.Join(keepers, " "), n.name) && lost < 2 {
 				lost++
-				s.start(n) // abstains
+				s.kill(n) // abstains
 			}
 		}
 		if d := begin(caller, claimFor("mine", "x")); d.Verdict != NoQuorum {
--- a/dispatch/record/sim_test.go
+++ b/dispatch/record/sim_test.go
@@ -115,6 +115,13 @@
 	n.service.SetMembers(s.members)
 }
 
+// kill replaces a daemon by a new incarnation without memory.
+func (s *sim) kill(n *simNode) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.start(n)
+}
+
 func (s *sim) intn(n int) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -372,9 +379,7 @@
 		n := s.nodes[s.intn(len(s.nodes))]
 		switch s.intn(kinds) {
 		case 0:
-			s.mu.Lock()
-			s.start(n)
-			s.mu.Unlock()
+			s.kill(n)
 			continue
 		case 1:
 			s.restart(n)
