--- /dev/null
+++ b/daemon/controlplane.go
@@ -0,0 +1,277 @@
+package daemon
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"magnoliastand.example/api"
+	"magnoliastand.example/consensus"
+	"magnoliastand.example/control"
+	"magnoliastand.example/daemon/settings"
+	"magnoliastand.example/dispatch"
+	"magnoliastand.example/dispatch/origin"
+	"magnoliastand.example/peerlink"
+)
+
+// controlPlane is this daemon's part of the control state: the view in force,
+// its freshness, and, with a data folder, a member of the replicated log.
+type controlPlane struct {
+	set      settings.Settings
+	self     dispatch.DaemonID
+	link     *peerlink.Node
+	log      zerolog.Logger
+	holder   *control.Holder
+	follower *follower
+	machine  *controlLog // nil without a data folder
+	node     *logNode    // nil without a data folder
+	start    time.Time
+	leader   *leaderDuties
+	// zoneArbiter returns the arbiter of this daemon's zone.
+	zoneArbiter func() arbiterRef
+	// ping asks a daemon whether it is alive and may stay arbiter.
+	ping func(ctx context.Context, daemon string) (heartbeat, error)
+	// onFirstIncarnation is called when the control log had no entry of this
+	// daemon's name before.
+	onFirstIncarnation func()
+
+	clockMu   sync.Mutex
+	clock     *control.Clock
+	clockTerm uint64
+}
+
+func newControlPlane(set settings.Settings, self dispatch.DaemonID, link *peerlink.Node, log zerolog.Logger) (*controlPlane, error) {
+	c := &controlPlane{
+		set:    set,
+		self:   self,
+		link:   link,
+		log:    log,
+		holder: control.NewHolder(set.Cluster),
+		start:  time.Now(),
+	}
+	c.follower = &follower{
+		self:     self.Name,
+		inc:      self.Incarnation,
+		link:     link,
+		holder:   c.holder,
+		log:      log,
+		upstream: c.upstream,
+		local:    func() *controlLog { return c.machine },
+		vouched:  c.vouched,
+	}
+	c.follower.register()
+	c.leader = newLeaderDuties(c)
+	link.Handle(methodPropose, c.handlePropose)
+	link.Handle(methodClaim, c.handleClaim)
+	link.Handle(methodDemand, c.leader.handleDemand)
+	link.Handle(methodJoin, c.handleJoin)
+	link.Handle(methodFleet, c.handleFleet)
+	if set.DataFolder == "" {
+		return c, nil
+	}
+	c.machine = newControlLog(set.Cluster, c.holder, log)
+	n, err := openLogNode(set.DataFolder, set.Name, set.AvailabilityZone, set.FirstVoters, c.peerNames(), link, c.machine, log)
+	c.node = n
+	return c, err
+}
+
+// mono returns the monotonic time since the daemon started. It counts while
+// the process is stopped.
+func (c *controlPlane) mono() time.Duration { return time.Since(c.start) }
+
+func (c *controlPlane) peerNames() []string {
+	var names []string
+	for _, p := range c.set.Peers {
+		if p.Name != c.set.Name {
+			names = append(names, p.Name)
+		}
+	}
+	return names
+}
+
+// run takes part in the control state until ctx ends. It returns an error when
+// the log fails.
+func (c *controlPlane) run(ctx context.Context) error {
+	var wg sync.WaitGroup
+	wg.Go(func() { c.follower.run(ctx) })
+	wg.Go(func() { c.registerSelf(ctx) })
+	wg.Go(func() { c.leader.run(ctx) })
+	var err error
+	if c.node != nil {
+		err = c.node.run(ctx)
+	}
+	if err == nil {
+		<-ctx.Done()
+	}
+	wg.Wait()
+	return err
+}
+
+func (c *controlPlane) leads() bool { return c.node != nil && c.node.leads() }
+
+func (c *controlPlane) vouched() (time.Time, bool) {
+	if c.node == nil {
+		return time.Time{}, false
+	}
+	return c.node.vouched()
+}
+
+// leaderCandidates lists daemons that may lead the log, the likeliest first.
+func (c *controlPlane) leaderCandidates() []string {
+	var list []string
+	if c.node != nil {
+		list = appendNew(list, c.node.leaderName())
+	}
+	list = appendNew(list, c.follower.Leader())
+	for _, v := range c.set.FirstVoters {
+		list = appendNew(list, v)
+	}
+	return without(list, c.self.Name)
+}
+
+// upstream lists the daemons to poll, best first: the leader for members of
+// the log and the zone's arbiter, the arbiter for the zone's other daemons,
+// then any voter and any peer.
+func (c *controlPlane) upstream(leader string) []string {
+	var list []string
+	if c.node != nil {
+		list = appendNew(list, c.node.leaderName())
+	}
+	arb := c.zoneArbiter()
+	if arb.Name != c.self.Name {
+		list = appendNew(list, arb.Name)
+	}
+	list = appendNew(list, leader)
+	for _, v := range c.set.FirstVoters {
+		list = appendNew(list, v)
+	}
+	for _, p := range c.peerNames() {
+		list = appendNew(list, p)
+	}
+	return without(list, c.self.Name)
+}
+
+func appendNew(list []string, name string) []string {
+	if name == "" {
+		return list
+	}
+	for _, have := range list {
+		if have == name {
+			return list
+		}
+	}
+	return append(list, name)
+}
+
+func without(list []string, name string) []string {
+	kept := list[:0]
+	for _, have := range list {
+		if have != name {
+			kept = append(kept, have)
+		}
+	}
+	return kept
+}
+
+// registerSelf enters this incarnation into the control log, again whenever
+// the view names another one.
+func (c *controlPlane) registerSelf(ctx context.Context) {
+	for ctx.Err() == nil {
+		d, ok := c.holder.View().Daemon(c.self.Name)
+		if !ok || d.Incarnation != c.self.Incarnation {
+			c.proposeSelf(ctx)
+		}
+		sleepCtx(ctx, registerInterval)
+	}
+}
+
+// registerInterval is the time between two checks of this daemon's registration.
+const registerInterval = 300 * time.Millisecond
+
+func (c *controlPlane) proposeSelf(ctx context.Context) {
+	callCtx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	result, err := c.propose(callCtx, &control.Command{RegisterDaemon: &control.RegisterDaemon{
+		Name:        c.self.Name,
+		Incarnation: c.self.Incarnation,
+		Zone:        c.set.AvailabilityZone,
+		Address:     c.ownAddress(),
+	}})
+	if err != nil {
+		c.log.Debug().Err(err).Msg("daemon not registered yet")
+		return
+	}
+	if result.First {
+		c.onFirstIncarnation()
+	}
+}
+
+func (c *controlPlane) ownAddress() string {
+	for _, p := range c.set.Peers {
+		if p.Name == c.set.Name {
+			return p.Address
+		}
+	}
+	return ""
+}
+
+// ArbiterOf implements arbiterSource.
+func (c *controlPlane) ArbiterOf(zone string) (arbiterRef, bool) {
+	a, ok := c.holder.View().Arbiter(zone)
+	if !ok || a.Daemon == "" {
+		return arbiterRef{}, false
+	}
+	return arbiterRef{Name: a.Daemon, Incarnation: a.Incarnation, Term: a.Term * provisionalTerms}, true
+}
+
+// Fresh implements arbiterSource and origin.Control.
+func (c *controlPlane) Fresh() bool { return c.follower.Fresh() }
+
+// Authorize implements origin.Control.
+func (c *controlPlane) Authorize(key string) (string, error) {
+	team, err := c.holder.View().Authorize(key)
+	if err != nil {
+		return "", errors.Wrap(origin.ErrKeyInvalid, err.Error())
+	}
+	return team, nil
+}
+
+// Queue implements origin.Control.
+func (c *controlPlane) Queue(name string) (origin.QueueInfo, bool) {
+	ref, ok := c.holder.View().Queue(name)
+	if !ok {
+		return origin.QueueInfo{}, false
+	}
+	return origin.QueueInfo{
+		Queue:      *ref.Queue,
+		Service:    ref.Service.Name,
+		LongestRun: ref.Service.LongestRun.Std(),
+	}, true
+}
+
+// objective returns the service-level objective of a queue; false when there
+// is no such queue.
+func (c *controlPlane) objective(queue string) (api.QueueObjective, bool) {
+	ref, ok := c.holder.View().Queue(queue)
+	if !ok {
+		return api.QueueObjective{}, false
+	}
+	if ref.Queue.Objective == nil {
+		return api.QueueObjective{}, true
+	}
+	return *ref.Queue.Objective, true
+}
+
+func (c *controlPlane) handleJoin(ctx context.Context, from peerlink.Identity, payload []byte) (any, error) {
+	var m consensus.Member
+	if err := decodeMessage(payload, &m); err != nil {
+		return nil, err
+	}
+	if c.node == nil || m.Name != from.Name {
+		return nil, errNotLeader
+	}
+	return nil, c.node.addLearner(ctx, m)
+}
--- /dev/null
+++ b/daemon/operators.go
@@ -0,0 +1,183 @@
+package daemon
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/labstack/echo/v5"
+
+	"magnoliastand.example/api"
+	"magnoliastand.example/dispatch/arbiter"
+)
+
+// operatorRoutes serves operators, the platform and metrics.
+func (d *Daemon) operatorRoutes() http.Handler {
+	e := echo.New()
+	e.HTTPErrorHandler = writeHTTPError
+	d.healthRoutes(e)
+	e.GET("/metrics", echo.WrapHandler(d.metrics.handler()))
+	g := e.Group("/v1", d.requireOperator)
+	g.GET("/status", d.serveStatus)
+	g.GET("/report", d.serveReport)
+	g.GET("/endpoints", d.serveEndpoints)
+	d.documentRoutes(g)
+	d.fleetRoutes(g)
+	if d.set.TestFaults {
+		g.POST("/test/cut", d.serveCut)
+	}
+	return e
+}
+
+// requireOperator refuses calls without a valid operator key.
+func (d *Daemon) requireOperator(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c *echo.Context) error {
+		key, ok := strings.CutPrefix(c.Request().Header.Get(echo.HeaderAuthorization), "Bearer ")
+		if !ok || !d.isOperatorKey(key) {
+			return api.NewProblem(http.StatusUnauthorized, api.CodeOperatorRequired, "", "a valid operator key is required")
+		}
+		return next(c)
+	}
+}
+
+// isOperatorKey compares the key's hash with each configured one in constant time.
+func (d *Daemon) isOperatorKey(key string) bool {
+	sum := sha256.Sum256([]byte(key))
+	text := hex.EncodeToString(sum[:])
+	found := 0
+	for _, h := range d.set.OperatorKeyHashes {
+		found |= subtle.ConstantTimeCompare([]byte(strings.ToLower(h)), []byte(text))
+	}
+	return found == 1
+}
+
+// Status is the body of GET /v1/status.
+type Status struct {
+	Daemon   string `json:"daemon"`
+	Zone     string `json:"availability_zone"`
+	Version  uint64 `json:"version"`
+	Document uint64 `json:"document_version"`
+	// Fresh reports whether a control quorum vouched for the configuration lately.
+	Fresh       bool         `json:"fresh"`
+	VouchedAgo  api.Duration `json:"vouched_ago"`
+	Leader      string       `json:"leader,omitempty"`
+	Arbiter     string       `json:"arbiter,omitempty"`
+	ArbiterTerm uint64       `json:"arbiter_term"`
+	// Arbiters lists the zones' arbiters by the control log.
+	Arbiters []ArbiterStatus `json:"arbiters"`
+	Daemons  []DaemonStatus  `json:"daemons"`
+	InFlight int             `json:"requests_in_flight"`
+	// Slots is set on a zone's arbiter.
+	Slots *arbiter.Stats `json:"slots,omitempty"`
+	Log   *LogStatus     `json:"log,omitempty"`
+}
+
+// ArbiterStatus names the arbiter of a zone.
+type ArbiterStatus struct {
+	Zone   string `json:"availability_zone"`
+	Daemon string `json:"daemon"`
+	Term   uint64 `json:"term"`
+}
+
+// DaemonStatus is what is known of a registered daemon.
+type DaemonStatus struct {
+	Name string `json:"name"`
+	Zone string `json:"availability_zone"`
+	// InForce is the version in force there as last heard here; absent when not heard lately.
+	InForce *uint64 `json:"in_force,omitempty"`
+}
+
+// LogStatus describes this daemon's member of the control log.
+type LogStatus struct {
+	Role    string   `json:"role"`
+	Term    uint64   `json:"term"`
+	Commit  uint64   `json:"commit"`
+	Applied uint64   `json:"applied"`
+	Voters  []string `json:"voters"`
+	Spares  []string `json:"spares"`
+}
+
+func (d *Daemon) serveStatus(c *echo.Context) error { return c.JSON(http.StatusOK, d.status()) }
+
+func (d *Daemon) status() Status {
+	v := d.control.holder.View()
+	ref, _ := d.zone.Arbiter()
+	s := Status{
+		Daemon:      d.self.Name,
+		Zone:        d.set.AvailabilityZone,
+		Version:     v.Version(),
+		Document:    v.DocumentVersion(),
+		Fresh:       d.control.Fresh(),
+		Leader:      d.control.follower.Leader(),
+		Arbiter:     ref.Name,
+		ArbiterTerm: ref.Term,
+		InFlight:    d.origin.InFlight(),
+		Log:         d.logStatus(),
+	}
+	if at := d.control.follower.vouchedAt(); !at.IsZero() {
+		s.VouchedAgo = api.Duration(time.Since(at).Round(time.Millisecond))
+	}
+	if st, ok := d.host.stats(); ok {
+		s.Slots = &st
+	}
+	for _, a := range v.Arbiters() {
+		s.Arbiters = append(s.Arbiters, ArbiterStatus{Zone: a.Zone, Daemon: a.Daemon, Term: a.Term})
+	}
+	versions := d.control.follower.versions()
+	for _, dm := range v.Daemons() {
+		ds := DaemonStatus{Name: dm.Name, Zone: dm.Zone}
+		if version, ok := versions[dm.Name]; ok {
+			ds.InForce = &version
+		}
+		s.Daemons = append(s.Daemons, ds)
+	}
+	return s
+}
+
+func (d *Daemon) logStatus() *LogStatus {
+	if d.control.node == nil {
+		return nil
+	}
+	started := d.control.node.running()
+	if started == nil {
+		return &LogStatus{Role: "forming"}
+	}
+	st := started.Status()
+	ls := &LogStatus{Role: st.Role.String(), Term: st.Term, Commit: st.Commit, Applied: st.Applied}
+	for _, m := range st.Members {
+		if m.Voter {
+			ls.Voters = append(ls.Voters, m.Name)
+		} else {
+			ls.Spares = append(ls.Spares, m.Name)
+		}
+	}
+	return ls
+}
+
+// EndpointStatus is one endpoint of the zone as this daemon knows it.
+type EndpointStatus struct {
+	ID      string `json:"id"`
+	Service string `json:"service"`
+	State   string `json:"state"`
+	Address string `json:"address"`
+	Slots   int    `json:"slots"`
+	Running int    `json:"running"`
+}
+
+func (d *Daemon) serveEndpoints(c *echo.Context) error {
+	list := []EndpointStatus{}
+	for _, e := range d.host.endpoints() {
+		list = append(list, EndpointStatus{
+			ID:      e.ID,
+			Service: e.Announcement.Service,
+			State:   string(e.State),
+			Address: e.Announcement.Address,
+			Slots:   e.Announcement.Slots,
+			Running: e.Announcement.Running,
+		})
+	}
+	return c.JSON(http.StatusOK, list)
+}
