--- a/dispatch/record/first.go
+++ b/dispatch/record/first.go
@@ -9,4 +9,5 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.keeper.abstainUntil = time.Time{}
+	s.inheritUntil = time.Time{}
 }
