Hold a worker for a task that is next in order and fits nowhere yet

Cause: with full pools a large task of the team next in order was passed by smaller tasks of others for ever; that team fell short.

Weighed: stopping the whole class until the task fits (idles the pool) against holding the emptiest worker, for at most half of the workers.

--- a/placement/choose.go
+++ b/placement/choose.go
@@ -23,7 +23,7 @@
 	var bestScore float64
 	for n := range p.workers {
 		w := &p.workers[n]
-		if !w.Open || !size.Fits(p.room(t, w)) {
+		if !w.Open || (p.held[n] && t.Class == api.ClassLong) || !size.Fits(p.room(t, w)) {
 			continue
 		}
 		score := p.score(t, size, w)
@@ -34,6 +34,31 @@
 	return best
 }
 
+// hold keeps the room of the emptiest worker for a long task that is next in
+// order and fits nowhere yet, so that smaller tasks do not pass it for ever. At
+// most half of the workers are held.
+func (p *placer) hold(t *Task) {
+	if t.Class != api.ClassLong || 2*(p.holds+1) > len(p.workers) {
+		return
+	}
+	size := p.sizeOf(t)
+	best := -1
+	var least float64
+	for n := range p.workers {
+		w := &p.workers[n]
+		if !w.Open || p.held[n] || !size.Fits(w.Capacity) {
+			continue
+		}
+		if use := w.Used.Dominant(w.Capacity); best < 0 || use < least {
+			best, least = n, use
+		}
+	}
+	if best >= 0 {
+		p.held[best] = true
+		p.holds++
+	}
+}
+
 // room returns what the worker has left for the class of the task. Long tasks
 // leave the quick reserve of each resource free, but on an empty worker.
 func (p *placer) room(t *Task, w *Worker) Size {
--- a/placement/datadriven_test.go
+++ b/placement/datadriven_test.go
@@ -94,7 +94,7 @@
 		for _, r := range rows(d.Input) {
 			b.in.Workers = append(b.in.Workers, Worker{
 				ID: r.words[0], Zone: r.opts["zone"], Rack: r.opts["rack"],
-				Capacity: r.size(), Open: !slices.Contains(r.words, "closed"),
+				Capacity: r.size(), Used: Size{Processors: 1000 * r.num("used")}, Open: !slices.Contains(r.words, "closed"),
 			})
 		}
 	case "classes":
--- a/placement/place.go
+++ b/placement/place.go
@@ -61,7 +61,10 @@
 	long    int
 	starts  []Start
 	tries   int
-	onRack  map[rackKey]int
+	// held marks workers whose room is kept for a task that does not fit yet.
+	held   []bool
+	holds  int
+	onRack map[rackKey]int
 }
 
 // Place returns the tasks to start now, in the order in which they were
@@ -74,6 +77,7 @@
 		long:    in.Classes.LongRunning,
 		onRack:  map[rackKey]int{},
 	}
+	p.held = make([]bool, len(p.workers))
 	for n := range p.workers {
 		w := &p.workers[n]
 		if w.Open {
@@ -110,7 +114,12 @@
 	for len(open) > 0 && p.roomFor(class) {
 		n := p.in.Order.Next(open)
 		u := &open[n]
-		if limits[u.Team] == 0 || !p.placeHead(queues[u.Team], u, class) {
+		if limits[u.Team] == 0 {
+			open = slices.Delete(open, n, n+1)
+			continue
+		}
+		if !p.placeHead(queues[u.Team], u, class) {
+			p.hold(&queues[u.Team][0])
 			open = slices.Delete(open, n, n+1)
 			continue
 		}
@@ -178,12 +187,7 @@
 func (p *placer) placeHead(queue []Task, u *TeamUse, class api.Class) bool {
 	t := &queue[0]
 	p.tries++
-	size := t.Declared
-	if p.in.Estimator != nil {
-		size = p.in.Estimator.Size(t)
-	}
-	// A corrected size never keeps a task from running alone on the largest worker.
-	size = size.Min(maxSize(p.largest, t.Declared))
+	size := p.sizeOf(t)
 	w := p.choose(t, size)
 	if w == nil {
 		return false
@@ -200,6 +204,15 @@
 	return true
 }
 
+// sizeOf returns the estimate of the task. A corrected size never keeps a task
+// from running alone on the largest worker.
+func (p *placer) sizeOf(t *Task) Size {
+	if p.in.Estimator == nil {
+		return t.Declared
+	}
+	return p.in.Estimator.Size(t).Min(maxSize(p.largest, t.Declared))
+}
+
 func maxSize(a, b Size) Size {
 	return Size{
 		max(a.Slots, b.Slots), max(a.Processors, b.Processors),
