Serve the fullest pools of a wave first, then begun racks

Cause: a pool's budget admits two at a time, so the pool with most left decides how long a wave takes; packing by rack alone left it for the end.

Weighed: rack first against pool first with the rack as tie-break.

--- a/planner/replay/run.go
+++ b/planner/replay/run.go
@@ -44,6 +44,19 @@
 // Run replays one seed of a deployment under a policy for the given length in
 // milliseconds.
 func Run(d Deployment, p Policy, seed uint64, length placement.Millis) (Measures, error) {
+	r, err := prepare(d, p, seed, length)
+	if err != nil {
+		return Measures{}, err
+	}
+	for ; r.now < length; r.now += step {
+		r.tick()
+	}
+	r.state.CheckAll()
+	return r.result(), nil
+}
+
+// prepare returns a replay at its start.
+func prepare(d Deployment, p Policy, seed uint64, length placement.Millis) (*run, error) {
 	sc := newScenario(d, seed, length)
 	r := &run{
 		sc: sc, policy: p, length: length,
@@ -62,14 +75,7 @@
 	for n, s := range r.services {
 		r.byName[s.name] = n
 	}
-	if err := r.setUp(); err != nil {
-		return Measures{}, err
-	}
-	for ; r.now < length; r.now += step {
-		r.tick()
-	}
-	r.state.CheckAll()
-	return r.result(), nil
+	return r, r.setUp()
 }
 
 // setUp registers the instances and brings them into their first pools.
--- a/planner/waves.go
+++ b/planner/waves.go
@@ -37,68 +37,69 @@
 	}
 }
 
-// rack is what is left of a wave in one rack.
-type rack struct {
-	name  string
+// due is an instance that a wave has yet to maintain.
+type due struct {
+	*fleet.Instance
+	// inPool is the number of instances of its pool that are due.
+	inPool int
+	// begun is the number of instances of its rack that were begun.
 	begun int
-	due   []*fleet.Instance
 }
 
-// wave proposes drains up to the width of the run, rack by rack.
+// wave proposes drains up to the width of the run.
 func (r *round) wave(w api.Wave, run *fleet.WaveRun) {
-	racks, inFlight := r.racks(w, run)
+	candidates, inFlight := r.due(w, run)
 	room := run.Width(w, r.snap.Now) - inFlight
-	for _, k := range racks {
-		for _, i := range k.due {
-			if room <= 0 {
-				return
-			}
-			if !r.spares(i) {
-				continue
-			}
-			p := fleet.PermitDrain{Purpose: fleet.PurposeMaintenance, Wave: w.Name}
-			if r.permit(i, p, "wave "+w.Name) {
-				r.byName[i.Pool].staying--
-				room--
-			}
+	for _, d := range candidates {
+		if room <= 0 {
+			return
+		}
+		if !r.spares(d.Instance) {
+			continue
+		}
+		p := fleet.PermitDrain{Purpose: fleet.PurposeMaintenance, Wave: w.Name}
+		if r.permit(d.Instance, p, "wave "+w.Name) {
+			r.byName[d.Pool].staying--
+			room--
 		}
 	}
 }
 
-// racks returns what is left of the wave by rack, begun racks first, then the
-// fullest, and the number of permits in flight.
-func (r *round) racks(w api.Wave, run *fleet.WaveRun) ([]*rack, int) {
-	byName := map[string]*rack{}
-	var out []*rack
+// due returns what is left of the wave in the order of service, and the number
+// of permits in flight. Pools with much left come first, since their budgets
+// decide how long the wave takes; then racks that were begun, so that a rack is
+// done with soon.
+func (r *round) due(w api.Wave, run *fleet.WaveRun) ([]due, int) {
+	var out []due
+	begun := map[string]int{}
+	inPool := map[string]int{}
 	inFlight := 0
 	for _, i := range r.snap.Fleet.Instances {
 		if !slices.Contains(w.Pools, i.Pool) {
 			continue
 		}
-		k := byName[i.RackName()]
-		if k == nil {
-			k = &rack{name: i.RackName()}
-			byName[k.name] = k
-			out = append(out, k)
-		}
 		held := i.Permit != nil && i.Permit.Wave == w.Name
 		if held {
 			inFlight++
 		}
-		done := i.VisitOf(w.Name).Round == run.Round
-		if held || done {
-			k.begun++
+		if held || i.VisitOf(w.Name).Round == run.Round {
+			begun[i.RackName()]++
 			continue
 		}
+		inPool[i.Pool]++
 		if i.State == fleet.Active && !i.Pinned {
-			k.due = append(k.due, i)
+			out = append(out, due{Instance: i})
 		}
 	}
-	slices.SortStableFunc(out, func(a, b *rack) int {
+	for n := range out {
+		out[n].inPool = inPool[out[n].Pool]
+		out[n].begun = begun[out[n].RackName()]
+	}
+	slices.SortStableFunc(out, func(a, b due) int {
 		return cmp.Or(
+			cmp.Compare(b.inPool, a.inPool),
 			cmp.Compare(b.begun, a.begun),
-			cmp.Compare(len(b.due), len(a.due)),
-			cmp.Compare(a.name, b.name),
+			cmp.Compare(a.RackName(), b.RackName()),
 		)
 	})
 	return out, inFlight
