--- a/planner/replay/platform.go
+++ b/planner/replay/platform.go
@@ -85,7 +85,9 @@
 		r.report(w, fleet.Broken)
 		return
 	}
-	w.badFrom = never
+	if r.now >= w.badFrom {
+		w.badFrom = never
+	}
 	r.outcomes.Forget(w.id)
 	c := r.command(fleet.RolePlatform, "platform")
 	c.ConfirmReboot = &fleet.ConfirmReboot{Instance: w.id, Boot: r.boot(w)}
