Give suspect workers no tasks before they are quarantined

Cause: a bad worker failed about 40 tasks before the next plan quarantined it, and longer where a budget refused the quarantine.

--- a/planner/replay/run.go
+++ b/planner/replay/run.go
@@ -172,7 +172,7 @@
 		}
 		s := r.services[at]
 		s.workers = append(s.workers, w)
-		s.open = append(s.open, i.State == fleet.Active)
+		s.open = append(s.open, i.State == fleet.Active && !r.outcomes.Suspect(w.id))
 	}
 }
 
