quota: prove that no team runs more than its limit; end planning loops

Cause: the ledger, holder and balancer had no tests. The first run of the new model did not end: a plan moved one unit back and forth between two zones for ever. A zone now either gains or loses in one plan. A second fault: zones that were asked for a unit counted as in need themselves, so all units were called back at once and two of four zones ran twice as much as the others.

--- a/quota/balancer.go
+++ b/quota/balancer.go
@@ -110,6 +110,10 @@
 	want int64
 	held int64 // after all returns asked for
 	give int64
+	// gains and loses tell that the plan gives units to the zone or asks it for
+	// some; a zone does one of the two, so that planning ends.
+	gains bool
+	loses bool
 	// returned counts the units that the ledger knows as returned.
 	returned uint64
 	since    time.Duration
@@ -159,6 +163,7 @@
 	if target := p.b.targets[k]; target > z.returned {
 		z.held -= int64(target - z.returned)
 		p.pending += int64(target - z.returned)
+		z.loses = true
 	}
 	z.since = p.b.waitSince(k, z, p.now)
 	p.zones = append(p.zones, z)
@@ -181,7 +186,7 @@
 func (p *teamPlan) neediest() *zonePlan {
 	var best *zonePlan
 	for _, z := range p.zones {
-		if z.held >= z.want {
+		if z.held >= z.want || z.loses {
 			continue
 		}
 		if best == nil || z.held < best.held || z.held == best.held && z.since < best.since {
@@ -227,6 +232,7 @@
 func (p *teamPlan) move(z *zonePlan, n int64) {
 	z.give += n
 	z.held += n
+	z.gains = true
 	p.b.since[z.key] = p.now
 }
 
@@ -236,6 +242,7 @@
 	for needy := p.neediest(); needy != nil && p.pending > 0; needy = p.neediest() {
 		n := min(p.pending, needy.want-needy.held)
 		needy.held += n
+		needy.gains = true
 		p.pending -= n
 	}
 	for p.free == 0 {
@@ -252,7 +259,9 @@
 			return
 		}
 		donor.held -= n
+		donor.loses = true
 		needy.held += n
+		needy.gains = true
 		p.b.targets[donor.key] = max(p.b.targets[donor.key], donor.returned) + uint64(n)
 	}
 }
@@ -261,7 +270,7 @@
 func (p *teamPlan) donor(needy *zonePlan) *zonePlan {
 	var best *zonePlan
 	for _, z := range p.zones {
-		if z == needy || z.held <= 0 || z.give > 0 {
+		if z == needy || z.held <= 0 || z.gains {
 			continue
 		}
 		if best == nil || z.held-z.want > best.held-best.want ||
@@ -280,7 +289,7 @@
 func (p *teamPlan) largest(needy *zonePlan) *zonePlan {
 	var best *zonePlan
 	for _, z := range p.zones {
-		if z == needy || z.held <= 0 || z.give > 0 {
+		if z == needy || z.held <= 0 || z.gains {
 			continue
 		}
 		if best == nil || z.held > best.held || z.held == best.held && z.since < best.since {
--- a/quota/doc.go
+++ b/quota/doc.go
@@ -32,6 +32,10 @@
 //     has declared;
 //   - the rest becomes free once the longest run time has passed as well.
 //
+// An origin bounds a run by the longest run time of its own configuration, not
+// only by that of the grant: a grant of the current term may have been delayed
+// while the document changed.
+//
 // Units of a term that is still current are never taken away: its arbiter hands
 // them back (Return), which states that nothing runs or will start on them.
 //
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -22,10 +22,19 @@
 	terms   map[string]uint64 // zone to its current term
 	teams   map[string]*teamState
 	runs    runBound
-	// overcommit disables the check of free units, for tests of the checkers.
-	overcommit bool
-	// hasty frees retired units at once, for tests of the checkers.
-	hasty bool
+	// off disables protections, for tests of the checkers.
+	off protectionsOff
+}
+
+// protectionsOff names protections that a test can disable to show that its
+// checker catches the breach.
+type protectionsOff struct {
+	freeCheck     bool // grant more units than are free
+	retirement    bool // free the units of an ended term at once
+	appliedCheck  bool // begin waits at stamps from before the commit
+	transferOnce  bool // apply a transfer as often as it is repeated
+	transferWait  bool // transfer before the no-start time
+	priorRunBound bool // forget a longer run time at once when it is lowered
 }
 
 // teamState is the state of one team.
@@ -77,6 +86,9 @@
 	l.now = max(l.now, now)
 	l.applied = max(l.applied, applied)
 	l.runs.advance(l.now, applied, l.bounds)
+	if l.off.priorRunBound {
+		l.runs.prior = 0
+	}
 	for _, name := range l.teamNames() {
 		l.advanceTeam(name, applied)
 	}
@@ -88,13 +100,13 @@
 	t := l.teams[name]
 	kept := t.retired[:0]
 	for _, r := range t.retired {
-		if !r.wait.begun && applied >= r.wait.index {
+		if !r.wait.begun && (applied >= r.wait.index || l.off.appliedCheck) {
 			start := l.now
 			r.wait.begun = true
 			r.noStart = start + l.bounds.noStart()
 			r.free = start + l.bounds.ended(l.runs.longest())
 		}
-		over := r.wait.begun && l.now >= r.free || l.hasty
+		over := r.wait.begun && l.now >= r.free || l.off.retirement
 		if !over {
 			kept = append(kept, r)
 		}
@@ -166,7 +178,7 @@
 		return
 	}
 	units := g.Units
-	if !l.overcommit {
+	if !l.off.freeCheck {
 		units = min(units, t.limit-t.outstanding())
 	}
 	if units <= 0 {
--- /dev/null
+++ b/quota/model_test.go
@@ -0,0 +1,538 @@
+package quota
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+)
+
+// The model runs a ledger, a balancer, arbiters, origins and units that really
+// run, under kills, freezes, cuts, lost and repeated messages, slow commits,
+// changes of leader, and clocks that drift within the bound. After each step it
+// checks that no team has more units running than the ledger counts, and that
+// the ledger counts no more than the limit unless the limit was lowered.
+
+const (
+	modelZones   = 3
+	modelOrigins = 2
+	modelTeam    = "team"
+)
+
+var modelBounds = Bounds{Lease: 2 * time.Second, StartWithin: time.Second}
+
+// stepKinds is the number of kinds of step.
+const stepKinds = 44
+
+// step is one drawn action; A, B and C choose among what exists.
+type step struct {
+	Kind    int
+	A, B, C int
+}
+
+// drawSteps returns the schedule of a seed.
+func drawSteps(seed uint64, n int) []step {
+	rng := rand.New(rand.NewPCG(seed, 2))
+	steps := make([]step, n)
+	for i := range steps {
+		steps[i] = step{Kind: rng.IntN(stepKinds), A: rng.IntN(12), B: rng.IntN(12), C: rng.IntN(6)}
+	}
+	return steps
+}
+
+type entry struct {
+	stamp   time.Duration
+	applied uint64
+	cmd     Command
+	zone    string // set for an assignment
+	limit   *int64
+	run     time.Duration
+}
+
+type arbiter struct {
+	*Holder
+	term     uint64
+	rate     float64
+	declared bool
+	run      time.Duration
+	pending  []heldRenewal
+}
+
+type heldRenewal struct {
+	r       Renewal
+	askedAt time.Duration
+}
+
+type origin struct {
+	rate       float64
+	terms      map[string]uint64
+	run        time.Duration
+	freshUntil time.Duration // real time
+}
+
+type unitState int
+
+const (
+	inFlight unitState = iota
+	received
+	running
+	ended
+)
+
+type unit struct {
+	zone       string
+	term       uint64 // of the grant
+	state      unitState
+	origin     int
+	alive      bool // its origin's incarnation lives
+	run        time.Duration
+	startUntil time.Duration
+	end        time.Duration
+	owner      *arbiter
+	released   bool
+}
+
+type model struct {
+	rng        *rand.Rand
+	now        time.Duration // real time
+	index      uint64
+	ledger     *Ledger
+	balancer   *Balancer
+	base       time.Duration
+	leaderAt   time.Duration
+	leaderRate float64
+	pending    []entry
+	past       []Command
+	current    map[string]*arbiter
+	arbiters   []*arbiter
+	cut        map[string]bool
+	origins    []*origin
+	units      []*unit
+	originDied bool
+	started    int
+	transfers  int
+	endless    bool
+	credulous  bool // origins accept grants of any term
+}
+
+func newModel(seed uint64) *model {
+	m := &model{
+		rng:      rand.New(rand.NewPCG(seed, 1)),
+		ledger:   NewLedger(modelBounds),
+		balancer: NewBalancer(),
+		current:  make(map[string]*arbiter),
+		cut:      make(map[string]bool),
+	}
+	m.leaderRate = m.rate()
+	for range modelOrigins {
+		m.origins = append(m.origins, &origin{rate: m.rate(), terms: make(map[string]uint64)})
+	}
+	limit := int64(4)
+	m.propose(entry{limit: &limit, run: 5 * time.Second})
+	for z := range modelZones {
+		m.propose(entry{zone: zoneName(z)})
+	}
+	m.commitAll()
+	return m
+}
+
+func zoneName(z int) string { return fmt.Sprintf("z%d", z%modelZones) }
+
+// rate returns a clock's rate within the drift bound, often at its ends.
+func (m *model) rate() float64 {
+	return 1 + float64(m.rng.IntN(3)-1)/DriftDivisor
+}
+
+func (m *model) clusterTime() time.Duration {
+	return m.base + time.Duration(float64(m.now-m.leaderAt)*m.leaderRate)
+}
+
+func (m *model) propose(e entry) {
+	e.stamp = m.clusterTime()
+	e.applied = m.index
+	m.pending = append(m.pending, e)
+}
+
+func (m *model) commit() {
+	if len(m.pending) == 0 {
+		return
+	}
+	e := m.pending[0]
+	m.pending = m.pending[1:]
+	m.index++
+	m.ledger.Advance(e.stamp, e.applied)
+	switch {
+	case e.zone != "":
+		m.assign(e.zone)
+	case e.limit != nil:
+		m.ledger.SetLimits([]TeamLimit{{Team: modelTeam, Limit: *e.limit}})
+		m.ledger.SetLongestRun(e.run, m.index)
+	default:
+		m.ledger.Apply(&e.cmd)
+	}
+}
+
+func (m *model) commitAll() {
+	for len(m.pending) > 0 {
+		m.commit()
+	}
+}
+
+func (m *model) assign(zone string) {
+	term := m.ledger.Term(zone) + 1
+	m.ledger.SetTerm(zone, term, m.index)
+	a := &arbiter{term: term, rate: m.rate(), run: m.ledger.runs.current}
+	a.Holder = NewHolder(zone, term, modelBounds, func() time.Duration {
+		return time.Duration(float64(m.now) * a.rate)
+	})
+	a.endless = m.endless
+	m.current[zone] = a
+	m.arbiters = append(m.arbiters, a)
+}
+
+// apply performs one step.
+func (m *model) apply(s step) {
+	zone := zoneName(s.A)
+	switch s.Kind {
+	case 0, 1:
+		m.advance([]time.Duration{time.Millisecond, 300 * time.Millisecond, 990 * time.Millisecond, 1900 * time.Millisecond, 4 * time.Second, 11 * time.Second}[s.B%6])
+	case 2, 3:
+		m.commitAll()
+	case 4:
+		m.commit()
+	case 5, 6:
+		m.plan()
+	case 7, 8, 9:
+		m.renew(m.pick(s.A), s.C%3 == 0)
+	case 10:
+		a := m.pick(s.A)
+		for _, h := range a.pending {
+			a.Renew(&h.r, h.askedAt)
+		}
+	case 11, 12, 13:
+		m.acquire(m.pick(s.A))
+	case 14, 15, 16:
+		m.deliver(s.B, s.C%modelOrigins)
+	case 17, 18, 19:
+		m.start(s.B)
+	case 20, 21:
+		m.finish(s.B)
+	case 22:
+		if s.B%2 == 0 {
+			m.current[zone].End() // killed; otherwise it lives on without knowing
+		}
+		m.propose(entry{zone: zone})
+	case 23, 24:
+		m.declare(zone)
+	case 25:
+		limit := int64(s.B % 6)
+		m.propose(entry{limit: &limit, run: time.Duration(2+s.C%3*4) * time.Second})
+	case 26:
+		m.changeLeader(s.B%2 == 0)
+	case 27:
+		m.cut[zone] = !m.cut[zone]
+	case 28, 29, 30:
+		m.vouch(m.origins[s.B%modelOrigins])
+	case 31:
+		m.killOrigin(s.B % modelOrigins)
+	case 32:
+		if len(m.past) > 0 { // a command is proposed again
+			last := m.past[max(0, len(m.past)-12):]
+			m.propose(entry{cmd: last[s.B%len(last)]})
+		}
+	case 33, 34:
+		m.round()
+	case 35, 36, 37:
+		m.saturate()
+	case 38:
+		m.slowAssign(zone)
+	case 39, 40:
+		m.failover(zone, s.B)
+	case 41:
+		m.lowerRun()
+	case 42, 43:
+		m.loseOrigin(zone)
+	}
+}
+
+// saturate lets every current arbiter start all that it may.
+func (m *model) saturate() {
+	m.round()
+	for z := range modelZones {
+		for range 6 {
+			m.acquire(m.current[zoneName(z)])
+		}
+	}
+	for range 3 * modelZones {
+		m.deliver(0, m.rng.IntN(modelOrigins))
+	}
+	for range 2 * modelZones {
+		m.start(0)
+	}
+}
+
+// slowAssign commits an assignment and a command of before long after their
+// proposal; the old arbiter works until the commit.
+func (m *model) slowAssign(zone string) {
+	m.propose(entry{zone: zone})
+	m.propose(entry{})
+	m.advance(9 * time.Second)
+	m.renew(m.current[zone], false)
+	m.vouch(m.origins[0])
+	m.acquire(m.current[zone])
+	m.deliver(0, 0)
+	m.start(0)
+	m.commitAll()
+	m.round()
+}
+
+// failover replaces an arbiter, and lets the old one go on until its lease ends.
+func (m *model) failover(zone string, n int) {
+	old := m.current[zone]
+	m.propose(entry{zone: zone})
+	m.commitAll()
+	m.propose(entry{})
+	m.commitAll()
+	m.advance(time.Duration(n%4) * 900 * time.Millisecond)
+	m.acquire(old)
+	m.deliver(0, n%modelOrigins)
+	m.start(0)
+	m.advance(time.Duration(n%3) * 1600 * time.Millisecond)
+	m.propose(entry{})
+	m.commitAll()
+	m.declare(zone)
+	if n := len(m.past); n > 0 { // the proposal is repeated
+		m.propose(entry{cmd: m.past[n-1]})
+	}
+	m.commitAll()
+}
+
+// loseOrigin fails a zone over after one of two busy origins died.
+func (m *model) loseOrigin(zone string) {
+	m.saturate()
+	m.killOrigin(0)
+	m.failover(zone, 2)
+	m.saturate()
+}
+
+// lowerRun lowers the longest run time while work under the old one runs.
+func (m *model) lowerRun() {
+	limit := m.ledger.Limit(modelTeam)
+	m.propose(entry{limit: &limit, run: 10 * time.Second})
+	m.commitAll()
+	m.saturate()
+	m.propose(entry{limit: &limit, run: 2 * time.Second})
+	m.commitAll()
+}
+
+// pick returns an arbiter, mostly a current one; ended terms live on as long as
+// nothing tells them.
+func (m *model) pick(n int) *arbiter {
+	if n%4 == 0 {
+		return m.arbiters[n/4%len(m.arbiters)]
+	}
+	return m.current[zoneName(n)]
+}
+
+// round is a fault-free round of renewals, planning, commits and vouching.
+func (m *model) round() {
+	for range 2 {
+		for z := range modelZones {
+			m.current[zoneName(z)].SetWaiting(modelTeam, int64(1+z))
+			m.renew(m.current[zoneName(z)], false)
+		}
+		m.plan()
+		m.commitAll()
+	}
+	for _, o := range m.origins {
+		m.vouch(o)
+	}
+}
+
+func (m *model) advance(d time.Duration) {
+	m.now += d
+	for _, u := range m.units {
+		if u.state == running && m.now >= u.end {
+			u.state = ended
+		}
+	}
+}
+
+func (m *model) plan() {
+	c := m.balancer.Plan(m.ledger, m.clusterTime())
+	m.proposeCommand(c)
+}
+
+func (m *model) proposeCommand(c Command) {
+	m.past = append(m.past, c)
+	m.propose(entry{cmd: c})
+}
+
+func (m *model) renew(a *arbiter, hold bool) {
+	if m.cut[a.zone] {
+		return
+	}
+	d := a.Demand()
+	m.balancer.Report(&d)
+	r, ok := m.balancer.Renewal(m.ledger, a.zone, a.term, m.index)
+	if !ok {
+		return
+	}
+	a.run = m.ledger.runs.current
+	askedAt := a.clock()
+	if hold {
+		a.pending = append(a.pending, heldRenewal{r, askedAt})
+		return
+	}
+	a.Renew(&r, askedAt)
+}
+
+func (m *model) acquire(a *arbiter) {
+	a.SetWaiting(modelTeam, int64(m.rng.IntN(4)))
+	if a.Acquire(modelTeam) {
+		m.units = append(m.units, &unit{zone: a.zone, term: a.term, owner: a, run: a.run, alive: true})
+	}
+}
+
+// choose returns the n-th unit in a state.
+func (m *model) choose(s unitState, n int) *unit {
+	var found []*unit
+	for _, u := range m.units {
+		if u.state == s {
+			found = append(found, u)
+		}
+	}
+	if len(found) == 0 {
+		return nil
+	}
+	return found[n%len(found)]
+}
+
+// deliver brings a grant to an origin, however late.
+func (m *model) deliver(n, o int) {
+	u := m.choose(inFlight, n)
+	if u == nil {
+		return
+	}
+	to := m.origins[o]
+	fresh := m.now < to.freshUntil || m.credulous
+	newest := to.terms[u.zone] == u.term || m.credulous
+	if !fresh || !newest {
+		u.state = ended
+		m.release(u)
+		return
+	}
+	u.state = received
+	u.origin = o
+	u.run = min(u.run, to.run)
+	u.startUntil = m.now + time.Duration(float64(modelBounds.StartWithin)/to.rate)
+}
+
+func (m *model) start(n int) {
+	u := m.choose(received, n)
+	if u == nil {
+		return
+	}
+	if !u.alive || m.now > u.startUntil {
+		u.state = ended
+		m.release(u)
+		return
+	}
+	u.state = running
+	// The run is bounded on a clock that may be slow.
+	u.end = m.now + time.Duration(float64(u.run)*(1+1.0/DriftDivisor))
+	m.started++
+}
+
+func (m *model) finish(n int) {
+	u := m.choose(running, n)
+	if n%3 == 0 {
+		u = m.choose(ended, n)
+	}
+	if u == nil {
+		return
+	}
+	u.state = ended
+	if u.alive {
+		m.release(u)
+	}
+}
+
+// release tells the arbiter that counts the unit.
+func (m *model) release(u *unit) {
+	if !u.released {
+		u.released = true
+		u.owner.Release(modelTeam)
+	}
+}
+
+// declare lets all living origins declare to the zone's arbiter, which proposes
+// a transfer.
+func (m *model) declare(zone string) {
+	a := m.current[zone]
+	_, n := m.teamState().retiredOf(zone)
+	if a.declared || n == 0 || !m.ledger.Waiting() {
+		return
+	}
+	first, _ := m.teamState().retiredOf(zone)
+	if !m.ledger.nothingStarts(m.teamState().retired[first : first+n]) {
+		return
+	}
+	a.declared = true
+	var count int64
+	for _, u := range m.units {
+		held := u.state == running || u.state == received
+		if held && u.alive && u.zone == zone && u.owner != a && !u.released {
+			u.owner = a
+			count++
+		}
+	}
+	a.Adopt(modelTeam, count)
+	tr := Transfer{Zone: zone, Term: a.term, Team: modelTeam, Running: count, Complete: !m.originDied}
+	m.proposeCommand(Command{Transfers: []Transfer{tr}})
+	m.transfers++
+}
+
+func (m *model) teamState() *teamState { return m.ledger.team(modelTeam) }
+
+func (m *model) changeLeader(lose bool) {
+	if lose {
+		m.pending = nil
+	}
+	m.commitAll()
+	m.base = m.ledger.now
+	m.leaderAt = m.now
+	m.leaderRate = m.rate()
+	m.balancer = NewBalancer()
+}
+
+func (m *model) vouch(o *origin) {
+	for z := range modelZones {
+		o.terms[zoneName(z)] = m.ledger.Term(zoneName(z))
+	}
+	o.run = m.ledger.runs.current
+	o.freshUntil = m.now + time.Duration(float64(modelBounds.holderLease())/o.rate)
+}
+
+func (m *model) killOrigin(n int) {
+	m.originDied = true
+	for _, u := range m.units {
+		if u.origin == n && (u.state == running || u.state == received) {
+			u.alive = false
+		}
+	}
+	m.origins[n] = &origin{rate: m.rate(), terms: make(map[string]uint64)}
+}
+
+// check returns an error if more units run than the ledger counts.
+func (m *model) check() error {
+	var n int64
+	for _, u := range m.units {
+		if u.state == running {
+			n++
+		}
+	}
+	if out := m.ledger.Outstanding(modelTeam); n > out {
+		return fmt.Errorf("%d units run at %s; the ledger counts %d", n, m.now, out)
+	}
+	return nil
+}
--- a/quota/transfer.go
+++ b/quota/transfer.go
@@ -54,7 +54,8 @@
 	}
 	first, n := t.retiredOf(tr.Zone)
 	records := t.retired[first : first+n]
-	if n == 0 || t.allot(tr.Zone).moved || !l.nothingStarts(records) {
+	once := !t.allot(tr.Zone).moved || l.off.transferOnce
+	if n == 0 || !once || !l.nothingStarts(records) {
 		return
 	}
 	moved := takeUnits(records, tr.Running)
@@ -70,6 +71,9 @@
 // nothingStarts reports whether every record is past its no-start time.
 func (l *Ledger) nothingStarts(records []retired) bool {
 	for _, r := range records {
+		if l.off.transferWait {
+			break
+		}
 		if !r.wait.begun || l.now < r.noStart {
 			return false
 		}
