--- /dev/null
+++ b/control/httpapi/httpapi_test.go
@@ -0,0 +1,241 @@
+package httpapi
+
+import (
+	"context"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/labstack/echo/v5"
+	"github.com/pkg/errors"
+
+	"magnoliastand.example/api"
+	"magnoliastand.example/control"
+)
+
+const operatorKey = "operator-key"
+
+const document = `
+name: office
+availability_zones: [{name: fukuoka}]
+pools: [{name: quotes}]
+services:
+- name: quote
+  pool: quotes
+  slots_per_endpoint: 8
+  connections_per_endpoint: 64
+  longest_run: 30s
+  queues: [{name: quick, max_wait: 1500ms}]
+teams: [{name: schools, share: 3, limit: 40}]
+`
+
+// fakeService is one daemon with a state of its own.
+type fakeService struct {
+	state      *control.State
+	err        error
+	barrierErr error
+	looks      int // how often InForce still names a missing daemon
+}
+
+func (f *fakeService) Propose(_ context.Context, cmd *control.Command) (control.Result, error) {
+	if f.err != nil {
+		return control.Result{}, f.err
+	}
+	return f.state.Apply(f.state.Index()+1, cmd), nil
+}
+func (f *fakeService) View() *control.View           { return f.state.View() }
+func (f *fakeService) Barrier(context.Context) error { return f.barrierErr }
+func (f *fakeService) History(context.Context) ([]control.HistoryEntry, error) {
+	return f.state.History(), f.barrierErr
+}
+func (f *fakeService) InForce(uint64) (reached, missing []string) {
+	f.looks--
+	if f.looks >= 0 {
+		return []string{"d1"}, []string{"d2"}
+	}
+	return []string{"d1", "d2"}, []string{}
+}
+
+type fixture struct {
+	t       *testing.T
+	service *fakeService
+	echo    *echo.Echo
+}
+
+func newFixture(t *testing.T) *fixture {
+	f := &fixture{t: t, service: &fakeService{state: control.New("c", control.Options{})}, echo: echo.New()}
+	Register(f.echo, f.service, []Operator{{Name: "other", Hash: control.HashKey("x")}, {Name: "ops", Hash: control.HashKey(operatorKey)}})
+	return f
+}
+
+// call sends a request with the operator key and decodes the JSON answer.
+func (f *fixture) call(method, target, body string, want int) (map[string]any, http.Header) {
+	f.t.Helper()
+	req := httptest.NewRequest(method, target, strings.NewReader(body))
+	req.Header.Set("Authorization", "Bearer "+operatorKey)
+	rec := httptest.NewRecorder()
+	f.echo.ServeHTTP(rec, req)
+	if rec.Code != want {
+		f.t.Fatalf("%s %s: status %d, want %d: %s", method, target, rec.Code, want, rec.Body)
+	}
+	if want >= 400 && rec.Header().Get("Content-Type") != api.ProblemMediaType {
+		f.t.Fatalf("content type %q", rec.Header().Get("Content-Type"))
+	}
+	out := map[string]any{}
+	_ = json.Unmarshal(rec.Body.Bytes(), &out)
+	return out, rec.Header()
+}
+
+func TestEveryRouteNeedsAnOperatorKey(t *testing.T) {
+	f := newFixture(t)
+	for _, route := range f.echo.Router().Routes() {
+		for _, header := range []string{"", "Bearer ", "Bearer wrong", operatorKey} {
+			req := httptest.NewRequest(route.Method, strings.ReplaceAll(route.Path, ":", ""), http.NoBody)
+			req.Header.Set("Authorization", header)
+			rec := httptest.NewRecorder()
+			f.echo.ServeHTTP(rec, req)
+			if rec.Code != http.StatusUnauthorized || !strings.Contains(rec.Body.String(), string(api.CodeOperatorRequired)) {
+				t.Errorf("%s %s with %q: status %d", route.Method, route.Path, header, rec.Code)
+			}
+		}
+	}
+}
+
+func TestDocumentRoundTrip(t *testing.T) {
+	f := newFixture(t)
+	f.call("POST", "/v1/document?operation=a&base=0&wait=1s", document, 200)
+	got, header := f.call("GET", "/v1/document", "", 200)
+	if header.Get(HeaderDocumentVersion) != "1" || got["document_version"] != 1.0 {
+		t.Fatalf("got %v", got)
+	}
+	asJSON, _ := json.Marshal(got["document"])
+	f.call("POST", "/v1/document/check", string(asJSON), 200)
+	req := httptest.NewRequest(http.MethodGet, "/v1/document?format=yaml", http.NoBody)
+	req.Header.Set("Authorization", "Bearer "+operatorKey)
+	rec := httptest.NewRecorder()
+	f.echo.ServeHTTP(rec, req)
+	asYAML, _ := io.ReadAll(rec.Body)
+	for _, text := range [][]byte{asJSON, asYAML} {
+		doc, err := api.LoadDocument(text)
+		if err != nil || doc.Services[0].Queues[0].Patience() != 1500*time.Millisecond {
+			t.Fatalf("%v of %s", err, text)
+		}
+	}
+	history, _ := f.call("GET", "/v1/document/history", "", 200)
+	entry := history["documents"].([]any)[0].(map[string]any)
+	if entry["actor"] != "ops" || entry["version"] != 1.0 || len(entry["digest"].(string)) != 64 {
+		t.Fatalf("history %v", history)
+	}
+}
+
+func TestDocumentProblems(t *testing.T) {
+	f := newFixture(t)
+	f.call("POST", "/v1/document?operation=a&base=0", document, 200)
+	p, header := f.call("POST", "/v1/document?operation=b&base=0", document, 409)
+	if p["code"] != string(api.CodeConflict) || header.Get(HeaderDocumentVersion) != "1" {
+		t.Fatalf("conflict %v", p)
+	}
+	p, _ = f.call("POST", "/v1/document/check", strings.Replace(document, "share: 3", "share: 0", 1), 422)
+	fault := p["faults"].([]any)[0].(map[string]any)
+	if p["code"] != string(api.CodeInvalidDocument) || fault["path"] != "teams[0].share" || p["run"] != string(api.RunNot) {
+		t.Fatalf("problem %v", p)
+	}
+	f.call("POST", "/v1/document/check", "name: [", 422)
+	f.call("POST", "/v1/document?base=0", document, 400)
+	f.call("POST", "/v1/document?operation=c", document, 400)
+	f.call("POST", "/v1/document?operation=c&base=1&wait=1h", document, 400)
+	f.call("POST", "/v1/document?operation="+strings.Repeat("c", 200)+"&base=1", document, 400)
+	p, _ = f.call("POST", "/v1/document/check", strings.Repeat("#", api.MaxDocumentBytes+1), 413)
+	if p["code"] != string(api.CodeBodyTooLarge) {
+		t.Fatalf("problem %v", p)
+	}
+}
+
+func TestUnknownOutcomeIsSaid(t *testing.T) {
+	f := newFixture(t)
+	f.service.err = errors.New("timeout")
+	p, header := f.call("POST", "/v1/document?operation=a&base=0", document, 503)
+	if p["run"] != string(api.RunUnknown) || header.Get("Retry-After") != "1" {
+		t.Fatalf("problem %v", p)
+	}
+	f.service.err = errors.Wrap(ErrNotProposed, "no leader")
+	p, _ = f.call("POST", "/v1/document?operation=a&base=0", document, 503)
+	if p["run"] != string(api.RunNot) {
+		t.Fatalf("problem %v", p)
+	}
+	f.service.barrierErr = errors.New("cut off")
+	f.call("GET", "/v1/document", "", 503)
+	f.call("GET", "/v1/document/history", "", 503)
+}
+
+func TestWaitEndsWhenInForceOrTimeIsUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t)
+		f.service.looks = 3
+		start := time.Now()
+		got, _ := f.call("POST", "/v1/document?operation=a&base=0&wait=10s", document, 200)
+		if len(got["missing"].([]any)) != 0 || time.Since(start) != 3*waitInterval {
+			t.Fatalf("got %v after %s", got, time.Since(start))
+		}
+		f.service.looks = 1 << 30
+		start = time.Now()
+		got, _ = f.call("POST", "/v1/document?operation=b&base=1&wait=2s", document, 200)
+		if len(got["missing"].([]any)) != 1 || time.Since(start) != 2*time.Second {
+			t.Fatalf("got %v after %s", got, time.Since(start))
+		}
+	})
+}
+
+func TestKeysAreGrantedListedAndWithdrawn(t *testing.T) {
+	f := newFixture(t)
+	f.call("POST", "/v1/document?operation=a&base=0", document, 200)
+	granted, header := f.call("POST", "/v1/teams/schools/keys?operation=k1", `{"label":"counter"}`, 201)
+	text, id := granted["key"].(string), granted["key_id"].(string)
+	if team, err := f.service.View().Authorize(text); err != nil || team != "schools" || header.Get("Cache-Control") != "no-store" {
+		t.Fatalf("granted %v: %v", granted, err)
+	}
+	again, _ := f.call("POST", "/v1/teams/schools/keys?operation=k1", `{"label":"counter"}`, 201)
+	if again["key_id"] != id || again["key"] != nil || again["repeated"] != true {
+		t.Fatalf("repeated grant %v", again)
+	}
+	own := control.NewKey()
+	body := fmt.Sprintf(`{"key_id":%q,"hash":%q}`, own.ID, hex.EncodeToString(own.Hash[:]))
+	f.call("POST", "/v1/teams/schools/keys?operation=k2", body, 201)
+	if _, err := f.service.View().Authorize(own.Text); err != nil {
+		t.Fatal(err)
+	}
+	f.call("POST", "/v1/teams/schools/keys?operation=k3", "", 409)
+	for _, target := range []string{"/v1/keys", "/v1/teams/schools/keys"} {
+		list, _ := f.call("GET", target, "", 200)
+		raw := fmt.Sprint(list)
+		if len(list["keys"].([]any)) != 2 || strings.Contains(raw, text[30:]) || strings.Contains(raw, hex.EncodeToString(own.Hash[:])) {
+			t.Fatalf("list %v", list)
+		}
+	}
+	f.call("DELETE", "/v1/keys/"+id+"?operation=w1", "", 200)
+	f.call("DELETE", "/v1/keys/"+id+"?operation=w1", "", 200)
+	if _, err := f.service.View().Authorize(text); err == nil {
+		t.Fatal("a withdrawn key is valid")
+	}
+}
+
+func TestKeyProblems(t *testing.T) {
+	f := newFixture(t)
+	f.call("POST", "/v1/document?operation=a&base=0", document, 200)
+	f.call("POST", "/v1/teams/none/keys?operation=k1", "", 404)
+	f.call("GET", "/v1/teams/none/keys", "", 404)
+	f.call("POST", "/v1/teams/schools/keys", "", 400)
+	f.call("POST", "/v1/teams/schools/keys?operation=k2", `{"secret":"x"}`, 400)
+	f.call("POST", "/v1/teams/schools/keys?operation=k2", `{"key_id":"00","hash":"zz"}`, 400)
+	f.call("POST", "/v1/teams/schools/keys?operation=k2", `{"label":"`+strings.Repeat("x", 200)+`"}`, 400)
+	f.call("POST", "/v1/teams/schools/keys?operation=k2", strings.Repeat(" ", maxKeyRequestBytes+1), 413)
+	f.call("DELETE", "/v1/keys/none?operation=w", "", 404)
+	f.call("DELETE", "/v1/keys/none", "", 400)
+}
--- /dev/null
+++ b/control/httpapi/problem.go
@@ -0,0 +1,60 @@
+package httpapi
+
+import (
+	"fmt"
+	"net/http"
+
+	"github.com/pkg/errors"
+
+	"magnoliastand.example/api"
+	"magnoliastand.example/control"
+)
+
+// fieldProblem reports a faulty header, parameter or body field.
+func fieldProblem(field, format string, args ...any) *api.Problem {
+	p := api.NewProblem(http.StatusBadRequest, api.CodeInvalidField, api.RunNot, fmt.Sprintf(format, args...))
+	p.Field = field
+	return p
+}
+
+// documentProblem reports the faults of a document.
+func documentProblem(faults []api.Fault) *api.Problem {
+	detail := fmt.Sprintf("the document has %d faults", len(faults))
+	if len(faults) == 1 {
+		detail = faults[0].String()
+	}
+	p := api.NewProblem(http.StatusUnprocessableEntity, api.CodeInvalidDocument, api.RunNot, detail)
+	p.Faults = faults
+	return p
+}
+
+// unavailable reports that the control quorum did not answer.
+func unavailable(run api.Run, detail string) *api.Problem {
+	p := api.NewProblem(http.StatusServiceUnavailable, api.CodeUnavailable, run, detail)
+	p.RetryAfterMS = retryAfter.Milliseconds()
+	return p
+}
+
+// proposeProblem turns an error of Service.Propose into a problem.
+func proposeProblem(err error) *api.Problem {
+	if errors.Is(err, ErrNotProposed) {
+		return unavailable(api.RunNot, err.Error())
+	}
+	return unavailable(api.RunUnknown, "the outcome is unknown; repeat the call with the same operation id: "+err.Error())
+}
+
+// refusalProblem turns a refusal of the control state into a problem.
+func refusalProblem(r *control.Refusal) *api.Problem {
+	status, code := http.StatusConflict, api.CodeConflict
+	switch r.Code {
+	case control.RefusedDocument:
+		return documentProblem(r.Faults)
+	case control.RefusedOperationsFull:
+		return unavailable(api.RunNot, r.Detail)
+	case control.RefusedUnknownTeam, control.RefusedNotFound:
+		status, code = http.StatusNotFound, api.CodeNotFound
+	case control.RefusedMalformed, control.RefusedFleet:
+		status, code = http.StatusBadRequest, api.CodeInvalidField
+	}
+	return api.NewProblem(status, code, api.RunNot, r.Detail)
+}
