Return from a provisional arbiter to one of the control log

Cause: a daemon that woke from a freeze took its peers' silence for their death and made itself provisional arbiter. Ruled out: starved long work in the arbiter, since other zones served it. Now the assigned daemon may claim again, and a stop of the own process does not count as silence of others.

--- a/cmd/magnoliastand/cluster_test.go
+++ b/cmd/magnoliastand/cluster_test.go
@@ -481,3 +481,15 @@
 	}
 	return reply.Version
 }
+
+// awaitControlledArbiters waits until each zone's arbiter is the one that the
+// control log assigned, on every daemon of the zone.
+func (c *cluster) awaitControlledArbiters() {
+	c.t.Helper()
+	for _, m := range c.members {
+		c.eventually(m.name+" follows an arbiter of the control log", func() bool {
+			s, ok := c.status(m)
+			return ok && s.Fresh && s.ArbiterTerm > 0 && s.ArbiterTerm%(1<<16) == 0
+		})
+	}
+}
--- a/cmd/magnoliastand/random_test.go
+++ b/cmd/magnoliastand/random_test.go
@@ -48,12 +48,7 @@
 		time.Sleep(time.Duration(500+rng.IntN(1000)) * time.Millisecond)
 		c.randomFault(rng, step)
 	}
-	time.Sleep(time.Second)
-	for _, m := range c.members {
-		if s, ok := c.status(m); ok && s.Slots != nil {
-			t.Logf("%s: arbiter of term %d, slots %+v", m.name, s.ArbiterTerm, *s.Slots)
-		}
-	}
+	c.awaitControlledArbiters()
 	reports := make([]*standin.Report, 0, len(waits))
 	for _, wait := range waits {
 		reports = append(reports, wait())
--- a/daemon/claim.go
+++ b/daemon/claim.go
@@ -87,8 +87,10 @@
 	if a.Term > r.Observed {
 		return claimReply{Version: a.Version}, nil
 	}
+	// The assigned daemon itself claims a new term after a provisional one
+	// replaced it within the zone.
 	same := a.Daemon == r.Daemon && a.Incarnation == r.Incarnation
-	if same || a.Daemon != "" && c.arbiterAnswers(ctx, a) {
+	if !same && a.Daemon != "" && c.arbiterAnswers(ctx, a) {
 		return claimReply{}, &peerlink.RemoteError{Code: codeClaimRefused, Detail: "the present arbiter answers the leader"}
 	}
 	result, err := c.proposeHere(ctx, &control.Command{AssignArbiter: &control.AssignArbiter{
--- a/daemon/zone.go
+++ b/daemon/zone.go
@@ -42,7 +42,7 @@
 	leaving  map[string]bool
 	arbiter  arbiterRef
 	changed  chan struct{} // closed at the next change of the arbiter
-	missing  time.Time     // since when the arbiter is not alive; zero while it is
+	lastStep time.Time
 	quitting bool
 }
 
@@ -201,7 +201,6 @@
 		return false
 	}
 	m.arbiter = ref
-	m.missing = time.Time{}
 	close(m.changed)
 	m.changed = make(chan struct{})
 	if m.onChange != nil {
@@ -215,6 +214,7 @@
 // step follows the control log's assignment and, when the arbiter is missing
 // and this daemon is next in line, claims the role.
 func (m *zoneMonitor) step(ctx context.Context, now time.Time) {
+	m.noteStep(now)
 	if ref, ok := m.source.ArbiterOf(m.zone); ok {
 		m.adopt(ref)
 	}
@@ -242,6 +242,23 @@
 	})
 }
 
+// wakeGap is the time between two steps from which on the process counts as
+// having been stopped.
+const wakeGap = 10 * electionTick
+
+// noteStep restarts the silence of all peers when this process was stopped: it
+// could not hear them meanwhile.
+func (m *zoneMonitor) noteStep(now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.lastStep.IsZero() && now.Sub(m.lastStep) > wakeGap+claimTimeout {
+		for name := range m.seen {
+			m.seen[name] = now
+		}
+	}
+	m.lastStep = now
+}
+
 // claimTimeout bounds one claim of the arbiter role.
 const claimTimeout = 400 * time.Millisecond
 
@@ -263,12 +280,8 @@
 	provisional := m.arbiter.Term%provisionalTerms != 0
 	usable := m.arbiterAlive(now) && !m.leaving[m.arbiter.Name]
 	if usable && (!provisional || !fresh) {
-		m.missing = time.Time{}
 		return false
 	}
-	if m.missing.IsZero() {
-		m.missing = now
-	}
 	for _, name := range m.order {
 		if name == m.self.Name {
 			return true
