Removed nodes learn of it; waiting for changes; leaner tests

Cause: a voter that was isolated for long and replaced by a repair came back to silence: its pre-votes were refused without a word. A daemon also had to poll for changes of leader and applied index.

Weighed: answering only from the leader, or from any node that hears one; the latter works when the leader can't be reached, and a wrong hint is cleared by the next message of a leader. A node with a whole disk may be added again under its ID, since its votes are still there.

The fuzz target for entries went with the function it tested, which nothing used. Examples remain for the log and the node.

--- a/consensus/codec.go
+++ b/consensus/codec.go
@@ -53,21 +53,6 @@
 	return m, m.Validate()
 }
 
-// MarshalEntry encodes an entry as CBOR.
-func MarshalEntry(e *Entry) ([]byte, error) {
-	b, err := encMode.Marshal(e)
-	return b, errors.Wrap(err, "consensus: encode entry")
-}
-
-// UnmarshalEntry decodes an entry. Errors wrap ErrBadMessage.
-func UnmarshalEntry(b []byte) (Entry, error) {
-	var e Entry
-	if err := decMode.Unmarshal(b, &e); err != nil {
-		return Entry{}, errors.Wrap(ErrBadMessage, err.Error())
-	}
-	return e, nil
-}
-
 // Validate returns an error wrapping ErrBadMessage if the fields of the message
 // contradict its type.
 func (m *Message) Validate() error {
--- a/consensus/core.go
+++ b/consensus/core.go
@@ -36,6 +36,9 @@
 	pendingBytes int
 	reads        []pendingRead
 
+	// removed is set while others say that this node is no member.
+	removed bool
+
 	// forwarded are reads that wait for the leader, with their start tick.
 	forwarded []forwardedRead
 
@@ -210,6 +213,7 @@
 	}
 	c.leader = m.From
 	c.elapsed = 0
+	c.removed = false
 	return true
 }
 
--- a/consensus/election.go
+++ b/consensus/election.go
@@ -152,7 +152,8 @@
 		c.send(Message{Type: MsgPreVoteResp, To: m.From, Term: m.Term})
 		return
 	}
-	c.send(Message{Type: MsgPreVoteResp, To: m.From, Reject: true})
+	removed := c.hasLease() && !isMember(c.log.membersAt(c.log.commit), m.From)
+	c.send(Message{Type: MsgPreVoteResp, To: m.From, Reject: true, Removed: removed})
 }
 
 // handleVote grants at most one vote in a term. Any node answers, also one
@@ -173,6 +174,7 @@
 
 func (c *Core) handleVoteResp(m *Message) {
 	pre := m.Type == MsgPreVoteResp
+	c.removed = c.removed || m.Removed
 	if pre && c.role != PreCandidate || !pre && c.role != Candidate {
 		return
 	}
--- a/consensus/membership.go
+++ b/consensus/membership.go
@@ -115,6 +115,9 @@
 	// yet committed.
 	Members        []Member
 	MembersPending bool
+	// Removed tells that a node with a leader refused this one as no member. A
+	// node whose disk is whole may be added again as a learner under its ID.
+	Removed bool
 	// QuorumTicks counts the ticks since a quorum is known to have
 	// acknowledged this leader. It is valid only when QuorumKnown is set: the
 	// node leads and has committed an entry of its term.
@@ -130,7 +133,7 @@
 		ID: c.cfg.ID, Cluster: c.cfg.Cluster, Term: c.term, Role: c.role, Leader: c.leader,
 		Commit: c.log.commit, Applied: c.log.applied, Last: c.log.last(), Snapshot: c.log.snap.Index,
 		Now: c.now, Members: slices.Clone(c.log.members()),
-		MembersPending: c.log.configIndex() > c.log.commit,
+		MembersPending: c.log.configIndex() > c.log.commit, Removed: c.removed,
 	}
 	if c.role != Leader {
 		return s
--- a/consensus/message.go
+++ b/consensus/message.go
@@ -61,6 +61,9 @@
 	Offset uint64 `cbor:"16,keyasint,omitempty"`
 	// Handover is set in MsgVote when the leader itself asked for the election.
 	Handover bool `cbor:"17,keyasint,omitempty"`
+	// Removed is set in a refused MsgPreVoteResp when the candidate is no
+	// member of a cluster that has a leader.
+	Removed bool `cbor:"18,keyasint,omitempty"`
 }
 
 // Chunk is a part of the data of a snapshot, from Offset on.
--- a/consensus/node/loop.go
+++ b/consensus/node/loop.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -264,7 +265,20 @@
 	} else {
 		s.QuorumKnown = false
 	}
-	n.status.Store(s)
+	old := n.status.Swap(s)
+	if old == nil || differs(&old.Status, &s.Status) {
+		next := make(chan struct{})
+		if last := n.changed.Swap(&next); last != nil {
+			close(*last)
+		}
+	}
+}
+
+// differs reports whether a change is worth waking those who wait for one.
+func differs(a, b *consensus.Status) bool {
+	return a.Role != b.Role || a.Leader != b.Leader || a.Term != b.Term || a.Applied != b.Applied ||
+		a.QuorumKnown != b.QuorumKnown || a.MembersPending != b.MembersPending || a.Removed != b.Removed ||
+		!slices.Equal(a.Members, b.Members)
 }
 
 // failAll answers what is still open when the loop ends.
--- a/consensus/node/node.go
+++ b/consensus/node/node.go
@@ -22,6 +22,7 @@
 	inbox   chan consensus.Message
 	calls   chan call[R]
 	status  atomic.Pointer[Status]
+	changed atomic.Pointer[chan struct{}]
 	stop    chan struct{}
 	done    chan struct{}
 	once    sync.Once
@@ -204,8 +205,8 @@
 	return n.change(ctx, consensus.Change{Kind: consensus.Promote, Member: consensus.Member{ID: id}})
 }
 
-// Remove removes a member; see AddLearner. A removed node never rejoins under
-// the same ID.
+// Remove removes a member; see AddLearner. A removed node may be added again
+// under its ID only as long as its disk is whole.
 func (n *Node[R]) Remove(ctx context.Context, id consensus.NodeID) error {
 	return n.change(ctx, consensus.Change{Kind: consensus.Remove, Member: consensus.Member{ID: id}})
 }
@@ -266,6 +267,31 @@
 	}
 }
 
+// Changed returns a channel that is closed at the next change of role, leader,
+// term, membership or applied index. To miss nothing, a caller gets the channel
+// before it reads Status.
+func (n *Node[R]) Changed() <-chan struct{} {
+	return *n.changed.Load()
+}
+
+// WaitApplied returns once the entry at index is applied here. Errors are
+// ErrStopped or that of ctx.
+func (n *Node[R]) WaitApplied(ctx context.Context, index uint64) error {
+	for {
+		changed := n.Changed()
+		if n.Status().Applied >= index {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-n.done:
+			return ErrStopped
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
 // Status returns a copy of the state after the last turn of the loop.
 func (n *Node[R]) Status() Status {
 	s := *n.status.Load()
