--- a/control/codec.go
+++ b/control/codec.go
@@ -38,10 +38,18 @@
 	return m
 }
 
-// EncodeCommand returns the log entry of a command.
+// EncodeCommand returns the log entry of a command. It refuses a command that
+// DecodeCommand would not read back, such as text that is not UTF-8, since an
+// entry in the log cannot be taken back.
 func EncodeCommand(c *Command) ([]byte, error) {
 	b, err := encMode.Marshal(c)
-	return b, errors.Wrap(err, "encode control command")
+	if err != nil {
+		return nil, errors.Wrap(err, "encode control command")
+	}
+	if _, err := DecodeCommand(b); err != nil {
+		return nil, err
+	}
+	return b, nil
 }
 
 // DecodeCommand returns the command of a log entry.
--- a/control/httpapi/httpapi.go
+++ b/control/httpapi/httpapi.go
@@ -146,8 +146,8 @@
 // operationID returns the operation id of a call.
 func operationID(c *echo.Context) (string, error) {
 	id := headerOr(c, HeaderOperationID, paramOperation)
-	if id == "" || len(id) > control.MaxOperationIDLen {
-		return "", fieldProblem(HeaderOperationID, "an operation id of 1 to %d bytes is required", control.MaxOperationIDLen)
+	if !control.ValidOperationID(id) {
+		return "", fieldProblem(HeaderOperationID, "an operation id of 1 to %d visible ASCII characters is required", control.MaxOperationIDLen)
 	}
 	return id, nil
 }
--- a/control/operations.go
+++ b/control/operations.go
@@ -71,6 +71,17 @@
 	}
 }
 
+// ValidOperationID reports whether id has 1 to MaxOperationIDLen visible ASCII
+// characters.
+func ValidOperationID(id string) bool {
+	for i := 0; i < len(id); i++ {
+		if id[i] <= ' ' || id[i] > '~' {
+			return false
+		}
+	}
+	return id != "" && len(id) <= MaxOperationIDLen
+}
+
 // identify returns the operation id of an operator's command and a fingerprint
 // of what it asks for. It reports false for commands without operation id.
 func identify(cmd *Command) (id string, fingerprint uint64, ok bool) {
--- a/control/state.go
+++ b/control/state.go
@@ -15,6 +15,8 @@
 	// maxTombstones bounds the removed keys and daemons kept for deltas. A delta
 	// from an older version is a full one.
 	maxTombstones = 1_024
+	// maxClusterTime bounds cluster time, so that sums with intervals cannot overflow.
+	maxClusterTime = 100 * 365 * 24 * time.Hour
 	// maxKeptFaults bounds the faults kept with the result of an operation.
 	maxKeptFaults = 16
 )
@@ -88,7 +90,7 @@
 	invariant.Check(index > s.index, invariant.Consensus,
 		"entry %d applied after entry %d", index, s.index)
 	s.index = index
-	s.now = max(s.now, cmd.At)
+	s.now = max(s.now, min(cmd.At, maxClusterTime))
 	s.ledger.Advance(s.now, cmd.Applied)
 	s.ops.expire(s.now)
 	if countOperations(cmd) != 1 {
@@ -98,8 +100,8 @@
 	if !identified {
 		return s.finish(s.execute(cmd))
 	}
-	if op == "" || len(op) > MaxOperationIDLen {
-		return s.finish(refuse(RefusedMalformed, "an operation id of 1 to %d bytes is required", MaxOperationIDLen))
+	if !ValidOperationID(op) {
+		return s.finish(refuse(RefusedMalformed, "an operation id of 1 to %d visible ASCII characters is required", MaxOperationIDLen))
 	}
 	if r, known := s.ops.find(op, fp); known && !s.opts.forgetOperations {
 		return r
--- a/control/view.go
+++ b/control/view.go
@@ -137,6 +137,23 @@
 // Daemons returns all daemons in order of name.
 func (v *View) Daemons() []Daemon { return sortedValues(v.daemons) }
 
+// Full returns the whole view as a delta, for a receiver that has no version to
+// build on.
+func (v *View) Full() *Delta {
+	d := &Delta{
+		Cluster:  v.cluster,
+		To:       v.version,
+		Full:     true,
+		Keys:     sortedValues(v.keys),
+		Daemons:  sortedValues(v.daemons),
+		Arbiters: sortedValues(v.arbiters),
+	}
+	if v.docVersion > 0 {
+		d.Document = &DocumentVersion{Version: v.docVersion, Document: *v.doc}
+	}
+	return d
+}
+
 // sortedValues returns the values of m in order of key.
 func sortedValues[V any](m map[string]V) []V {
 	names := make([]string, 0, len(m))
