quota: exchange only what changed between holders and the leader

Cause: every renewal and demand listed all teams. At 190 teams that is some 2.5 kB for each round and arbiter, against 4 kB/s for all of control.

Weighed: a difference to the newest message sent is wrong when a message is lost; a difference to the newest confirmed one is wrong when a value changed and changed back in between while the middle message arrives late. Each value therefore keeps the number of the message in which it last changed, and is sent until that message is confirmed. Counts of demand are reported again once they change by an eighth; small counts exactly.

Conclusion: NewBalancer takes an epoch (the leader's term), and Ledger.Transferable tells when an arbiter should collect declarations.

--- a/control/bench_test.go
+++ b/control/bench_test.go
@@ -218,3 +218,29 @@
 	runtime.ReadMemStats(&m)
 	return m.HeapAlloc
 }
+
+// BenchmarkRenewalExchange measures what one arbiter and the leader exchange in
+// one round: the first time, and while ten of all teams change.
+func BenchmarkRenewalExchange(b *testing.B) {
+	s := largeState()
+	bal := quota.NewBalancer(1)
+	h := quota.NewHolder("zone-01", 1, quota.DefaultBounds(), func() time.Duration { return 0 })
+	first, steady := 0, 0
+	for n := 0; b.Loop(); n++ {
+		for t := range 10 {
+			h.SetWaiting(fmt.Sprintf("team-%d", t), int64(n%2))
+		}
+		d := h.Demand()
+		bal.Report(&d)
+		r, _ := bal.Renewal(s.Ledger(), "zone-01", 1, s.Index())
+		h.Renew(&r, 0)
+		sent, _ := encMode.Marshal(&d)
+		received, _ := encMode.Marshal(&r)
+		steady = len(sent) + len(received)
+		if n == 0 {
+			first = steady
+		}
+	}
+	b.ReportMetric(float64(first), "first-bytes")
+	b.ReportMetric(float64(steady), "steady-bytes")
+}
--- a/control/holder.go
+++ b/control/holder.go
@@ -12,6 +12,10 @@
 
 // Holder keeps the newest view that a daemon has seen. It never goes back to an
 // older version, whichever relay offers it. It is safe for concurrent use.
+//
+// A daemon without a disk forgets at a restart which version it ran. It serves
+// nothing until a quorum's vouch covers its first view, that is until
+// freshness.Lease.Fresh(View().Version()) holds once.
 type Holder struct {
 	view atomic.Pointer[View]
 	// backwards lets older views replace newer ones, for tests of the checkers.
--- a/quota/balancer.go
+++ b/quota/balancer.go
@@ -18,6 +18,7 @@
 // demand reported by the current terms, which a new leader learns again from
 // the holders. It is not safe for concurrent use.
 type Balancer struct {
+	epoch uint64
 	zones map[string]*zoneDemand
 	// targets are the return targets asked of the holders.
 	targets map[allotKey]uint64
@@ -32,41 +33,106 @@
 	team string
 }
 
-// zoneDemand is the newest demand of one zone.
+// zoneDemand is what the balancer and the holder of one term exchanged.
 type zoneDemand struct {
 	term  uint64
 	teams map[string]TeamDemand
+	// seen is the newest demand; complete tells that no team is missing.
+	seen     uint64
+	complete bool
+	// sent numbers the renewals; confirmed is the newest one that the holder has.
+	sent      uint64
+	confirmed uint64
+	holdings  map[string]sentHolding
 }
 
-// NewBalancer returns a balancer without demand.
-func NewBalancer() *Balancer {
+// sentHolding is a holding with the renewal in which it last changed.
+type sentHolding struct {
+	holding Holding
+	changed uint64
+}
+
+// NewBalancer returns a balancer without demand. The epoch is positive and
+// rises with each new balancer of the cluster; the leader's term serves.
+func NewBalancer(epoch uint64) *Balancer {
 	return &Balancer{
+		epoch:   epoch,
 		zones:   make(map[string]*zoneDemand),
 		targets: make(map[allotKey]uint64),
 		since:   make(map[allotKey]time.Duration),
 	}
 }
 
-// Report records the demand of a zone. Demand of older terms is ignored.
+// Report records the demand of a zone. Demand of older terms and demand that a
+// newer one has overtaken is ignored.
 func (b *Balancer) Report(d *Demand) {
-	z, ok := b.zones[d.Zone]
-	if ok && d.Term < z.term {
+	z := b.zone(d.Zone, d.Term)
+	if z == nil || d.Seq <= z.seen {
 		return
 	}
-	z = &zoneDemand{term: d.Term, teams: make(map[string]TeamDemand, len(d.Teams))}
+	z.seen = d.Seq
+	if d.Epoch == b.epoch {
+		z.complete = true
+		z.confirmed = max(z.confirmed, d.Have)
+	}
 	for _, t := range d.Teams {
 		z.teams[t.Team] = t
 	}
-	b.zones[d.Zone] = z
 }
 
-// Renewal returns the ledger's renewal with the balancer's return targets.
+// zone returns the exchange with a term; nil if a newer term is known.
+func (b *Balancer) zone(name string, term uint64) *zoneDemand {
+	z, ok := b.zones[name]
+	if ok && term < z.term {
+		return nil
+	}
+	if !ok || term > z.term {
+		z = &zoneDemand{
+			term:     term,
+			teams:    make(map[string]TeamDemand),
+			holdings: make(map[string]sentHolding),
+		}
+		b.zones[name] = z
+	}
+	return z
+}
+
+// Renewal returns the renewal of a term with the balancer's return targets, as
+// far as they changed since the renewal that the holder confirmed. It reports
+// false if the term is not current.
 func (b *Balancer) Renewal(l *Ledger, zone string, term, index uint64) (Renewal, bool) {
 	r, ok := l.Renewal(zone, term, index)
-	for i := range r.Teams {
-		r.Teams[i].ReturnTarget = b.targets[allotKey{zone, term, r.Teams[i].Team}]
+	z := b.zone(zone, term)
+	if !ok || z == nil {
+		return r, false
 	}
-	return r, ok
+	z.sent++
+	r.Epoch = b.epoch
+	r.Seq = z.sent
+	if z.complete {
+		r.Reported = z.seen
+	}
+	changed := r.Teams[:0]
+	for _, h := range r.Teams {
+		h.ReturnTarget = b.targets[allotKey{zone, term, h.Team}]
+		if z.changedSince(h) {
+			changed = append(changed, h)
+		}
+	}
+	r.Teams = changed
+	return r, true
+}
+
+// changedSince records a holding and reports whether it changed since the
+// renewal that the holder confirmed. Values that were sent in between count as
+// changes, also when they changed back.
+func (z *zoneDemand) changedSince(h Holding) bool {
+	old, ok := z.holdings[h.Team]
+	if !ok || old.holding != h {
+		old = sentHolding{holding: h, changed: z.sent}
+		z.holdings[h.Team] = old
+	}
+	return old.changed > z.confirmed
 }
 
 // Plan returns the command that fits the demand, and updates the return targets
@@ -88,7 +154,7 @@
 // prune forgets what belongs to terms that are no longer current.
 func (b *Balancer) prune(l *Ledger) {
 	for zone, z := range b.zones {
-		if l.Term(zone) > z.term {
+		if l.Term(zone) != z.term {
 			delete(b.zones, zone)
 		}
 	}
--- a/quota/bench_test.go
+++ b/quota/bench_test.go
@@ -13,7 +13,7 @@
 
 // benchLedger returns a ledger and balancer of the expected size with demand.
 func benchLedger() (*Ledger, *Balancer) {
-	l, b := NewLedger(DefaultBounds()), NewBalancer()
+	l, b := NewLedger(DefaultBounds()), NewBalancer(1)
 	var limits []TeamLimit
 	for t := range benchTeams {
 		limits = append(limits, TeamLimit{Team: fmt.Sprintf("team-%d", t), Limit: 100})
@@ -22,7 +22,7 @@
 	for z := range benchZones {
 		zone := fmt.Sprintf("zone-%02d", z)
 		l.SetTerm(zone, 1, 1)
-		d := Demand{Zone: zone, Term: 1}
+		d := Demand{Zone: zone, Term: 1, Seq: 1}
 		for t := range benchTeams {
 			d.Teams = append(d.Teams, TeamDemand{Team: fmt.Sprintf("team-%d", t), Running: int64((t + z) % 3), Waiting: int64(z % 4)})
 		}
--- a/quota/command.go
+++ b/quota/command.go
@@ -59,8 +59,14 @@
 	Zone string `cbor:"1,keyasint"`
 	Term uint64 `cbor:"2,keyasint"`
 	// Index orders renewals: it is the log index of the state that they show.
-	Index uint64    `cbor:"3,keyasint"`
+	Index uint64 `cbor:"3,keyasint"`
+	// Teams lists what changed since the renewal that the holder has confirmed.
 	Teams []Holding `cbor:"4,keyasint,omitempty"`
+	// Epoch names the balancer; Seq numbers its renewals of the term.
+	Epoch uint64 `cbor:"5,keyasint,omitempty"`
+	Seq   uint64 `cbor:"6,keyasint,omitempty"`
+	// Reported is the newest demand that this balancer has; 0 if it needs all teams.
+	Reported uint64 `cbor:"7,keyasint,omitempty"`
 }
 
 // Holding is what a renewal says about one team.
@@ -78,9 +84,15 @@
 
 // Demand is what a holder reports with its question for a renewal.
 type Demand struct {
-	Zone  string       `cbor:"1,keyasint"`
-	Term  uint64       `cbor:"2,keyasint"`
+	Zone string `cbor:"1,keyasint"`
+	Term uint64 `cbor:"2,keyasint"`
+	// Teams lists what changed since the demand that the balancer has confirmed.
 	Teams []TeamDemand `cbor:"3,keyasint,omitempty"`
+	// Seq numbers the demands of the term.
+	Seq uint64 `cbor:"4,keyasint,omitempty"`
+	// Epoch and Have name the newest renewal that the holder has applied.
+	Epoch uint64 `cbor:"5,keyasint,omitempty"`
+	Have  uint64 `cbor:"6,keyasint,omitempty"`
 }
 
 // TeamDemand is the demand of one team in one zone.
--- a/quota/holder.go
+++ b/quota/holder.go
@@ -6,6 +6,10 @@
 	"time"
 )
 
+// reportDivisor sets the report threshold: a count is reported again once it
+// changed by its reported value divided by this.
+const reportDivisor = 8
+
 // Clock returns the monotonic time since an arbitrary start. It counts while
 // the process is stopped.
 type Clock func() time.Duration
@@ -26,6 +30,15 @@
 	leased   bool
 	index    uint64
 	teams    map[string]*holding
+	exchange exchange
+}
+
+// exchange tracks what a holder and the newest balancer know of each other.
+type exchange struct {
+	epoch     uint64
+	have      uint64 // newest renewal of the epoch
+	sent      uint64 // newest demand
+	confirmed uint64 // newest demand that the balancer confirmed
 }
 
 // holding is the state of one team at a holder.
@@ -36,6 +49,9 @@
 	running  int64
 	waiting  int64
 	frozen   bool
+	// reported is the demand as last reported, changed the demand that first did.
+	reported TeamDemand
+	changed  uint64
 }
 
 // idle returns the units that nothing uses.
@@ -150,6 +166,7 @@
 	h.leased = true
 	newest := r.Index >= h.index
 	h.index = max(h.index, r.Index)
+	h.exchange.confirm(r)
 	for i := range r.Teams {
 		h.renewTeam(&r.Teams[i], newest)
 	}
@@ -166,23 +183,52 @@
 	t.handBack()
 }
 
-// Demand reports every team that the holder knows, in order of name.
+// confirm takes note of a renewal. A newer balancer begins anew.
+func (e *exchange) confirm(r *Renewal) {
+	if r.Epoch > e.epoch {
+		*e = exchange{epoch: r.Epoch, sent: e.sent}
+	}
+	if r.Epoch == e.epoch {
+		e.have = max(e.have, r.Seq)
+		e.confirmed = max(e.confirmed, r.Reported)
+	}
+}
+
+// Demand reports the teams whose demand changed since the report that the
+// balancer confirmed, in order of name.
 func (h *Holder) Demand() Demand {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	d := Demand{Zone: h.zone, Term: h.term}
+	h.exchange.sent++
+	d := Demand{Zone: h.zone, Term: h.term, Seq: h.exchange.sent, Epoch: h.exchange.epoch, Have: h.exchange.have}
 	for name, t := range h.teams {
-		d.Teams = append(d.Teams, TeamDemand{
-			Team:     name,
-			Running:  t.running,
-			Waiting:  t.waiting,
-			Returned: t.returned,
-		})
+		t.report(name, d.Seq)
+		if t.changed > h.exchange.confirmed {
+			d.Teams = append(d.Teams, t.reported)
+		}
 	}
 	sort.Slice(d.Teams, func(i, j int) bool { return d.Teams[i].Team < d.Teams[j].Team })
 	return d
 }
 
+// report updates the reported demand if it changed enough to matter.
+func (h *holding) report(team string, seq uint64) {
+	now := TeamDemand{Team: team, Running: h.running, Waiting: h.waiting, Returned: h.returned}
+	old := h.reported
+	if h.changed > 0 && old.Returned == now.Returned && !differs(old.Running, now.Running) && !differs(old.Waiting, now.Waiting) {
+		return
+	}
+	h.reported = now
+	h.changed = seq
+}
+
+// differs reports whether a count changed by the report threshold, or became or
+// ceased to be zero. Counts below the threshold's divisor are reported exactly.
+func differs(old, now int64) bool {
+	diff := max(old-now, now-old)
+	return diff > 0 && (diff*reportDivisor >= old || now == 0)
+}
+
 func (h *Holder) team(name string) *holding {
 	t, ok := h.teams[name]
 	if !ok {
--- a/quota/holder_test.go
+++ b/quota/holder_test.go
@@ -18,7 +18,7 @@
 }
 
 func newBench(zones int, limit int64) *bench {
-	b := &bench{ledger: NewLedger(modelBounds), balancer: NewBalancer(), cut: make(map[int]bool)}
+	b := &bench{ledger: NewLedger(modelBounds), balancer: NewBalancer(1), cut: make(map[int]bool)}
 	b.setLimit(limit)
 	for z := range zones {
 		zone := fmt.Sprintf("z%d", z)
--- a/quota/model_test.go
+++ b/quota/model_test.go
@@ -118,7 +118,7 @@
 	m := &model{
 		rng:      rand.New(rand.NewPCG(seed, 1)),
 		ledger:   NewLedger(modelBounds),
-		balancer: NewBalancer(),
+		balancer: NewBalancer(1),
 		current:  make(map[string]*arbiter),
 		cut:      make(map[string]bool),
 	}
@@ -469,12 +469,7 @@
 // a transfer.
 func (m *model) declare(zone string) {
 	a := m.current[zone]
-	_, n := m.teamState().retiredOf(zone)
-	if a.declared || n == 0 || !m.ledger.Waiting() {
-		return
-	}
-	first, _ := m.teamState().retiredOf(zone)
-	if !m.ledger.nothingStarts(m.teamState().retired[first : first+n]) {
+	if a.declared || len(m.ledger.Transferable(zone)) == 0 {
 		return
 	}
 	a.declared = true
@@ -492,8 +487,6 @@
 	m.transfers++
 }
 
-func (m *model) teamState() *teamState { return m.ledger.team(modelTeam) }
-
 func (m *model) changeLeader(lose bool) {
 	if lose {
 		m.pending = nil
@@ -502,7 +495,7 @@
 	m.base = m.ledger.now
 	m.leaderAt = m.now
 	m.leaderRate = m.rate()
-	m.balancer = NewBalancer()
+	m.balancer = NewBalancer(m.balancer.epoch + 1)
 }
 
 func (m *model) vouch(o *origin) {
--- a/quota/transfer.go
+++ b/quota/transfer.go
@@ -68,6 +68,23 @@
 	t.dropEmpty()
 }
 
+// Transferable lists the teams with units of a zone's ended terms that a
+// Transfer to the current term may move now, in order of name. The leader then
+// lets the zone's arbiter collect declarations.
+func (l *Ledger) Transferable(zone string) []string {
+	var teams []string
+	for _, name := range l.teamNames() {
+		t := l.teams[name]
+		first, n := t.retiredOf(zone)
+		a, ok := t.allots[zone]
+		moved := ok && a.moved
+		if n > 0 && !moved && l.nothingStarts(t.retired[first:first+n]) {
+			teams = append(teams, name)
+		}
+	}
+	return teams
+}
+
 // nothingStarts reports whether every record is past its no-start time.
 func (l *Ledger) nothingStarts(records []retired) bool {
 	for _, r := range records {
