--- a/dispatch/arbiter/estimate.go
+++ b/dispatch/arbiter/estimate.go
@@ -8,9 +8,9 @@
 
 const (
 	// patiencePart is the part of its patience that an ask's expected wait may
-	// take. At the whole of it, every second ask at the end of a full queue
-	// would wait in vain.
-	patiencePart = 0.9
+	// take. The rate at which a team's asks start varies with what the others
+	// ask, so at the whole of it many asks would wait in vain.
+	patiencePart = 0.85
 	// meanWeight is the number of observations that a moving mean spans.
 	meanWeight = 32
 	// firstRunTime is charged for a start before any slot time was observed.
--- a/dispatch/arbiter/random_test.go
+++ b/dispatch/arbiter/random_test.go
@@ -26,6 +26,27 @@
 
 func (s seeded) n(k int) int { return s.rnd.IntN(k) }
 
+// counter is a Limiter with the same limit for each team.
+type counter struct {
+	used   map[string]int
+	breach func(string)
+}
+
+func (c *counter) Acquire(team string) bool {
+	if c.used[team] >= worldLimit {
+		return false
+	}
+	c.used[team]++
+	return true
+}
+
+func (c *counter) Release(team string) {
+	c.used[team]--
+	if c.used[team] < 0 {
+		c.breach("unit returned twice")
+	}
+}
+
 // act takes one random action.
 func (w *world) act() {
 	alive := slices.DeleteFunc(slices.Clone(w.entries), func(e *entry) bool { return !e.alive })
--- a/dispatch/arbiter/world_test.go
+++ b/dispatch/arbiter/world_test.go
@@ -70,27 +70,6 @@
 	at    time.Time
 }
 
-// counter is a Limiter with the same limit for each team.
-type counter struct {
-	used   map[string]int
-	breach func(string)
-}
-
-func (c *counter) Acquire(team string) bool {
-	if c.used[team] >= worldLimit {
-		return false
-	}
-	c.used[team]++
-	return true
-}
-
-func (c *counter) Release(team string) {
-	c.used[team]--
-	if c.used[team] < 0 {
-		c.breach("unit returned twice")
-	}
-}
-
 // world drives an arbiter, its successors, origins and endpoint processes, and
 // knows what really runs. It records the first breach.
 type world struct {
