Daemons that the registry never learned of do not vote on ids

Cause: an incarnation cut off from the registry for longer than its abstention could vote, end, and its successor be registered as the first of its name. Measured: test of a daemon that runs twice the retention unregistered. Conclusion: the daemon should set AwaitRegistration and call Registered.

--- a/dispatch/record/keeper.go
+++ b/dispatch/record/keeper.go
@@ -99,6 +99,8 @@
 	// abstainUntil is the end of the abstention of a keeper whose former
 	// incarnation may have permitted starts that this one does not know.
 	abstainUntil time.Time
+	// unregistered makes the keeper abstain without end.
+	unregistered bool
 	entries      map[string]*entry
 	// order holds entries by expiry, except running ones, which are revisited.
 	order *list.List
@@ -204,7 +206,7 @@
 }
 
 func (k *Keeper) permit(e *entry, now time.Time) BeginReply {
-	if now.Before(k.abstainUntil) && !k.votesWithoutMemory {
+	if k.abstains(now) && !k.votesWithoutMemory {
 		return BeginReply{Verdict: Abstain}
 	}
 	reply := BeginReply{Verdict: Proceed, Holder: e.token()}
@@ -215,6 +217,10 @@
 	return reply
 }
 
+func (k *Keeper) abstains(now time.Time) bool {
+	return k.unregistered || now.Before(k.abstainUntil)
+}
+
 // Finish records how a token ended. It returns whether the id changed state.
 func (k *Keeper) Finish(r FinishRequest, now time.Time) bool {
 	k.expire(now)
--- a/dispatch/record/service.go
+++ b/dispatch/record/service.go
@@ -45,7 +45,9 @@
 	// FirstIncarnation tells that no former incarnation of this daemon existed.
 	// Otherwise the daemon abstains as keeper for the retention.
 	FirstIncarnation bool
-	Keeper           KeeperConfig
+	// AwaitRegistration makes the daemon abstain as keeper until Registered.
+	AwaitRegistration bool
+	Keeper            KeeperConfig
 	// CallTimeout bounds one call to a peer.
 	CallTimeout time.Duration
 	// Patience bounds how long the home of an id is asked for its word on a
@@ -116,7 +118,7 @@
 	copies := NewKeeper(cfg.Keeper, time.Time{})
 	// Copies permit no start, so old ones may make room for new ones.
 	copies.evicted = func(string) {}
-	return &Service{
+	s := &Service{
 		cfg:          cfg,
 		home:         NewHome(homeName(cfg.Zone, cfg.Self), cfg.Keeper),
 		keeper:       NewKeeper(cfg.Keeper, abstain),
@@ -127,6 +129,8 @@
 		waiting:      make(map[string]*waiters),
 		slots:        make(chan struct{}, finishLimit),
 	}
+	s.keeper.unregistered = cfg.AwaitRegistration
+	return s
 }
 
 func homeName(zone string, d dispatch.DaemonID) string {
@@ -167,7 +171,7 @@
 	st := Stats{
 		KeeperIDs: s.keeper.Len(), Copies: s.copies.Len(), Waiting: s.waiterCount,
 		AnswerBytes: s.keeper.AnswerBytes() + s.copies.AnswerBytes(),
-		Abstaining:  s.sealed || time.Now().Before(s.keeper.abstainUntil),
+		Abstaining:  s.sealed || s.keeper.abstains(time.Now()),
 	}
 	for _, h := range s.homes() {
 		st.HomeIDs += h.keeper.Len()
--- a/dispatch/record/service_test.go
+++ b/dispatch/record/service_test.go
@@ -260,3 +260,20 @@
 		}
 	})
 }
+
+// TestUnregisteredDaemonNeverVotes keeps a daemon running past its abstention:
+// its successor may be taken for the first incarnation.
+func TestUnregisteredDaemonNeverVotes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := New(Config{Self: dispatch.DaemonID{Name: "d0", Incarnation: "i1"}, Zone: "za", AwaitRegistration: true})
+		s.SetMembers([]Member{{Name: "d0", Zone: "za"}})
+		time.Sleep(2 * DefaultRetention)
+		if d := s.Begin(t.Context(), claimFor("mine", "x")); d.Verdict != NoQuorum {
+			t.Fatalf("verdict %d before the registration", d.Verdict)
+		}
+		s.Registered(false)
+		if d := s.Begin(t.Context(), claimFor("other", "x")); d.Verdict != Proceed {
+			t.Fatalf("verdict %d after the registration", d.Verdict)
+		}
+	})
+}
