Unreachable endpoints count against the endpoint; the gate is shown to matter

Cause: an endpoint that crashed refuses connections at once. Released as unused, its slots were granted again and again until its lease lapsed. Weighed: a new outcome (changes the settled types) against OutcomeRefused, which frees the slot and counts towards ejection (chosen). A process that was frozen blames no endpoint. Measured: four changes between grant and first byte, each refused as not run with the gate and reaching the endpoint without it. Conclusion: the doc of OutcomeRefused should name unreachable endpoints.

--- a/dispatch/origin/attempt.go
+++ b/dispatch/origin/attempt.go
@@ -9,7 +9,6 @@
 	"net/http/httptrace"
 	"strconv"
 	"strings"
-	"time"
 
 	"github.com/pkg/errors"
 
@@ -49,6 +48,7 @@
 type unguarded struct {
 	id   bool // answers for other ids pass
 	ends bool // answers without a marked end, or cut short, pass
+	gate bool // attempts start whatever changed since the grant
 }
 
 func newClient(l Limits) *client {
@@ -77,7 +77,7 @@
 	}}
 	req, err := newEndpointRequest(httptrace.WithClientTrace(ctx, trace), grant, r, id, team, n)
 	if err != nil {
-		g.close()
+		g.close(errGateClosed)
 		return attemptEnd{outcome: dispatch.OutcomeUnused, err: err}
 	}
 	res, err := c.transport.RoundTrip(req)
@@ -94,7 +94,7 @@
 }
 
 func failedEnd(g *gate, err error) attemptEnd {
-	if g.close() {
+	if g.close(errUnreachable) {
 		return attemptEnd{outcome: dispatch.OutcomeUnknown, err: err}
 	}
 	return attemptEnd{outcome: dispatch.OutcomeUnused, err: err}
@@ -223,13 +223,3 @@
 	}
 	return false
 }
-
-// startCheck returns the function that the gate asks before the first byte.
-func startCheck(granted time.Time, within time.Duration, recheck func() error) func() error {
-	return func() error {
-		if waited := time.Since(granted); waited > within {
-			return errors.Wrapf(errGateClosed, "grant lapsed: %s after it came, %s allowed", waited, within)
-		}
-		return recheck()
-	}
-}
--- a/dispatch/origin/fault_test.go
+++ b/dispatch/origin/fault_test.go
@@ -191,6 +191,11 @@
 	if r.run() != api.RunNot || !r.hasCode(api.CodeEndpointRefused) || len(b.slots.released()) != maxAttempts {
 		t.Fatalf("status %d, %d attempts: %s", r.status, len(b.slots.released()), r.body)
 	}
+	for _, released := range b.slots.released() {
+		if released.Outcome != dispatch.OutcomeRefused {
+			t.Fatalf("the arbiter hears of outcome %d", released.Outcome)
+		}
+	}
 }
 
 func TestRefusalOfEndpointIsNotRunAndRetried(t *testing.T) {
@@ -272,20 +277,6 @@
 	}
 }
 
-func TestGrantThatLapsedIsNotUsed(t *testing.T) {
-	b := newBed(t, standin.EndpointConfig{})
-	b.slots.startWithin = -1 // as after a freeze longer than the grant allows
-	r := b.post("book", "x")
-	if r.run() != api.RunNot || b.endpoint.Stats().Accepted != 0 {
-		t.Fatalf("status %d, %d accepted: %s", r.status, b.endpoint.Stats().Accepted, r.body)
-	}
-	for _, released := range b.slots.released() {
-		if released.Outcome != dispatch.OutcomeUnused {
-			t.Fatalf("released %v", released)
-		}
-	}
-}
-
 func TestLostArbiterLosesNothing(t *testing.T) {
 	b := newBed(t, standin.EndpointConfig{})
 	b.slots.before = func(n int) error {
--- a/dispatch/origin/fixture_test.go
+++ b/dispatch/origin/fixture_test.go
@@ -31,7 +31,9 @@
 type fakeControl struct {
 	mu    sync.Mutex
 	stale bool
-	keys  map[string]string
+	// removed names a queue that the document lost.
+	removed string
+	keys    map[string]string
 }
 
 func newFakeControl() *fakeControl { return &fakeControl{keys: map[string]string{testKey: "team-1"}} }
@@ -51,6 +53,12 @@
 	delete(c.keys, key)
 }
 
+func (c *fakeControl) remove(queue string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.removed = queue
+}
+
 func (c *fakeControl) setStale() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -67,7 +75,11 @@
 	info := QueueInfo{LongestRun: time.Second, Queue: api.Queue{
 		Name: name, MaxBodyBytes: 1024, MaxWait: api.Duration(time.Second),
 	}}
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	switch name {
+	case c.removed:
+		return QueueInfo{}, false
 	case "book":
 	case "quote":
 		info.Queue.Idempotent = true
--- a/dispatch/origin/gate.go
+++ b/dispatch/origin/gate.go
@@ -8,8 +8,17 @@
 	"github.com/pkg/errors"
 )
 
-// errGateClosed is the cause of a write that the gate forbade.
-var errGateClosed = errors.New("attempt may not start")
+// Reasons why a gate forbids the start.
+var (
+	// errGateClosed is the cause of all reasons but mayStart's own.
+	errGateClosed = errors.New("attempt may not start")
+	// errWithdrawn means that the caller left or its deadline passed.
+	errWithdrawn = errors.Wrap(errGateClosed, "withdrawn")
+	// errLapsed means that no connection stood within the grant's time to start.
+	errLapsed = errors.Wrap(errGateClosed, "grant lapsed")
+	// errUnreachable means that no connection to the endpoint could be made.
+	errUnreachable = errors.Wrap(errGateClosed, "endpoint not reached")
+)
 
 // gate lets one attempt write on one connection, from the moment it started.
 // It records whether any byte may have gone out, and so decides between "not
@@ -20,10 +29,12 @@
 	// the byte to be written.
 	mayStart func() error
 
-	mu      sync.Mutex
-	conn    *gatedConn
-	started bool
-	refused error
+	mu sync.Mutex
+	// connected tells that a connection to the endpoint stood.
+	connected bool
+	conn      *gatedConn
+	started   bool
+	refused   error
 }
 
 // permit reports whether c may write for this attempt.
@@ -50,15 +61,26 @@
 
 // close forbids a start from now on, unless it happened. It reports whether
 // the attempt started.
-func (g *gate) close() bool {
+func (g *gate) close(reason error) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if !g.started && g.refused == nil {
-		g.refused = errGateClosed
+		g.refused = reason
 	}
 	return g.started
 }
 
+// unreached reports whether the attempt did not start because the endpoint gave
+// no connection.
+func (g *gate) unreached() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.started || g.connected {
+		return false
+	}
+	return errors.Is(g.refused, errUnreachable) || errors.Is(g.refused, errLapsed)
+}
+
 // abort closes the connection of the attempt, so that it is not used again.
 func (g *gate) abort() {
 	g.mu.Lock()
@@ -77,7 +99,11 @@
 	gate *gate
 }
 
+// arm makes the connection serve the attempt of g.
 func (c *gatedConn) arm(g *gate) {
+	g.mu.Lock()
+	g.connected = true
+	g.mu.Unlock()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.gate = g
--- a/dispatch/origin/origin_test.go
+++ b/dispatch/origin/origin_test.go
@@ -1,6 +1,7 @@
 package origin
 
 import (
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -81,19 +82,46 @@
 	}
 }
 
-func TestKeyIsCheckedAgainBeforeDispatch(t *testing.T) {
-	b := newBed(t, standin.EndpointConfig{})
-	b.slots.before = func(int) error {
-		b.control.withdraw(testKey)
-		return nil
-	}
-	r := b.post("book", "x")
-	if r.run() != api.RunNot || !r.hasCode(api.CodeKeyInvalid) {
-		t.Fatalf("status %d: %s", r.status, r.body)
+// TestGateBeforeTheFirstByte changes the world between grant and dispatch. With
+// the gate switched off, the request reaches the endpoint each time.
+func TestGateBeforeTheFirstByte(t *testing.T) {
+	cases := []struct {
+		name   string
+		change func(*bed)
+		code   api.Code
+	}{
+		{"key withdrawn", func(b *bed) { b.control.withdraw(testKey) }, api.CodeKeyInvalid},
+		{"cut off from control", func(b *bed) { b.control.setStale() }, api.CodeControlStale},
+		{"queue removed", func(b *bed) { b.control.remove("book") }, api.CodeUnknownQueue},
+		{"frozen past the grant", func(b *bed) { b.slots.startWithin = -1 }, api.CodeEndpointRefused},
 	}
-	released := b.slots.released()
-	if b.endpoint.Stats().Accepted != 0 || len(released) != 1 || released[0].Outcome != dispatch.OutcomeUnused {
-		t.Fatalf("accepted %d, released %v", b.endpoint.Stats().Accepted, released)
+	for _, c := range cases {
+		for _, off := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, gate off %t", c.name, off), func(t *testing.T) {
+				b := newBed(t, standin.EndpointConfig{})
+				b.origin.client.unguarded.gate = off
+				b.slots.before = func(int) error {
+					c.change(b)
+					return nil
+				}
+				r := b.post("book", "x")
+				accepted := b.endpoint.Stats().Accepted
+				if off {
+					if accepted != 1 {
+						t.Fatalf("%d accepted without the gate", accepted)
+					}
+					return
+				}
+				if r.run() != api.RunNot || !r.hasCode(c.code) || accepted != 0 {
+					t.Fatalf("%d accepted, status %d: %s", accepted, r.status, r.body)
+				}
+				for _, released := range b.slots.released() {
+					if released.Outcome != dispatch.OutcomeUnused {
+						t.Fatalf("released %v", released)
+					}
+				}
+			})
+		}
 	}
 }
 
--- a/dispatch/origin/run.go
+++ b/dispatch/origin/run.go
@@ -103,11 +103,11 @@
 func (c *call) attempt(ctx context.Context, grant dispatch.Grant, n int) (attemptEnd, bool) {
 	granted := time.Now()
 	c.o.hold(grant)
-	g := &gate{mayStart: startCheck(granted, grant.StartWithin, func() error { return c.recheck(ctx, grant) })}
+	g := &gate{mayStart: c.startCheck(ctx, grant, granted)}
 	longest := orInt(grant.LongestRun, c.longestRun())
 	sendCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), longest)
 	lapse := time.AfterFunc(grant.StartWithin, func() {
-		if !g.close() {
+		if !c.o.client.unguarded.gate && !g.close(lapseReason(time.Since(granted), grant.StartWithin)) {
 			cancel()
 		}
 	})
@@ -117,8 +117,13 @@
 		defer lapse.Stop()
 		end := c.o.client.send(sendCtx, g, grant, c.r, c.claim.ID, c.team, n)
 		elapsed := time.Since(granted)
-		c.o.release(grant, end.outcome, elapsed)
-		c.o.cfg.Metrics.Attempted(c.r.Queue, end.outcome, elapsed)
+		outcome := end.outcome
+		if g.unreached() {
+			// The arbiter should learn that the endpoint takes no requests.
+			outcome = dispatch.OutcomeRefused
+		}
+		c.o.release(grant, outcome, elapsed)
+		c.o.cfg.Metrics.Attempted(c.r.Queue, outcome, elapsed)
 		ch <- end
 	}()
 	timer := time.NewTimer(time.Until(c.deadline))
@@ -129,7 +134,7 @@
 	case <-timer.C:
 	case <-ctx.Done():
 	}
-	if !g.close() {
+	if !g.close(errWithdrawn) {
 		cancel()
 		return <-ch, true
 	}
@@ -137,8 +142,40 @@
 	return attemptEnd{}, false
 }
 
+// lapseReason returns the reason to close a gate that did not open in time. A
+// timer that fires far too late shows that this process was frozen, which says
+// nothing about the endpoint.
+func lapseReason(waited, within time.Duration) error {
+	if waited > 2*within {
+		return errGateClosed
+	}
+	return errLapsed
+}
+
+// startCheck returns the function that the gate asks right before the first byte.
+func (c *call) startCheck(ctx context.Context, grant dispatch.Grant, granted time.Time) func() error {
+	return func() error {
+		if err := c.mayStart(ctx, grant, granted); err != nil && !c.o.client.unguarded.gate {
+			return err
+		}
+		if err := c.tracker.Apply(request.Send); err != nil {
+			return err
+		}
+		c.o.markStarted(grant.ID)
+		return nil
+	}
+}
+
+func (c *call) mayStart(ctx context.Context, grant dispatch.Grant, granted time.Time) error {
+	// The monotonic clock goes on while the process is frozen.
+	if waited := time.Since(granted); waited > grant.StartWithin {
+		return errors.Wrapf(errGateClosed, "grant lapsed: %s after it came, %s allowed", waited, grant.StartWithin)
+	}
+	return c.recheck(ctx)
+}
+
 // recheck runs right before the first byte: what held at receipt must still hold.
-func (c *call) recheck(ctx context.Context, grant dispatch.Grant) error {
+func (c *call) recheck(ctx context.Context) error {
 	if ctx.Err() != nil {
 		return errCallerGone
 	}
@@ -161,10 +198,6 @@
 	}
 	invariant.Check(queue.Queue.Open || c.team != "", invariant.KeyedWork,
 		"request %s: dispatch to keyed queue %s without a team", c.claim.ID, c.r.Queue)
-	if err := c.tracker.Apply(request.Send); err != nil {
-		return err
-	}
-	c.o.markStarted(grant.ID)
 	return nil
 }
 
