Cut reasons at whole characters and note unplanned restarts

Result: random commands now carry long reasons; without the fix TestRandomCommandsKeepInvariants fails on Restore. Tables moved to testdata/examples, since rapid writes into testdata.

--- a/fleet/apply.go
+++ b/fleet/apply.go
@@ -116,7 +116,7 @@
 		return Result{}, refuse(CodeInvalid, "%q is not a health", r.Health)
 	}
 	if _, ok := Next(i.State, event); !ok {
-		return resultOf(i), nil
+		return s.noteBoot(i, r), nil
 	}
 	if cmd.Actor.Role != RolePlatform && i.State.Available() {
 		return Result{}, refuse(CodeWrongState, "only the platform may report an active instance as %s", r.Health)
@@ -132,6 +132,18 @@
 	})
 }
 
+// noteBoot records the boot of an instance that restarted by itself, so that a
+// later reboot is recognised by a boot after it.
+func (s *State) noteBoot(i *Instance, r *Report) Result {
+	if r.Health != Healthy || r.Boot == "" || r.Boot == i.Boot || i.State == Rebooting {
+		return resultOf(i)
+	}
+	c := i.clone()
+	c.Boot = r.Boot
+	s.put(c)
+	return resultOf(c)
+}
+
 var healthEvents = map[Health]Event{
 	Healthy: EventHealthy,
 	Broken:  EventFail,
--- a/fleet/command.go
+++ b/fleet/command.go
@@ -4,7 +4,8 @@
 
 // Command is one change of the state. Exactly one of the body fields is set.
 type Command struct {
-	// At is when the command was issued, by the clock of the issuer.
+	// At is when the command was proposed. Soak times and time-outs follow from
+	// it, so the caller stamps commands by one clock, that of the leader.
 	At     Millis `cbor:"1,keyasint"`
 	Actor  Actor  `cbor:"2,keyasint"`
 	Reason string `cbor:"3,keyasint,omitempty"`
--- a/fleet/datadriven_test.go
+++ b/fleet/datadriven_test.go
@@ -12,10 +12,10 @@
 	"magnoliastand.example/api"
 )
 
-// TestExamples runs the tables of testdata. Each line of "apply" is one
+// TestExamples runs the tables of testdata/examples. Each line of "apply" is one
 // command: [role] verb instance key=value...
 func TestExamples(t *testing.T) {
-	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+	datadriven.Walk(t, "testdata/examples", func(t *testing.T, path string) {
 		s := New()
 		var now Millis
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
@@ -156,7 +156,7 @@
 	case "register":
 		c.Register = &Register{Instance: id, Zone: o["zone"], Rack: o["rack"], Pool: o["pool"], Boot: "boot-1"}
 	case "report":
-		c.Report = &Report{Instance: id, Health: Health(w[3])}
+		c.Report = &Report{Instance: id, Health: Health(w[3]), Boot: o["boot"]}
 	case "permit":
 		c.PermitDrain = &PermitDrain{Instance: id, Purpose: Purpose(w[3]), Target: o["target"], Wave: o["wave"]}
 	case "begin-drain":
--- a/fleet/instance.go
+++ b/fleet/instance.go
@@ -1,6 +1,9 @@
 package fleet
 
-import "slices"
+import (
+	"slices"
+	"strings"
+)
 
 // Bounds of what is kept for each instance.
 const (
@@ -136,7 +139,8 @@
 func (i *Instance) record(cmd *Command, e Event, from Lifecycle) {
 	reason := cmd.Reason
 	if len(reason) > maxReason {
-		reason = reason[:maxReason]
+		// A cut within a character would make the snapshot undecodable.
+		reason = strings.ToValidUTF8(reason[:maxReason], "")
 	}
 	i.History = append(i.History, Entry{
 		At: cmd.At, Actor: cmd.Actor, Event: e, From: from, To: i.State, Pool: i.Pool, Reason: reason,
--- a/fleet/random_test.go
+++ b/fleet/random_test.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"os"
+	"strings"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -91,6 +92,7 @@
 	}
 	c := rapid.SampledFrom(bodies).Draw(t, "body")
 	c.At = at
+	c.Reason = rapid.SampledFrom([]string{"", "x" + strings.Repeat("é", maxReason)}).Draw(t, "reason")
 	c.Actor.Role = rapid.SampledFrom([]Role{RolePlanner, RoleOperator, RolePlatform}).Draw(t, "role")
 	return c
 }
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -7,7 +7,8 @@
 )
 
 // View is a snapshot of a state for readers. It does not change when the state
-// does. Readers must not modify it.
+// does, so it may be read while later commands are applied. Readers must not
+// modify it.
 type View struct {
 	Version uint64
 	Config  Config
--- a/placement/datadriven_test.go
+++ b/placement/datadriven_test.go
@@ -74,9 +74,9 @@
 	running  []Running
 }
 
-// TestExamples runs the tables of testdata.
+// TestExamples runs the tables of testdata/examples.
 func TestExamples(t *testing.T) {
-	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+	datadriven.Walk(t, "testdata/examples", func(t *testing.T, path string) {
 		b := &bench{outcomes: NewOutcomes()}
 		b.in.Estimator = NewEstimator()
 		b.in.Order = LowestUse{}
--- a/planner/datadriven_test.go
+++ b/planner/datadriven_test.go
@@ -20,9 +20,9 @@
 	forecast *Forecast
 }
 
-// TestExamples runs the tables of testdata.
+// TestExamples runs the tables of testdata/examples.
 func TestExamples(t *testing.T) {
-	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+	datadriven.Walk(t, "testdata/examples", func(t *testing.T, path string) {
 		b := &table{state: fleet.New(), forecast: NewForecast(TuningOf(Kyushu()).Hold)}
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 			return b.run(t, d)
