Operators' interface and freshness lease of the control module in the daemon

Cause: the daemon had a first document interface and an own freshness clock; the control module now brings both, with drift bound, bounded waits and typed refusals. Operators have names, which appear in the history. Ruled out: keeping both.

--- a/cmd/magnoliastand/cluster_test.go
+++ b/cmd/magnoliastand/cluster_test.go
@@ -113,7 +113,7 @@
 	if m.data != "" {
 		fmt.Fprintf(&b, "data_folder: %q\n", m.data)
 	}
-	fmt.Fprintf(&b, "operator_key_hashes: [%s]\ntest_faults: true\nlog_level: debug\n", hex.EncodeToString(sum[:]))
+	fmt.Fprintf(&b, "operators: [{name: tests, key_sha256: %s}]\ntest_faults: true\nlog_level: debug\n", hex.EncodeToString(sum[:]))
 	if err := os.WriteFile(m.settingsFile, []byte(b.String()), 0o600); err != nil {
 		c.t.Fatal(err)
 	}
@@ -390,7 +390,7 @@
 func (c *cluster) setUp(limit int) (key string) {
 	c.t.Helper()
 	m := c.members[0]
-	c.mustOperator(m, http.MethodPost, "/v1/document?base=0&operation_id=set-up&wait=true", c.document(limit))
+	c.mustOperator(m, http.MethodPost, "/v1/document?base=0&operation=set-up&wait=10s", c.document(limit))
 	key = c.grant(m, "schools", "set-up-key")
 	c.awaitReady(1)
 	return key
@@ -399,7 +399,7 @@
 // grant grants a key; a repeated operation id grants none.
 func (c *cluster) grant(m *member, team, operation string) string {
 	c.t.Helper()
-	b := c.mustOperator(m, http.MethodPost, "/v1/teams/"+team+"/keys", `{"operation_id":"`+operation+`"}`)
+	b := c.mustOperator(m, http.MethodPost, "/v1/teams/"+team+"/keys?operation="+operation, `{}`)
 	var reply struct {
 		Key string `json:"key"`
 	}
@@ -473,7 +473,7 @@
 func (c *cluster) documentVersion() uint64 {
 	c.t.Helper()
 	var reply struct {
-		Version uint64 `json:"version"`
+		Version uint64 `json:"document_version"`
 	}
 	b := c.mustOperator(c.members[0], http.MethodGet, "/v1/document", "")
 	if err := json.Unmarshal(b, &reply); err != nil {
--- a/cmd/magnoliastand/dev.go
+++ b/cmd/magnoliastand/dev.go
@@ -45,7 +45,7 @@
 peer_secret: %q
 data_folder: %q
 first_voters: [dev-1]
-operator_key_hashes: [%q]
+operators: [{name: dev, key_sha256: %q}]
 log_level: warn
 `, devCallers, devOperators, devPeers, devPeers, rand.Text(), folder, hex.EncodeToString(sum[:]))
 	s, err := settings.Parse([]byte(text))
--- a/cmd/magnoliastand/document.go
+++ b/cmd/magnoliastand/document.go
@@ -10,6 +10,7 @@
 	"net/url"
 	"os"
 	"strconv"
+	"time"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 	"github.com/pkg/errors"
@@ -99,7 +100,7 @@
 	c.register(fs)
 	base := fs.Int64("base", -1, "version that the change builds on; default: the version read just now")
 	operation := fs.String("operation-id", "", "id of this operation; send the same again after a lost answer")
-	wait := fs.Bool("wait", true, "wait until the document is in force on every reachable daemon")
+	wait := fs.Duration("wait", defaultWait, "how long to wait until the document is in force on every daemon")
 	return &ffcli.Command{
 		Name:       "apply",
 		ShortUsage: "magnoliastand apply [--base N] [--operation-id ID] DOCUMENT",
@@ -117,13 +118,16 @@
 	}
 }
 
+// defaultWait is how long apply waits for all daemons to run the document.
+const defaultWait = 5 * time.Second
+
 // currentVersion is the part of the answers that names the version.
 type currentVersion struct {
-	Version int64    `json:"version"`
+	Version int64    `json:"document_version"`
 	Missing []string `json:"missing"`
 }
 
-func (c *client) apply(ctx context.Context, path string, base int64, operation string, wait bool) error {
+func (c *client) apply(ctx context.Context, path string, base int64, operation string, wait time.Duration) error {
 	doc, err := readInput(path)
 	if err != nil {
 		return err
@@ -137,9 +141,9 @@
 		operation = newOperationID()
 	}
 	query := url.Values{
-		"base":         {strconv.FormatInt(base, 10)},
-		"operation_id": {operation},
-		"wait":         {strconv.FormatBool(wait)},
+		"base":      {strconv.FormatInt(base, 10)},
+		"operation": {operation},
+		"wait":      {wait.String()},
 	}
 	body, err := c.call(ctx, http.MethodPost, "/v1/document?"+query.Encode(), nil, doc)
 	if err != nil {
--- a/cmd/magnoliastand/e2e_test.go
+++ b/cmd/magnoliastand/e2e_test.go
@@ -192,7 +192,7 @@
 	var wg sync.WaitGroup
 	for i, m := range c.members {
 		wg.Go(func() {
-			path := "/v1/document?base=" + base + "&operation_id=race-" + m.name
+			path := "/v1/document?base=" + base + "&operation=race-" + m.name
 			status, b, err := c.operator(m, http.MethodPost, path, c.document(30+i))
 			if err != nil {
 				t.Error(err)
@@ -203,7 +203,7 @@
 	wg.Wait()
 	won := 0
 	for i, a := range answers {
-		path := "/v1/document?base=" + base + "&operation_id=race-" + c.members[i].name
+		path := "/v1/document?base=" + base + "&operation=race-" + c.members[i].name
 		again, b, err := c.operator(c.members[(i+1)%len(c.members)], http.MethodPost, path, c.document(30+i))
 		if err != nil || again != a.status {
 			t.Errorf("resend of %s: %d %s %v, first answer %d", path, again, b, err, a.status)
@@ -237,7 +237,7 @@
 	mend := c.cutZone("oita")
 	defer mend()
 	id, _, _ := strings.Cut(strings.TrimPrefix(key, "mk_"), "_")
-	c.mustOperator(c.members[0], http.MethodDelete, "/v1/keys/"+id+"?operation_id=withdraw", "")
+	c.mustOperator(c.members[0], http.MethodDelete, "/v1/keys/"+id+"?operation=withdraw", "")
 	withdrawn := time.Now()
 	for _, m := range c.members {
 		c.eventually("key refused on "+m.name, func() bool {
@@ -256,9 +256,9 @@
 	version := c.documentVersion()
 	for i := range 100 {
 		b := c.mustOperator(c.members[i%3], http.MethodPost,
-			"/v1/document?base="+uintText(version)+"&operation_id=change-"+uintText(uint64(i)), c.document(20+i))
+			"/v1/document?base="+uintText(version)+"&operation=change-"+uintText(uint64(i)), c.document(20+i))
 		var reply struct {
-			Version uint64 `json:"version"`
+			Version uint64 `json:"document_version"`
 		}
 		if err := json.Unmarshal(b, &reply); err != nil || reply.Version <= version {
 			t.Fatalf("change %d answered %s", i, b)
@@ -276,5 +276,5 @@
 	if s.Document != version {
 		t.Errorf("document version %d after the restart, want %d", s.Document, version)
 	}
-	c.mustOperator(c.members[2], http.MethodPost, "/v1/document?base="+uintText(version)+"&operation_id=last", c.document(7))
+	c.mustOperator(c.members[2], http.MethodPost, "/v1/document?base="+uintText(version)+"&operation=last", c.document(7))
 }
--- a/cmd/magnoliastand/operations.go
+++ b/cmd/magnoliastand/operations.go
@@ -16,8 +16,7 @@
 
 // grantKey is the body of a key grant.
 type grantKey struct {
-	Label       string `json:"label"`
-	OperationID string `json:"operation_id"`
+	Label string `json:"label"`
 }
 
 func keyCommand(s streams) *ffcli.Command {
@@ -54,11 +53,11 @@
 			if *operation == "" {
 				*operation = newOperationID()
 			}
-			body, err := json.Marshal(grantKey{Label: *label, OperationID: *operation})
+			body, err := json.Marshal(grantKey{Label: *label})
 			if err != nil {
 				return errors.Wrap(err, "encode")
 			}
-			return c.post(ctx, http.MethodPost, "/v1/teams/"+url.PathEscape(team)+"/keys", body)
+			return c.post(ctx, http.MethodPost, "/v1/teams/"+url.PathEscape(team)+"/keys?operation="+url.QueryEscape(*operation), body)
 		},
 	}
 }
@@ -82,7 +81,7 @@
 			if *operation == "" {
 				*operation = newOperationID()
 			}
-			query := url.Values{"operation_id": {*operation}}
+			query := url.Values{"operation": {*operation}}
 			return c.post(ctx, http.MethodDelete, "/v1/keys/"+url.PathEscape(id)+"?"+query.Encode(), nil)
 		},
 	}
--- a/daemon/claim.go
+++ b/daemon/claim.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"magnoliastand.example/control"
 	"magnoliastand.example/peerlink"
 )
@@ -38,17 +36,9 @@
 	if err != nil {
 		return err
 	}
-	for c.holder.View().Version() < reply.Version && ctx.Err() == nil {
-		if !c.follower.pollOnce(ctx, 0) {
-			sleepCtx(ctx, claimPollBackoff)
-		}
-	}
-	return errors.Wrap(ctx.Err(), "wait for the arbiter assignment")
+	return c.catchUp(ctx, reply.Version)
 }
 
-// claimPollBackoff is the pause between polls for a claim's assignment.
-const claimPollBackoff = 10 * time.Millisecond
-
 func (c *controlPlane) sendClaim(ctx context.Context, r claimRequest) (claimReply, error) {
 	if c.leads() {
 		return c.decideClaim(ctx, r)
--- a/daemon/controllog.go
+++ b/daemon/controllog.go
@@ -132,6 +132,13 @@
 	return l.state.Delta(from)
 }
 
+// version returns the version of the configuration applied.
+func (l *controlLog) version() uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.state.Version()
+}
+
 func (l *controlLog) history() []control.HistoryEntry {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/daemon/controlplane.go
+++ b/daemon/controlplane.go
@@ -11,6 +11,7 @@
 	"magnoliastand.example/api"
 	"magnoliastand.example/consensus"
 	"magnoliastand.example/control"
+	"magnoliastand.example/control/freshness"
 	"magnoliastand.example/daemon/settings"
 	"magnoliastand.example/dispatch"
 	"magnoliastand.example/dispatch/origin"
@@ -61,6 +62,8 @@
 		upstream: c.upstream,
 		local:    func() *controlLog { return c.machine },
 		vouched:  c.vouched,
+		lease:    freshness.NewLease(set.Cluster, 0, c.mono),
+		mono:     c.mono,
 	}
 	c.follower.register()
 	c.leader = newLeaderDuties(c)
@@ -69,6 +72,7 @@
 	link.Handle(methodDemand, c.leader.handleDemand)
 	link.Handle(methodJoin, c.handleJoin)
 	link.Handle(methodFleet, c.handleFleet)
+	link.Handle(methodReport, c.handleReport)
 	if set.DataFolder == "" {
 		return c, nil
 	}
@@ -112,11 +116,14 @@
 
 func (c *controlPlane) leads() bool { return c.node != nil && c.node.leads() }
 
-func (c *controlPlane) vouched() (time.Time, bool) {
+// vouched returns the time since start at which a quorum is known to have
+// confirmed this daemon's lead; false when it does not lead.
+func (c *controlPlane) vouched() (time.Duration, bool) {
 	if c.node == nil {
-		return time.Time{}, false
+		return 0, false
 	}
-	return c.node.vouched()
+	at, ok := c.node.vouched()
+	return at.Sub(c.start), ok
 }
 
 // leaderCandidates lists daemons that may lead the log, the likeliest first.
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"magnoliastand.example/api"
+	"magnoliastand.example/control/httpapi"
 	"magnoliastand.example/daemon/settings"
 	"magnoliastand.example/dispatch"
 	"magnoliastand.example/dispatch/arbiter"
@@ -33,6 +34,8 @@
 	origin  *origin.Origin
 	metrics *metrics
 	servers *servers
+	// operators may use the operators' interface.
+	operators []httpapi.Operator
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -48,10 +51,11 @@
 // New returns a daemon that listens on its addresses and does not run yet.
 func New(set settings.Settings, log zerolog.Logger) (*Daemon, error) {
 	d := &Daemon{
-		set:    set,
-		self:   dispatch.DaemonID{Name: set.Name, Incarnation: rand.Text()[:incarnationLength]},
-		log:    log.With().Str("daemon", set.Name).Logger(),
-		failed: make(chan error, 1),
+		set:       set,
+		self:      dispatch.DaemonID{Name: set.Name, Incarnation: rand.Text()[:incarnationLength]},
+		log:       log.With().Str("daemon", set.Name).Logger(),
+		failed:    make(chan error, 1),
+		operators: operatorsOf(set),
 	}
 	d.ctx, d.cancel = context.WithCancel(context.Background())
 	if err := d.connect(); err != nil {
--- a/daemon/leader.go
+++ b/daemon/leader.go
@@ -23,13 +23,15 @@
 	plane *controlPlane
 	kick  chan struct{}
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	// balancer belongs to the leadership of one log term.
 	balancer *quota.Balancer
+	term     uint64
 	lastTick time.Time
 }
 
 func newLeaderDuties(c *controlPlane) *leaderDuties {
-	return &leaderDuties{plane: c, kick: make(chan struct{}, 1), balancer: quota.NewBalancer()}
+	return &leaderDuties{plane: c, kick: make(chan struct{}, 1)}
 }
 
 // run carries out the duties while this daemon leads, until ctx ends.
@@ -51,12 +53,23 @@
 	}
 }
 
+// currentBalancer returns the balancer of the present leadership. The lock is held.
+func (l *leaderDuties) currentBalancer() *quota.Balancer {
+	term := l.plane.node.running().Status().Term
+	if l.balancer == nil || l.term != term {
+		l.balancer = quota.NewBalancer(term)
+		l.term = term
+	}
+	return l.balancer
+}
+
 // balance moves allotments towards demand.
 func (l *leaderDuties) balance(ctx context.Context) {
 	var cmd quota.Command
 	l.mu.Lock()
+	balancer := l.currentBalancer()
 	l.plane.machine.withLedger(func(ledger *quota.Ledger, _ uint64) {
-		cmd = l.balancer.Plan(ledger, l.plane.mono())
+		cmd = balancer.Plan(ledger, l.plane.mono())
 	})
 	l.mu.Unlock()
 	if cmd.Empty() {
@@ -103,7 +116,7 @@
 		return nil, errNotLeader
 	}
 	l.mu.Lock()
-	l.balancer.Report(&d)
+	l.currentBalancer().Report(&d)
 	l.mu.Unlock()
 	select {
 	case l.kick <- struct{}{}:
@@ -118,8 +131,9 @@
 	ok := false
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	balancer := l.currentBalancer()
 	l.plane.machine.withLedger(func(ledger *quota.Ledger, index uint64) {
-		r, ok = l.balancer.Renewal(ledger, d.Zone, d.Term, index)
+		r, ok = balancer.Renewal(ledger, d.Zone, d.Term, index)
 	})
 	if !ok {
 		return nil, errNotArbiter
--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -1,8 +1,6 @@
 package daemon
 
 import (
-	"crypto/sha256"
-	"crypto/subtle"
 	"encoding/hex"
 	"net/http"
 	"strings"
@@ -11,6 +9,9 @@
 	"github.com/labstack/echo/v5"
 
 	"magnoliastand.example/api"
+	"magnoliastand.example/control"
+	"magnoliastand.example/control/httpapi"
+	"magnoliastand.example/daemon/settings"
 	"magnoliastand.example/dispatch/arbiter"
 )
 
@@ -20,11 +21,11 @@
 	e.HTTPErrorHandler = writeHTTPError
 	d.healthRoutes(e)
 	e.GET("/metrics", echo.WrapHandler(d.metrics.handler()))
+	httpapi.Register(e, operatorService{plane: d.control}, d.operators)
 	g := e.Group("/v1", d.requireOperator)
 	g.GET("/status", d.serveStatus)
 	g.GET("/report", d.serveReport)
 	g.GET("/endpoints", d.serveEndpoints)
-	d.documentRoutes(g)
 	d.fleetRoutes(g)
 	if d.set.TestFaults {
 		g.POST("/test/cut", d.serveCut)
@@ -45,13 +46,25 @@
 
 // isOperatorKey compares the key's hash with each configured one in constant time.
 func (d *Daemon) isOperatorKey(key string) bool {
-	sum := sha256.Sum256([]byte(key))
-	text := hex.EncodeToString(sum[:])
-	found := 0
-	for _, h := range d.set.OperatorKeyHashes {
-		found |= subtle.ConstantTimeCompare([]byte(strings.ToLower(h)), []byte(text))
+	hash := control.HashKey(key)
+	found := false
+	for _, o := range d.operators {
+		found = o.Hash.Equal(hash) || found
 	}
-	return found == 1
+	return found
+}
+
+// operatorsOf returns the operators of the settings, whose hashes were checked.
+func operatorsOf(s settings.Settings) []httpapi.Operator {
+	list := make([]httpapi.Operator, 0, len(s.Operators))
+	for _, o := range s.Operators {
+		op := httpapi.Operator{Name: o.Name}
+		if _, err := hex.Decode(op.Hash[:], []byte(o.KeySHA256)); err != nil {
+			continue
+		}
+		list = append(list, op)
+	}
+	return list
 }
 
 // Status is the body of GET /v1/status.
@@ -117,8 +130,8 @@
 		InFlight:    d.origin.InFlight(),
 		Log:         d.logStatus(),
 	}
-	if at := d.control.follower.vouchedAt(); !at.IsZero() {
-		s.VouchedAgo = api.Duration(time.Since(at).Round(time.Millisecond))
+	if v, ok := d.control.follower.lease.Vouch(); ok {
+		s.VouchedAgo = api.Duration(v.Age.Round(time.Millisecond))
 	}
 	if st, ok := d.host.stats(); ok {
 		s.Slots = &st
--- a/daemon/poll.go
+++ b/daemon/poll.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"magnoliastand.example/control"
+	"magnoliastand.example/control/freshness"
 	"magnoliastand.example/peerlink"
 )
 
@@ -35,10 +36,9 @@
 // pollReply carries deltas to apply in order.
 type pollReply struct {
 	Deltas []*control.Delta `cbor:"1,keyasint,omitempty"`
-	// Vouched is the time since a quorum vouched for the version in force at the
-	// replying daemon. It is meaningful only when Known is set.
-	Vouched time.Duration `cbor:"2,keyasint"`
-	Known   bool          `cbor:"3,keyasint"`
+	// Vouch is the youngest vouch that the replying daemon has; nil if none is
+	// within the freshness window.
+	Vouch *freshness.Vouch `cbor:"2,keyasint,omitempty"`
 	// Version is the version in force at the replying daemon.
 	Version uint64 `cbor:"4,keyasint"`
 	// Leader names the daemon that leads the control log, as far as known.
@@ -55,8 +55,6 @@
 	pollTimeout = pollWait + 500*time.Millisecond
 	// pollBackoff is the pause after a failed poll.
 	pollBackoff = 100 * time.Millisecond
-	// freshnessWindow is the age of the last vouch up to which keyed work is accepted.
-	freshnessWindow = 2 * time.Second
 	// inForceExpiry is the age from which on a daemon's version no longer counts as known.
 	inForceExpiry = 5 * time.Second
 	// maxRecentDeltas bounds the deltas that a relay keeps.
@@ -74,15 +72,19 @@
 	upstream func(leader string) []string
 	// local returns the local log, once there is one.
 	local func() *controlLog
-	// vouched returns the time at which a quorum vouched for the local log's
-	// state, when this daemon leads.
-	vouched func() (time.Time, bool)
+	// vouched returns the time on the clock mono at which a quorum is known to
+	// have confirmed this daemon's lead; false when it does not lead.
+	vouched func() (time.Duration, bool)
+	lease   *freshness.Lease
+	// mono is the monotonic time since the daemon started.
+	mono func() time.Duration
 
-	mu      sync.Mutex
-	leader  string
-	freshAt time.Time
-	recent  []*control.Delta
-	forces  map[string]heardForce
+	mu     sync.Mutex
+	leader string
+	// newest is the newest time that a poll brought a vouch for.
+	newest time.Duration
+	recent []*control.Delta
+	forces map[string]heardForce
 }
 
 type heardForce struct {
@@ -114,19 +116,11 @@
 	if !ok {
 		return false
 	}
+	// The version is read after the confirmation, so none newer was in force then.
+	f.lease.Confirm(f.holder.View().Version(), at)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.leader = f.self
-	f.raiseFresh(at)
-	return true
-}
-
-// raiseFresh notes a newer vouch and reports whether it is one. The lock is held.
-func (f *follower) raiseFresh(at time.Time) bool {
-	if !at.After(f.freshAt) {
-		return false
-	}
-	f.freshAt = at
 	return true
 }
 
@@ -153,10 +147,10 @@
 func (f *follower) pollPeer(ctx context.Context, peer string, wait time.Duration) bool {
 	callCtx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
-	asked := time.Now()
+	asked := f.mono()
 	have := f.holder.View().Version()
 	var reply pollReply
-	err := f.link.Call(callCtx, peer, methodPoll, pollRequest{Have: have, Wait: wait, InForce: f.known(asked)}, &reply)
+	err := f.link.Call(callCtx, peer, methodPoll, pollRequest{Have: have, Wait: wait, InForce: f.known(time.Now())}, &reply)
 	if err != nil {
 		f.forgetLeader(peer)
 		return false
@@ -165,16 +159,31 @@
 		f.log.Warn().Err(err).Str("peer", peer).Msg("configuration not taken")
 		return false
 	}
+	f.followLeader(reply.Leader)
+	if reply.Vouch == nil || reply.Gap {
+		return false
+	}
+	return f.lease.Learn(*reply.Vouch, asked) && f.isNewer(asked-reply.Vouch.Age)
+}
+
+// isNewer reports whether a vouch for the given time is the newest so far.
+func (f *follower) isNewer(at time.Duration) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if reply.Leader != "" {
-		f.leader = reply.Leader
-	}
-	// The view in force now holds all that the replying daemon had in force.
-	if !reply.Known || f.holder.View().Version() < reply.Version {
+	if at <= f.newest {
 		return false
 	}
-	return f.raiseFresh(asked.Add(-reply.Vouched))
+	f.newest = at
+	return true
+}
+
+func (f *follower) followLeader(name string) {
+	if name == "" {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.leader = name
 }
 
 func (f *follower) forgetLeader(peer string) {
@@ -209,15 +218,12 @@
 
 // Fresh reports whether a quorum vouched for the configuration in force within
 // the freshness window.
-func (f *follower) Fresh() bool { return time.Since(f.vouchedAt()) < freshnessWindow }
-
-func (f *follower) vouchedAt() time.Time {
-	if at, ok := f.vouched(); ok {
-		return at
+func (f *follower) Fresh() bool {
+	have := f.holder.View().Version()
+	if f.lease.Fresh(have) {
+		return true
 	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.freshAt
+	return f.refreshLocal() && f.lease.Fresh(have)
 }
 
 // Leader returns the daemon that leads the control log, as far as known.
@@ -246,13 +252,12 @@
 func (f *follower) reply(have uint64) pollReply {
 	// The vouch is taken before the version, so that the version holds all that
 	// was vouched for.
-	at := f.vouchedAt()
+	f.refreshLocal()
+	vouch, vouched := f.lease.Vouch()
 	version := f.holder.View().Version()
-	reply := pollReply{
-		Vouched: time.Since(at),
-		Known:   !at.IsZero(),
-		Version: version,
-		Leader:  f.Leader(),
+	reply := pollReply{Version: version, Leader: f.Leader()}
+	if vouched {
+		reply.Vouch = &vouch
 	}
 	if version <= have {
 		return reply
--- a/daemon/settings/settings.go
+++ b/daemon/settings/settings.go
@@ -31,8 +31,8 @@
 	DataFolder string `json:"data_folder,omitempty"`
 	// FirstVoters names the daemons that form the control log at its creation.
 	FirstVoters []string `json:"first_voters"`
-	// OperatorKeyHashes lists SHA-256 hashes, in hexadecimal, of the operators' keys.
-	OperatorKeyHashes []string `json:"operator_key_hashes"`
+	// Operators lists who may use the operators' interface.
+	Operators []Operator `json:"operators"`
 	// Grace bounds the time that a shutdown waits for running requests.
 	Grace api.Duration `json:"grace,omitempty"`
 	// LogLevel is debug, info, warn or error.
@@ -54,6 +54,14 @@
 	Peers string `json:"peers"`
 }
 
+// Operator is one holder of an operator key.
+type Operator struct {
+	// Name appears in the history of documents.
+	Name string `json:"name"`
+	// KeySHA256 is the SHA-256 hash of the key in hexadecimal.
+	KeySHA256 string `json:"key_sha256"`
+}
+
 // Peer is one daemon of the cluster.
 type Peer struct {
 	Name             string `json:"name"`
--- a/daemon/settings/validate.go
+++ b/daemon/settings/validate.go
@@ -120,9 +120,11 @@
 	case s.PeerSecret != "" && len(s.PeerSecret) < minSecretBytes:
 		c.add("peer_secret", "has %d bytes, needs %d", len(s.PeerSecret), minSecretBytes)
 	}
-	for i, h := range s.OperatorKeyHashes {
-		if _, err := hex.DecodeString(h); err != nil || len(h) != sha256HexDigits {
-			c.add(fmt.Sprintf("operator_key_hashes[%d]", i), "is not a SHA-256 hash in hexadecimal")
+	for i, o := range s.Operators {
+		path := fmt.Sprintf("operators[%d]", i)
+		c.required(path+".name", o.Name)
+		if _, err := hex.DecodeString(o.KeySHA256); err != nil || len(o.KeySHA256) != sha256HexDigits {
+			c.add(path+".key_sha256", "is not a SHA-256 hash in hexadecimal")
 		}
 	}
 	if s.PeerTLS != nil {
