--- a/consensus/config.go
+++ b/consensus/config.go
@@ -43,6 +43,8 @@
 	// TrailEntries is how many entries are kept behind a snapshot, so that a
 	// slow follower needs no snapshot.
 	TrailEntries uint64
+	// TrailBytes bounds the size of these entries.
+	TrailBytes int
 
 	// off switches protections off, for tests that show what each prevents.
 	off protections
@@ -72,9 +74,10 @@
 	DefaultMaxPendingBytes       = 16 << 20
 	DefaultMaxEntryBytes         = 4 << 20
 	DefaultChunkBytes            = 128 << 10
-	DefaultMaxSnapshotBytes      = 1 << 30
+	DefaultMaxSnapshotBytes      = 256 << 20
 	DefaultCatchUpEntries        = 64
 	DefaultTrailEntries          = 1024
+	DefaultTrailBytes            = 1 << 20
 )
 
 // DefaultConfig returns the default settings for a node.
@@ -96,6 +99,7 @@
 		MaxSnapshotBytes:      DefaultMaxSnapshotBytes,
 		CatchUpEntries:        DefaultCatchUpEntries,
 		TrailEntries:          DefaultTrailEntries,
+		TrailBytes:            DefaultTrailBytes,
 	}
 }
 
--- a/consensus/log.go
+++ b/consensus/log.go
@@ -206,9 +206,9 @@
 	l.configs = []memberRecord{{s.Index, s.Members}}
 }
 
-// compact installs a local snapshot and drops the entries that are more than
-// trail behind it.
-func (l *entryLog) compact(s *Snapshot, trail uint64) {
+// compact installs a local snapshot and drops entries before it. Behind it stay
+// at most trail entries of at most trailBytes.
+func (l *entryLog) compact(s *Snapshot, trail uint64, trailBytes int) {
 	l.snap = s
 	keep := []memberRecord{{s.Index, s.Members}}
 	for _, r := range l.configs {
@@ -217,10 +217,17 @@
 		}
 	}
 	l.configs = keep
-	if s.Index <= l.base+trail {
+	base := s.Index
+	for base > l.base && s.Index-base < trail {
+		trailBytes -= len(l.entries[base-l.base-1].Data) + entryOverhead
+		if trailBytes < 0 {
+			break
+		}
+		base--
+	}
+	if base == l.base {
 		return
 	}
-	base := s.Index - trail
 	term := l.term(base)
 	l.entries = append([]Entry(nil), l.entries[base-l.base:]...)
 	l.base, l.baseTerm = base, term
--- a/consensus/node/former.go
+++ b/consensus/node/former.go
@@ -120,6 +120,10 @@
 	defer close(f.done)
 	defer stopTicks()
 	for {
+		if f.machine.Done() {
+			stopTicks()
+			ticks = nil
+		}
 		select {
 		case <-f.stop:
 			return
--- a/consensus/node/types.go
+++ b/consensus/node/types.go
@@ -67,8 +67,8 @@
 // Defaults of a Config.
 const (
 	DefaultTickPeriod      = 100 * time.Millisecond
-	DefaultSnapshotEntries = 8192
-	DefaultSnapshotBytes   = 8 << 20
+	DefaultSnapshotEntries = 4096
+	DefaultSnapshotBytes   = 4 << 20
 	DefaultInbox           = 1024
 )
 
--- a/consensus/sim_test.go
+++ b/consensus/sim_test.go
@@ -83,7 +83,7 @@
 	c := consensus.DefaultConfig(id, simCluster, rand.NewPCG(s.rnd.Uint64(), s.serial))
 	c.ElectionTicks, c.HeartbeatTicks, c.LearnerHeartbeatTicks = 5, 1, 2
 	c.MaxAppendBytes, c.MaxInflight, c.MaxPending, c.ChunkBytes = 100, 4, 12, 5
-	c.CatchUpEntries, c.TrailEntries = 3, 3
+	c.CatchUpEntries, c.TrailEntries, c.TrailBytes = 3, 3, 100
 	c.SwitchOff(s.off)
 	return c
 }
--- a/consensus/snapshot.go
+++ b/consensus/snapshot.go
@@ -13,7 +13,7 @@
 
 // Compact hands in the state of the caller's state machine after the entry at
 // index, which must be applied and newer than the last snapshot. The next
-// Ready persists it, and older entries are dropped but for TrailEntries.
+// Ready persists it, and older entries are dropped but for TrailEntries within TrailBytes.
 // Errors wrap ErrBadState or ErrTooLarge.
 func (c *Core) Compact(index uint64, data []byte) error {
 	c.checkClosed()
@@ -27,7 +27,7 @@
 		Index: index, Term: c.log.term(index), Members: c.log.membersAt(index),
 		Size: uint64(len(data)), Sum: xxhash.Sum64(data),
 	}}
-	c.log.compact(s, c.cfg.TrailEntries)
+	c.log.compact(s, c.cfg.TrailEntries, c.cfg.TrailBytes)
 	c.out.snapshot = s
 	c.out.keepFrom = c.log.base
 	return nil
