Keepers assert at most once; direct calls of the load generator

Cause: the in-program check of at-most-once saw one origin only; latency needs a comparison with a direct call. Weighed: copies of every answer at peers cost bandwidth; they are now bounded to 16 KiB answers. Conclusion: any keeper that hears of two runs reports it.

--- a/dispatch/origin/bench_test.go
+++ b/dispatch/origin/bench_test.go
@@ -15,6 +15,7 @@
 	"magnoliastand.example/api"
 	"magnoliastand.example/dispatch"
 	"magnoliastand.example/dispatch/record"
+	"magnoliastand.example/standin"
 )
 
 // echoEndpoint is a minimal endpoint for measurements.
@@ -193,3 +194,44 @@
 	runtime.ReadMemStats(&m)
 	return int64(m.HeapAlloc), int64(m.StackInuse)
 }
+
+// BenchmarkHalfLoad sends open-loop arrivals at half of what eight slots of 5 ms
+// give, directly and through an origin, and reports quantiles of the latency.
+func BenchmarkHalfLoad(b *testing.B) {
+	const rate = 800
+	load := func(b *testing.B, address string, direct bool) {
+		for b.Loop() { // one run below, whatever b.N is
+		}
+		caller, err := standin.NewCaller(standin.CallerConfig{
+			Daemons: []string{address}, Direct: direct, IDs: standin.IDOwn, Rate: rate, Duration: 4 * time.Second, Seed: 3,
+			Streams: []standin.Stream{{Queue: "book", Key: testKey, Weight: 1, BodyBytes: 256}},
+		})
+		if err != nil {
+			b.Fatal(err)
+		}
+		report := caller.Run(b.Context())
+		for name, q := range map[string]float64{"p50-µs": 50, "p99-µs": 99, "p999-µs": 99.9} {
+			b.ReportMetric(float64(report.Latency.ValueAtQuantile(q)), name)
+		}
+		b.ReportMetric(float64(standin.Summarize(report.Outcomes).Answered)/float64(len(report.Outcomes)), "answered")
+	}
+	start := func(b *testing.B) string {
+		e, err := standin.StartEndpoint(b.Context(), standin.EndpointConfig{
+			Slots: 1000, Connections: 1000, RunTime: standin.Delay{Min: 5 * time.Millisecond}, AnswerBytes: 512,
+		})
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.Cleanup(e.Close)
+		return e.Address()
+	}
+	b.Run("direct", func(b *testing.B) { load(b, start(b), true) })
+	through := func(b *testing.B, slots int) {
+		url := serveOrigin(b, benchOrigin(b, start(b), slots))
+		host, _, _ := strings.Cut(strings.TrimPrefix(url, "http://"), "/")
+		load(b, host, false)
+	}
+	b.Run("origin", func(b *testing.B) { through(b, 1000) })
+	// With eight slots, the waits for a slot at random arrivals count as well.
+	b.Run("origin-8-slots", func(b *testing.B) { through(b, standin.DefaultSlots) })
+}
--- a/dispatch/record/finish.go
+++ b/dispatch/record/finish.go
@@ -9,6 +9,8 @@
 )
 
 const (
+	// maxCopiedAnswer bounds an answer of which peers of the home keep copies.
+	maxCopiedAnswer = 16 << 10
 	// finishTries bounds how often a deciding daemon is told of an answer.
 	finishTries = 3
 	// finishPause is the time between tries.
@@ -21,9 +23,12 @@
 	if c.Own || c.token == (Token{}) {
 		return
 	}
-	r := FinishRequest{ID: c.ID, Token: c.token, Digest: c.Digest, Result: result, Answer: s.small(answer)}
+	r := FinishRequest{
+		ID: c.ID, Token: c.token, Digest: c.Digest, Result: result, Answer: s.small(answer),
+		Idempotent: c.Idempotent,
+	}
 	ctx = context.WithoutCancel(ctx)
-	targets := s.holders(c.ID, result)
+	targets := s.holders(r)
 	if result == ResultNotRun || result == ResultWithdrawn {
 		s.report(ctx, targets, r)
 		return
@@ -39,14 +44,14 @@
 }
 
 // holders returns the daemons that record the end of an id.
-func (s *Service) holders(id string, result Result) []string {
-	p, ok := ParseID(id)
+func (s *Service) holders(r FinishRequest) []string {
+	p, ok := ParseID(r.ID)
 	if !ok {
-		return union(s.members.keepers(id, s.cfg.Keeper.Retention, time.Now()))
+		return union(s.members.keepers(r.ID, s.cfg.Keeper.Retention, time.Now()))
 	}
 	targets := []string{p.Daemon}
-	if result == ResultAnswered {
-		targets = append(targets, s.members.copies(id, p.Daemon, copyCount)...)
+	if r.Answer != nil && r.Answer.Size() <= maxCopiedAnswer {
+		targets = append(targets, s.members.copies(r.ID, p.Daemon, copyCount)...)
 	}
 	return targets
 }
--- a/dispatch/record/keeper.go
+++ b/dispatch/record/keeper.go
@@ -1,12 +1,12 @@
 package record
 
 import (
-	"bytes"
 	"container/list"
 	"time"
 	"unique"
 
 	"magnoliastand.example/dispatch"
+	"magnoliastand.example/invariant"
 )
 
 // Defaults of KeeperConfig.
@@ -42,55 +42,6 @@
 	}
 }
 
-type entryState uint8
-
-const (
-	entryRunning entryState = iota + 1
-	entryAnswered
-	entryUnknown
-	entryReleased
-)
-
-// instant is a time on a keeper's clock, in nanoseconds since its first use; it
-// takes a third of the memory of a time.Time. Never is the zero value.
-type instant int64
-
-const never instant = 0
-
-// entry is one remembered id. There are many of them, so it is kept small.
-type entry struct {
-	id     string
-	origin unique.Handle[dispatch.DaemonID]
-	seq    uint64
-	digest [DigestBytes]byte
-	// hasDigest is false until the content of the request is known.
-	hasDigest bool
-	state     entryState
-	answer    *Answer
-	refused   instant // when "not run" was last said
-	until     instant // a running token must have finished by then
-	expiry    instant
-	kept      *list.Element // place among kept answers; nil if there is no answer
-}
-
-func (e *entry) token() Token { return Token{Origin: e.origin.Value(), Seq: e.seq} }
-
-func (e *entry) setToken(t Token) {
-	e.origin = unique.Make(t.Origin)
-	e.seq = t.Seq
-}
-
-func (e *entry) holds(t Token) bool { return e.seq == t.Seq && e.origin.Value() == t.Origin }
-
-func (e *entry) setDigest(d Digest) {
-	e.hasDigest = len(d) == DigestBytes
-	copy(e.digest[:], d)
-}
-
-func (e *entry) matches(d Digest) bool {
-	return !e.hasDigest || d == nil || bytes.Equal(e.digest[:], d)
-}
-
 // Keeper remembers which token was permitted to start each id, and answers for
 // a while. It is pure: time is passed in. It is not safe for concurrent use.
 type Keeper struct {
@@ -225,6 +176,7 @@
 func (k *Keeper) Finish(r FinishRequest, now time.Time) bool {
 	k.expire(now)
 	e := k.entries[r.ID]
+	checkOnce(e, r)
 	switch r.Result {
 	case ResultNotRun, ResultWithdrawn:
 		return k.release(e, r, now)
@@ -235,6 +187,15 @@
 	}
 }
 
+// checkOnce asserts that no two tokens sent the same request to an endpoint.
+func checkOnce(e *entry, r FinishRequest) {
+	if e == nil || !e.ran || r.Idempotent || r.Result == ResultNotRun || r.Result == ResultWithdrawn {
+		return
+	}
+	invariant.Check(e.holds(r.Token), invariant.AtMostOnce,
+		"request %s: token %v may have run after token %v", r.ID, r.Token, e.token())
+}
+
 func (k *Keeper) release(e *entry, r FinishRequest, now time.Time) bool {
 	if e == nil || e.state != entryRunning || !e.holds(r.Token) {
 		return false
@@ -257,6 +218,7 @@
 		return false
 	}
 	e.state = entryAnswered
+	e.ran = true
 	e.setToken(r.Token)
 	if r.Answer != nil && r.Answer.Size() <= k.cfg.MaxAnswer {
 		k.keep(e, r.Answer)
@@ -267,7 +229,7 @@
 func (k *Keeper) finishUnknown(e *entry, r FinishRequest, now time.Time) bool {
 	if e == nil {
 		if k.makeRoom() {
-			k.add(r.ID, r.Token, r.Digest, entryUnknown, now)
+			k.add(r.ID, r.Token, r.Digest, entryUnknown, now).ran = true
 		}
 		return true
 	}
@@ -275,6 +237,8 @@
 		return false
 	}
 	e.state = entryUnknown
+	e.ran = true
+	e.setToken(r.Token)
 	return true
 }
 
--- a/dispatch/record/message.go
+++ b/dispatch/record/message.go
@@ -124,6 +124,8 @@
 	Digest Digest  `cbor:"3,keyasint,omitempty"`
 	Result Result  `cbor:"4,keyasint"`
 	Answer *Answer `cbor:"5,keyasint,omitempty"`
+	// Idempotent requests may run by several tokens.
+	Idempotent bool `cbor:"6,keyasint,omitempty"`
 }
 
 // LookupRequest asks for the kept answer of an id, waiting up to Wait for a
--- a/dispatch/record/message_test.go
+++ b/dispatch/record/message_test.go
@@ -23,7 +23,7 @@
 	messages := []any{
 		BeginRequest{ID: "x", Token: token, Digest: digest, Hold: time.Second},
 		BeginReply{Verdict: Answered, Holder: token, Answer: answer, Refused: true, RefusedAgo: 4},
-		FinishRequest{ID: "x", Token: token, Digest: digest, Result: ResultAnswered, Answer: answer},
+		FinishRequest{ID: "x", Token: token, Digest: digest, Result: ResultAnswered, Answer: answer, Idempotent: true},
 		LookupRequest{ID: "x", Digest: digest, Wait: time.Second},
 		LookupReply{Verdict: Answered, Answer: answer},
 		HoldRequest{Daemon: "d", Incarnation: "i", Index: 1, Last: true, Part: part},
--- a/dispatch/record/random_test.go
+++ b/dispatch/record/random_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"magnoliastand.example/invariant"
 )
 
 // simulate sends 40 ids up to 4 times each within 20 s. Two in three ids are
@@ -51,14 +53,15 @@
 
 func TestRandomRunsStartAtMostOnce(t *testing.T) {
 	var answered, notRun, unknown, inherited int
+	before := invariant.Count(invariant.AtMostOnce)
 	rapid.Check(t, func(rt *rapid.T) {
 		seed := rapid.Uint64().Draw(rt, "seed")
 		home := rapid.Bool().Draw(rt, "home")
 		quiet := rapid.Bool().Draw(rt, "quiet")
 		churn := rapid.Bool().Draw(rt, "churn")
 		s := simulate(t, seed, variant{churn: churn}, home, quiet)
-		if len(s.breaches) > 0 {
-			rt.Fatalf("breaches: %v", s.breaches)
+		if len(s.breaches) > 0 || invariant.Count(invariant.AtMostOnce) != before {
+			rt.Fatalf("breaches: %v, seen inside: %d", s.breaches, invariant.Count(invariant.AtMostOnce)-before)
 		}
 		answered, notRun, unknown = answered+s.answered, notRun+s.notRun, unknown+s.unknown
 		inherited += s.inherited
@@ -111,6 +114,20 @@
 	}
 }
 
+// TestInvariantSeesDoubledRuns expects the check inside the keepers to notice,
+// without the model, that two tokens ran.
+func TestInvariantSeesDoubledRuns(t *testing.T) {
+	before := invariant.Count(invariant.AtMostOnce)
+	for seed := range uint64(600) {
+		simulate(t, seed, variant{votesWithoutMemory: true, churn: true}, false, false)
+		if invariant.Count(invariant.AtMostOnce) > before {
+			t.Logf("seen at seed %d", seed)
+			return
+		}
+	}
+	t.Fatal("not seen")
+}
+
 // TestSmallHomeKeepsAtMostOnce is the counterpart of the watermark's variant.
 func TestSmallHomeKeepsAtMostOnce(t *testing.T) {
 	for seed := range uint64(40) {
--- a/dispatch/record/sim_test.go
+++ b/dispatch/record/sim_test.go
@@ -14,6 +14,7 @@
 	"go.uber.org/goleak"
 
 	"magnoliastand.example/dispatch"
+	"magnoliastand.example/invariant"
 )
 
 func TestMain(m *testing.M) {
@@ -21,6 +22,8 @@
 	if err := flag.Set("rapid.seed", "20261204"); err != nil {
 		panic(err)
 	}
+	// Tests that switch protections off breach on purpose; the others compare counts.
+	invariant.SetSink(func(invariant.Breach) {})
 	if code := m.Run(); code != 0 {
 		os.Exit(code)
 	}
--- a/standin/caller.go
+++ b/standin/caller.go
@@ -54,6 +54,9 @@
 type CallerConfig struct {
 	// Daemons lists "IP:port" of the daemons; each request starts at a random one.
 	Daemons []string
+	// Direct means that Daemons lists stand-in endpoints, which are called
+	// without any daemon, for comparison. IDs must then be IDOwn.
+	Direct  bool
 	Streams []Stream
 	IDs     IDMode
 	// Rate is the mean number of arrivals a second, at random times that do not
@@ -101,6 +104,8 @@
 		return errors.New("caller: no daemons")
 	case total <= 0:
 		return errors.New("caller: the weights of the streams sum to nothing")
+	case c.Direct && c.IDs != IDOwn:
+		return errors.New("caller: direct calls need ids of the caller's own")
 	case c.Rate <= 0:
 		return errors.New("caller: the rate is not positive")
 	default:
--- a/standin/send.go
+++ b/standin/send.go
@@ -113,6 +113,9 @@
 	ctx, cancel := context.WithTimeout(ctx, c.cfg.CallTimeout)
 	defer cancel()
 	target := "http://" + daemon + "/v1/queues/" + a.stream.Queue + "/requests"
+	if c.cfg.Direct {
+		target = "http://" + daemon + "/"
+	}
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, target, bytes.NewReader(a.body))
 	if err != nil {
 		o.Detail = err.Error()
@@ -121,6 +124,9 @@
 	if a.id != "" {
 		req.Header.Set(api.HeaderRequestID, a.id)
 	}
+	if c.cfg.Direct {
+		req.Header.Set(api.HeaderQueue, a.stream.Queue)
+	}
 	if a.stream.Key != "" {
 		req.Header.Set("Authorization", "Bearer "+a.stream.Key)
 	}
@@ -138,9 +144,23 @@
 		o.Kind, o.Detail = OutcomeLost, err.Error()
 		return
 	}
+	if c.cfg.Direct {
+		classifyDirect(res, body, a, o)
+		return
+	}
 	classify(res, body, a, o)
 }
 
+// classifyDirect judges a whole HTTP response of an endpoint.
+func classifyDirect(res *http.Response, body []byte, a arrival, o *Outcome) {
+	o.Status, o.Detail = res.StatusCode, ""
+	if api.Run(res.Header.Get(api.HeaderRun)) == api.RunNot {
+		o.Kind = OutcomeRefused
+		return
+	}
+	classifyAnswer(res, body, a, o)
+}
+
 // classify judges a whole HTTP response of a daemon.
 func classify(res *http.Response, body []byte, a arrival, o *Outcome) {
 	id := res.Header.Get(api.HeaderRequestID)
