--- a/cmd/magnoliastand/cluster_test.go
+++ b/cmd/magnoliastand/cluster_test.go
@@ -37,6 +37,8 @@
 
 const (
 	testOperatorKey = "operator-key-of-the-tests"
+	// slowOutcome is the latency from which on an outcome is printed.
+	slowOutcome = 16 * time.Second
 	// convergence bounds waits for a state that the system must reach; it is no
 	// claim about speed.
 	convergence = 30 * time.Second
@@ -452,6 +454,11 @@
 		ledger.AddRuns(e.Runs())
 		ledger.AddStats(fmt.Sprintf("endpoint %d", i+1), e.Stats())
 	}
+	for _, o := range all {
+		if o.Latency > slowOutcome {
+			c.t.Logf("slow: %+v", o)
+		}
+	}
 	for _, v := range ledger.Check() {
 		c.t.Errorf("violation: %s", v)
 	}
@@ -474,3 +481,15 @@
 	}
 	return reply.Version
 }
+
+// awaitControlledArbiters waits until each zone's arbiter is the one that the
+// control log assigned, on every daemon of the zone.
+func (c *cluster) awaitControlledArbiters() {
+	c.t.Helper()
+	for _, m := range c.members {
+		c.eventually(m.name+" follows an arbiter of the control log", func() bool {
+			s, ok := c.status(m)
+			return ok && s.Fresh && s.ArbiterTerm > 0 && s.ArbiterTerm%(1<<16) == 0
+		})
+	}
+}
--- a/cmd/magnoliastand/random_test.go
+++ b/cmd/magnoliastand/random_test.go
@@ -48,6 +48,7 @@
 		time.Sleep(time.Duration(500+rng.IntN(1000)) * time.Millisecond)
 		c.randomFault(rng, step)
 	}
+	c.awaitControlledArbiters()
 	reports := make([]*standin.Report, 0, len(waits))
 	for _, wait := range waits {
 		reports = append(reports, wait())
--- a/consensus/codec.go
+++ b/consensus/codec.go
@@ -53,25 +53,10 @@
 	return m, m.Validate()
 }
 
-// MarshalEntry encodes an entry as CBOR.
-func MarshalEntry(e *Entry) ([]byte, error) {
-	b, err := encMode.Marshal(e)
-	return b, errors.Wrap(err, "consensus: encode entry")
-}
-
-// UnmarshalEntry decodes an entry. Errors wrap ErrBadMessage.
-func UnmarshalEntry(b []byte) (Entry, error) {
-	var e Entry
-	if err := decMode.Unmarshal(b, &e); err != nil {
-		return Entry{}, errors.Wrap(ErrBadMessage, err.Error())
-	}
-	return e, nil
-}
-
 // Validate returns an error wrapping ErrBadMessage if the fields of the message
 // contradict its type.
 func (m *Message) Validate() error {
-	if m.Type < MsgPreVote || m.Type > MsgReadResp || m.From == None || m.Term == 0 {
+	if m.Type < MsgPreVote || m.Type > MsgHandover || m.From == None || m.Term == 0 {
 		return errors.Wrapf(ErrBadMessage, "type %d, from %x, term %d", m.Type, uint64(m.From), m.Term)
 	}
 	if m.From == m.To {
--- a/consensus/node/node.go
+++ b/consensus/node/node.go
@@ -22,6 +22,7 @@
 	inbox   chan consensus.Message
 	calls   chan call[R]
 	status  atomic.Pointer[Status]
+	changed atomic.Pointer[chan struct{}]
 	stop    chan struct{}
 	done    chan struct{}
 	once    sync.Once
@@ -51,6 +52,7 @@
 	callPropose callKind = iota
 	callRead
 	callChange
+	callHandover
 )
 
 // call is a request of a caller to the loop. The loop answers it once.
@@ -203,12 +205,21 @@
 	return n.change(ctx, consensus.Change{Kind: consensus.Promote, Member: consensus.Member{ID: id}})
 }
 
-// Remove removes a member; see AddLearner. A removed node never rejoins under
-// the same ID.
+// Remove removes a member; see AddLearner. A removed node may be added again
+// under its ID only as long as its disk is whole.
 func (n *Node[R]) Remove(ctx context.Context, id consensus.NodeID) error {
 	return n.change(ctx, consensus.Change{Kind: consensus.Remove, Member: consensus.Member{ID: id}})
 }
 
+// Handover asks the best voter to take the lead, so that a planned stop of the
+// leader costs no election timeout. It returns when the request is sent; Status
+// shows the outcome. Errors are those of consensus.Handover, ErrStopped or that
+// of ctx.
+func (n *Node[R]) Handover(ctx context.Context) error {
+	_, err := n.call(call[R]{ctx: ctx, kind: callHandover})
+	return err
+}
+
 func (n *Node[R]) change(ctx context.Context, ch consensus.Change) error {
 	_, err := n.call(call[R]{ctx: ctx, kind: callChange, change: ch})
 	return err
@@ -237,7 +248,7 @@
 	case <-n.done:
 		return n.lateOutcome(&c)
 	case <-c.ctx.Done():
-		if c.kind == callRead {
+		if c.kind == callRead || c.kind == callHandover {
 			return zero, c.ctx.Err()
 		}
 		return zero, errors.Wrap(ErrOutcomeUnknown, c.ctx.Err().Error())
@@ -256,6 +267,31 @@
 	}
 }
 
+// Changed returns a channel that is closed at the next change of role, leader,
+// term, membership or applied index. To miss nothing, a caller gets the channel
+// before it reads Status.
+func (n *Node[R]) Changed() <-chan struct{} {
+	return *n.changed.Load()
+}
+
+// WaitApplied returns once the entry at index is applied here. Errors are
+// ErrStopped or that of ctx.
+func (n *Node[R]) WaitApplied(ctx context.Context, index uint64) error {
+	for {
+		changed := n.Changed()
+		if n.Status().Applied >= index {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-n.done:
+			return ErrStopped
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
 // Status returns a copy of the state after the last turn of the loop.
 func (n *Node[R]) Status() Status {
 	s := *n.status.Load()
--- a/placement/datadriven_test.go
+++ b/placement/datadriven_test.go
@@ -74,9 +74,9 @@
 	running  []Running
 }
 
-// TestExamples runs the tables of testdata.
+// TestExamples runs the tables of testdata/examples.
 func TestExamples(t *testing.T) {
-	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+	datadriven.Walk(t, "testdata/examples", func(t *testing.T, path string) {
 		b := &bench{outcomes: NewOutcomes()}
 		b.in.Estimator = NewEstimator()
 		b.in.Order = LowestUse{}
@@ -94,7 +94,7 @@
 		for _, r := range rows(d.Input) {
 			b.in.Workers = append(b.in.Workers, Worker{
 				ID: r.words[0], Zone: r.opts["zone"], Rack: r.opts["rack"],
-				Capacity: r.size(), Open: !slices.Contains(r.words, "closed"),
+				Capacity: r.size(), Used: Size{Processors: 1000 * r.num("used")}, Open: !slices.Contains(r.words, "closed"),
 			})
 		}
 	case "classes":
--- a/quota/transfer.go
+++ b/quota/transfer.go
@@ -54,7 +54,8 @@
 	}
 	first, n := t.retiredOf(tr.Zone)
 	records := t.retired[first : first+n]
-	if n == 0 || t.allot(tr.Zone).moved || !l.nothingStarts(records) {
+	once := !t.allot(tr.Zone).moved || l.off.transferOnce
+	if n == 0 || !once || !l.nothingStarts(records) {
 		return
 	}
 	moved := takeUnits(records, tr.Running)
@@ -67,9 +68,29 @@
 	t.dropEmpty()
 }
 
+// Transferable lists the teams with units of a zone's ended terms that a
+// Transfer to the current term may move now, in order of name. The leader then
+// lets the zone's arbiter collect declarations.
+func (l *Ledger) Transferable(zone string) []string {
+	var teams []string
+	for _, name := range l.teamNames() {
+		t := l.teams[name]
+		first, n := t.retiredOf(zone)
+		a, ok := t.allots[zone]
+		moved := ok && a.moved
+		if n > 0 && !moved && l.nothingStarts(t.retired[first:first+n]) {
+			teams = append(teams, name)
+		}
+	}
+	return teams
+}
+
 // nothingStarts reports whether every record is past its no-start time.
 func (l *Ledger) nothingStarts(records []retired) bool {
 	for _, r := range records {
+		if l.off.transferWait {
+			break
+		}
 		if !r.wait.begun || l.now < r.noStart {
 			return false
 		}
