The leader plans the fleet; ended daemon processes are told to arbiter and records

Its loads come from the arbiters' sums, its commands go through the log and are checked again there. Weighed: planning on every daemon against on the leader; the applier makes both safe, one planner needs no agreement. Not yet measured in processes.

--- a/daemon/arbiterhost.go
+++ b/daemon/arbiterhost.go
@@ -142,13 +142,7 @@
 	h.clear()
 }
 
-// term returns the term of the running arbiter, or 0.
-func (h *arbiterHost) term() uint64 {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.termLocked()
-}
-
+// termLocked returns the term of the running arbiter, or 0.
 func (h *arbiterHost) termLocked() uint64 {
 	if h.arb == nil {
 		return 0
--- a/daemon/callers.go
+++ b/daemon/callers.go
@@ -35,7 +35,7 @@
 	if d.ready.stopping.Load() {
 		return api.NewProblem(http.StatusServiceUnavailable, api.CodeShuttingDown, "", "announce to another daemon")
 	}
-	if known, p := d.checkAnnouncement(c.Param("id"), a); !known {
+	if p := d.checkService(a.Service); p != nil {
 		return p
 	}
 	reply, err := d.host.announce(c.Param("id"), a)
@@ -51,19 +51,14 @@
 	return c.JSON(http.StatusOK, reply)
 }
 
-// checkAnnouncement refuses endpoints of services that the document lacks.
-func (d *Daemon) checkAnnouncement(id string, a api.Announcement) (bool, *api.Problem) {
-	if err := endpoint.Validate(id, a); err != nil {
-		return true, nil // the registry names the field
-	}
+// checkService refuses endpoints of services that the document lacks. An empty
+// name is left to the registry, which names every faulty field.
+func (d *Daemon) checkService(name string) *api.Problem {
 	v := d.control.holder.View()
-	if v.DocumentVersion() == 0 {
-		return true, nil
-	}
-	if _, ok := v.Index().Service(a.Service); !ok {
-		p := api.NewProblem(http.StatusUnprocessableEntity, api.CodeInvalidField, "", "the document has no service of this name")
-		p.Field = "service"
-		return false, p
+	if _, ok := v.Index().Service(name); ok || name == "" || v.DocumentVersion() == 0 {
+		return nil
 	}
-	return true, nil
+	p := api.NewProblem(http.StatusUnprocessableEntity, api.CodeInvalidField, "", "the document has no service of this name")
+	p.Field = "service"
+	return p
 }
--- a/daemon/controlplane.go
+++ b/daemon/controlplane.go
@@ -14,6 +14,7 @@
 	"magnoliastand.example/control/freshness"
 	"magnoliastand.example/daemon/settings"
 	"magnoliastand.example/dispatch"
+	"magnoliastand.example/dispatch/endpoint"
 	"magnoliastand.example/dispatch/origin"
 	"magnoliastand.example/peerlink"
 )
@@ -31,6 +32,7 @@
 	node     *logNode    // nil without a data folder
 	start    time.Time
 	leader   *leaderDuties
+	planner  *fleetPlanner
 	// zoneArbiter returns the arbiter of this daemon's zone.
 	zoneArbiter func() arbiterRef
 	// ping asks a daemon whether it is alive and may stay arbiter.
@@ -67,6 +69,7 @@
 	}
 	c.follower.register()
 	c.leader = newLeaderDuties(c)
+	c.planner = newFleetPlanner(c)
 	link.Handle(methodPropose, c.handlePropose)
 	link.Handle(methodClaim, c.handleClaim)
 	link.Handle(methodDemand, c.leader.handleDemand)
@@ -103,6 +106,7 @@
 	wg.Go(func() { c.follower.run(ctx) })
 	wg.Go(func() { c.registerSelf(ctx) })
 	wg.Go(func() { c.leader.run(ctx) })
+	wg.Go(func() { c.planner.run(ctx) })
 	var err error
 	if c.node != nil {
 		err = c.node.run(ctx)
@@ -183,6 +187,17 @@
 	return kept
 }
 
+// reportLoad tells the leader what this zone's services use and wait for.
+func (c *controlPlane) reportLoad(s endpoint.Summary) {
+	if c.leads() {
+		c.planner.note(s)
+		return
+	}
+	if leader := c.follower.Leader(); leader != "" {
+		c.link.Notify(leader, methodLoad, summaryNotice{Summary: s})
+	}
+}
+
 // registerSelf enters this incarnation into the control log, again whenever
 // the view names another one.
 func (c *controlPlane) registerSelf(ctx context.Context) {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"magnoliastand.example/api"
+	"magnoliastand.example/control"
 	"magnoliastand.example/control/httpapi"
 	"magnoliastand.example/daemon/settings"
 	"magnoliastand.example/dispatch"
@@ -213,8 +214,8 @@
 func (d *Daemon) Run(ctx context.Context, hard <-chan struct{}) error {
 	d.spawn(func() { d.zone.run(d.ctx) })
 	d.spawn(func() { d.host.run(d.ctx) })
-	d.spawn(func() { d.followDocument() })
-	d.spawn(func() { d.host.sendSummaries(d.ctx, d.zoneNames) })
+	d.spawn(d.followView)
+	d.spawn(func() { d.host.sendSummaries(d.ctx, d.zoneNames, d.control.reportLoad) })
 	for _, peer := range d.set.PeersOf(d.set.AvailabilityZone) {
 		if peer != d.self.Name {
 			d.spawn(func() { d.host.pullFeed(d.ctx, peer) })
@@ -248,9 +249,11 @@
 	return names
 }
 
-// followDocument hands each new document to the arbiter.
-func (d *Daemon) followDocument() {
+// followView hands each new document to the arbiter, and tells arbiter and
+// records which daemon processes have ended.
+func (d *Daemon) followView() {
 	var have uint64
+	incarnations := make(map[string]string)
 	for {
 		changed := d.control.holder.Changed()
 		v := d.control.holder.View()
@@ -259,6 +262,9 @@
 			d.host.setDocument(*v.Document())
 			d.log.Info().Uint64("version", v.Version()).Uint64("document", have).Msg("configuration in force")
 		}
+		for _, dm := range v.Daemons() {
+			d.noteIncarnation(incarnations, dm)
+		}
 		select {
 		case <-changed:
 		case <-d.ctx.Done():
@@ -267,6 +273,19 @@
 	}
 }
 
+// noteIncarnation handles a daemon that registered another incarnation than
+// before: the process of the former one has ended.
+func (d *Daemon) noteIncarnation(known map[string]string, dm control.Daemon) {
+	old, ok := known[dm.Name]
+	known[dm.Name] = dm.Incarnation
+	if !ok || old == dm.Incarnation || dm.Name == d.self.Name {
+		return
+	}
+	ended := dispatch.DaemonID{Name: dm.Name, Incarnation: old}
+	d.host.originLost(ended)
+	d.records.OriginGone(ended)
+}
+
 // shutDown refuses new requests, lets those in flight end, and stops the parts.
 func (d *Daemon) shutDown(cause error, hard <-chan struct{}) error {
 	d.ready.stop()
--- a/daemon/forward.go
+++ b/daemon/forward.go
@@ -77,9 +77,9 @@
 	return h.arb.Summary(), true
 }
 
-// sendSummaries tells the arbiters of other zones what this zone has, at each
-// interval until ctx ends.
-func (h *arbiterHost) sendSummaries(ctx context.Context, zones func() []string) {
+// sendSummaries tells the arbiters of other zones, and by report the leader,
+// what this zone has, at each interval until ctx ends.
+func (h *arbiterHost) sendSummaries(ctx context.Context, zones func() []string, report func(endpoint.Summary)) {
 	ticker := time.NewTicker(summaryInterval)
 	defer ticker.Stop()
 	for {
@@ -92,6 +92,7 @@
 		if !ok {
 			continue
 		}
+		report(sum)
 		for _, zone := range zones() {
 			if ref, known := h.arbiterOf(zone); known && zone != h.zone {
 				h.link.Notify(ref.Name, methodSummary, summaryNotice{Summary: sum})
--- a/daemon/message.go
+++ b/daemon/message.go
@@ -24,6 +24,7 @@
 	methodJoin         = "control.join"
 	methodLog          = "log.message"
 	methodForm         = "log.form"
+	methodLoad         = "fleet.load"
 	methodFleet        = "fleet.status"
 	methodBurn         = "report.burn"
 	methodRecordBegin  = "record.begin"
--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -81,7 +81,7 @@
 	ArbiterTerm uint64       `json:"arbiter_term"`
 	// Arbiters lists the zones' arbiters by the control log.
 	Arbiters []ArbiterStatus `json:"arbiters"`
-	Daemons  []DaemonStatus  `json:"daemons"`
+	Daemons  []MemberStatus  `json:"daemons"`
 	InFlight int             `json:"requests_in_flight"`
 	// Slots is set on a zone's arbiter.
 	Slots *arbiter.Stats `json:"slots,omitempty"`
@@ -95,8 +95,8 @@
 	Term   uint64 `json:"term"`
 }
 
-// DaemonStatus is what is known of a registered daemon.
-type DaemonStatus struct {
+// MemberStatus is what is known of a registered daemon.
+type MemberStatus struct {
 	Name string `json:"name"`
 	Zone string `json:"availability_zone"`
 	// InForce is the version in force there as last heard here; absent when not heard lately.
@@ -141,7 +141,7 @@
 	}
 	versions := d.control.follower.versions()
 	for _, dm := range v.Daemons() {
-		ds := DaemonStatus{Name: dm.Name, Zone: dm.Zone}
+		ds := MemberStatus{Name: dm.Name, Zone: dm.Zone}
 		if version, ok := versions[dm.Name]; ok {
 			ds.InForce = &version
 		}
--- a/daemon/server.go
+++ b/daemon/server.go
@@ -63,7 +63,7 @@
 		{s.operators, d.set.Listen.Operators, "listen.operators"},
 		{s.peers, d.set.Listen.Peers, "listen.peers"},
 	} {
-		listener, err := net.Listen("tcp", l.addr)
+		listener, err := (&net.ListenConfig{}).Listen(d.ctx, "tcp", l.addr)
 		if err != nil {
 			s.closeListeners()
 			return nil, errors.Wrap(err, l.field)
--- a/daemon/settings/settings_test.go
+++ b/daemon/settings/settings_test.go
@@ -9,7 +9,7 @@
 
 // TestParse runs the tables in testdata: a settings file in, its faults or "ok" out.
 func TestParse(t *testing.T) {
-	datadriven.RunTest(t, "testdata/parse", func(t *testing.T, d *datadriven.TestData) string {
+	datadriven.RunTest(t, "testdata/parse", func(_ *testing.T, d *datadriven.TestData) string {
 		s, err := Parse([]byte(d.Input))
 		var faults *FaultsError
 		switch {
--- a/daemon/zone.go
+++ b/daemon/zone.go
@@ -194,11 +194,11 @@
 }
 
 // adopt follows an arbiter of a higher term.
-func (m *zoneMonitor) adopt(ref arbiterRef) bool {
+func (m *zoneMonitor) adopt(ref arbiterRef) {
 	m.mu.Lock()
+	defer m.mu.Unlock()
 	if ref.Term <= m.arbiter.Term || ref.Name == "" {
-		m.mu.Unlock()
-		return false
+		return
 	}
 	m.arbiter = ref
 	close(m.changed)
@@ -206,9 +206,7 @@
 	if m.onChange != nil {
 		m.onChange(ref)
 	}
-	m.mu.Unlock()
 	m.log.Info().Str("zone", m.zone).Str("arbiter", ref.Name).Uint64("term", ref.Term).Msg("arbiter elected")
-	return true
 }
 
 // step follows the control log's assignment and, when the arbiter is missing
