--- a/control/table_test.go
+++ b/control/table_test.go
@@ -5,7 +5,6 @@
 	"testing"
 
 	"github.com/cockroachdb/datadriven"
-
 )
 
 // TestState runs tables of commands against one state and prints each result.
--- a/quota/balancer.go
+++ b/quota/balancer.go
@@ -9,6 +9,9 @@
 	// rotationQuantum is how long a zone keeps a unit before another zone that
 	// holds none may ask for it.
 	rotationQuantum = time.Second
+	// silentAfter is how long after its newest demand a zone counts as cut off:
+	// it is then asked for nothing and given nothing.
+	silentAfter = 3 * time.Second
 	// headroomDivisor sets the spare units that a zone with demand may hold when
 	// units are free: the limit divided by this, over all zones with demand.
 	headroomDivisor = 4
@@ -40,6 +43,9 @@
 	// seen is the newest demand; complete tells that no team is missing.
 	seen     uint64
 	complete bool
+	// planned is the newest demand at the last plan, heardAt when that rose.
+	planned uint64
+	heardAt time.Duration
 	// sent numbers the renewals; confirmed is the newest one that the holder has.
 	sent      uint64
 	confirmed uint64
@@ -139,6 +145,9 @@
 // of later renewals. now is the leader's monotonic time.
 func (b *Balancer) Plan(l *Ledger, now time.Duration) Command {
 	b.prune(l)
+	for _, z := range b.zones {
+		z.listen(now)
+	}
 	var c Command
 	for _, name := range l.teamNames() {
 		p := b.teamPlan(l, name, now)
@@ -151,6 +160,17 @@
 	return c
 }
 
+// listen notes when the newest demand came, to the precision of plans.
+func (z *zoneDemand) listen(now time.Duration) {
+	if z.seen != z.planned {
+		z.planned = z.seen
+		z.heardAt = now
+	}
+}
+
+// silent reports whether the zone counts as cut off.
+func (z *zoneDemand) silent(now time.Duration) bool { return now-z.heardAt > silentAfter }
+
 // prune forgets what belongs to terms that are no longer current.
 func (b *Balancer) prune(l *Ledger) {
 	for zone, z := range b.zones {
@@ -203,7 +223,7 @@
 	p := &teamPlan{b: b, limit: l.Limit(team), now: now}
 	p.free = p.limit - l.Outstanding(team)
 	for zone, z := range b.zones {
-		if l.Term(zone) != z.term {
+		if l.Term(zone) != z.term || z.silent(now) {
 			continue
 		}
 		p.addZone(l, allotKey{zone, z.term, team}, z.teams[team])
