--- a/quota/balancer.go
+++ b/quota/balancer.go
@@ -9,6 +9,12 @@
 	// rotationQuantum is how long a zone keeps a unit before another zone that
 	// holds none may ask for it.
 	rotationQuantum = time.Second
+	// silentAfter is how long after its newest demand a zone counts as cut off:
+	// it is then asked for nothing and given nothing.
+	silentAfter = 3 * time.Second
+	// fullPlanEvery is how often teams are planned whose demand is met and did
+	// not change.
+	fullPlanEvery = time.Second
 	// headroomDivisor sets the spare units that a zone with demand may hold when
 	// units are free: the limit divided by this, over all zones with demand.
 	headroomDivisor = 4
@@ -24,6 +30,9 @@
 	targets map[allotKey]uint64
 	// since is when a zone last got a unit, or began to wait without one.
 	since map[allotKey]time.Duration
+	// active are the teams whose demand changed or is not met.
+	active   map[string]bool
+	fullPlan time.Duration // when all teams are planned next
 }
 
 // allotKey names one allotment.
@@ -40,6 +49,9 @@
 	// seen is the newest demand; complete tells that no team is missing.
 	seen     uint64
 	complete bool
+	// planned is the newest demand at the last plan, heardAt when that rose.
+	planned uint64
+	heardAt time.Duration
 	// sent numbers the renewals; confirmed is the newest one that the holder has.
 	sent      uint64
 	confirmed uint64
@@ -60,6 +72,7 @@
 		zones:   make(map[string]*zoneDemand),
 		targets: make(map[allotKey]uint64),
 		since:   make(map[allotKey]time.Duration),
+		active:  make(map[string]bool),
 	}
 }
 
@@ -77,6 +90,7 @@
 	}
 	for _, t := range d.Teams {
 		z.teams[t.Team] = t
+		b.active[t.Team] = true
 	}
 }
 
@@ -139,18 +153,54 @@
 // of later renewals. now is the leader's monotonic time.
 func (b *Balancer) Plan(l *Ledger, now time.Duration) Command {
 	b.prune(l)
+	for _, z := range b.zones {
+		z.listen(now)
+	}
+	full := now >= b.fullPlan
+	if full {
+		b.fullPlan = now + fullPlanEvery
+	}
 	var c Command
 	for _, name := range l.teamNames() {
+		if !full && !b.active[name] {
+			continue
+		}
 		p := b.teamPlan(l, name, now)
 		c.Returns = append(c.Returns, p.returns...)
 		p.fillDeficits()
 		p.fillHeadroom()
 		p.askBack()
 		c.Grants = append(c.Grants, p.grants()...)
+		if p.settled() {
+			delete(b.active, name)
+		} else {
+			b.active[name] = true
+		}
 	}
 	return c
 }
 
+// settled reports whether nothing is left to do until demand changes.
+func (p *teamPlan) settled() bool {
+	for _, z := range p.zones {
+		if z.gains || z.loses || z.held < z.want {
+			return false
+		}
+	}
+	return len(p.returns) == 0
+}
+
+// listen notes when the newest demand came, to the precision of plans.
+func (z *zoneDemand) listen(now time.Duration) {
+	if z.seen != z.planned {
+		z.planned = z.seen
+		z.heardAt = now
+	}
+}
+
+// silent reports whether the zone counts as cut off.
+func (z *zoneDemand) silent(now time.Duration) bool { return now-z.heardAt > silentAfter }
+
 // prune forgets what belongs to terms that are no longer current.
 func (b *Balancer) prune(l *Ledger) {
 	for zone, z := range b.zones {
@@ -203,7 +253,7 @@
 	p := &teamPlan{b: b, limit: l.Limit(team), now: now}
 	p.free = p.limit - l.Outstanding(team)
 	for zone, z := range b.zones {
-		if l.Term(zone) != z.term {
+		if l.Term(zone) != z.term || z.silent(now) {
 			continue
 		}
 		p.addZone(l, allotKey{zone, z.term, team}, z.teams[team])
