arbiter, endpoint: stops of the process

Cause: a process stopped for longer than the margin sends grants late and finds old words in its buffers, so every bound counted from its clock is wrong. Weighed: send times in messages (clocks of daemons need not agree) and breaking all links after a stop (the caller's part, kept as a duty for origins); taken: the gap between inputs shows a stop, grants of that time count from its end and words handled right after it from its start.

--- a/dispatch/arbiter/arbiter.go
+++ b/dispatch/arbiter/arbiter.go
@@ -108,7 +108,8 @@
 
 // Tick lets time pass: asks whose patience ended are refused, grants past their
 // longest run are freed, teams at their limit are tried again. Call it at
-// NextWake and at least every 100 ms. The events of this and of every other
+// NextWake and at least every half of Margin: a gap longer than Margin is taken
+// for a stall of the process. The events of this and of every other
 // input are valid until the next input.
 func (a *Arbiter) Tick(now time.Time) []Event {
 	a.begin(now)
@@ -146,9 +147,13 @@
 
 // begin starts an input: it applies the time and what the registry learned.
 func (a *Arbiter) begin(now time.Time) {
+	before := a.now
 	if now.After(a.now) {
 		a.now = now
 	}
+	if a.now.Sub(before) > a.opts.Margin {
+		a.afterStall(before)
+	}
 	clear(a.events)
 	a.events = a.events[:0]
 	a.sync()
--- a/dispatch/arbiter/doc.go
+++ b/dispatch/arbiter/doc.go
@@ -63,8 +63,11 @@
 //     did not declare, and uses each grant once.
 //   - A declaration also lists grants that were released with an unknown
 //     outcome, as started, until their longest run has passed.
-//   - The link between an origin and the arbiter delivers in order and within
-//     Margin, or breaks. When it is made anew, Reconnected comes first, and the
-//     origin repeats its waiting asks.
+//   - Links between daemons deliver in order and within Margin, or break. When
+//     one to an origin is made anew, Reconnected comes first, and the origin
+//     repeats its waiting asks.
+//   - An origin that was stopped for longer than Margin breaks its links before
+//     it handles what it finds in their buffers. The arbiter itself, and the
+//     registry of each daemon, notice their own stops by the gap between inputs.
 //   - Endpoints enforce the longest run, or it is set so that they can't exceed it.
 package arbiter
--- a/dispatch/arbiter/options.go
+++ b/dispatch/arbiter/options.go
@@ -116,5 +116,6 @@
 	firstComeFirst    bool // teams are served in order of arrival
 	noEarlyRefusal    bool // asks wait until their patience ends
 	ignoreSlots       bool // grants regardless of occupied slots
+	ignoreStalls      bool // grants sent after a stall count from before it
 	ignoreForwardHops bool // forwards what was forwarded already
 }
--- a/dispatch/arbiter/random_test.go
+++ b/dispatch/arbiter/random_test.go
@@ -1,6 +1,7 @@
 package arbiter
 
 import (
+	"flag"
 	"fmt"
 	"maps"
 	"math/rand/v2"
@@ -16,6 +17,9 @@
 	"magnoliastand.example/invariant"
 )
 
+// The random tests run with a fixed seed, which the flag overrides.
+var _ = flag.Set("rapid.seed", "1")
+
 // drawn chooses by rapid, which shrinks a failing run.
 type drawn struct{ t *rapid.T }
 
@@ -52,7 +56,7 @@
 	alive := slices.DeleteFunc(slices.Clone(w.entries), func(e *entry) bool { return !e.alive })
 	e := alive[w.choose.n(len(alive))]
 	p := w.procs[w.choose.n(len(w.procs))]
-	switch w.choose.n(20) {
+	switch w.choose.n(21) {
 	case 0, 1, 2, 3, 4, 5:
 		w.newAsk(e)
 	case 6:
@@ -76,6 +80,10 @@
 	case 14:
 		w.reconnect(e)
 	case 15:
+		if w.choose.n(3) == 0 {
+			w.stop()
+		}
+	case 16:
 		if w.choose.n(3) == 0 {
 			w.reconfigure()
 		}
@@ -183,9 +191,27 @@
 	}
 	e.inbox = nil
 	w.handle(w.arb.Reconnected(w.now, e.declaration(w.now)))
-	for _, id := range slices.Sorted(maps.Keys(e.asks)) {
-		w.ask(e, e.asks[id])
+	w.askAll(e)
+}
+
+// stop stops the arbiter's process for a while. What it was sending leaves late,
+// and what reaches it waits.
+func (w *world) stop() {
+	d := time.Duration(2+w.choose.n(80)) * worldStep
+	for _, e := range w.entries {
+		for i := range e.inbox {
+			e.inbox[i].at = e.inbox[i].at.Add(d)
+		}
+	}
+	w.stopped = true
+	w.pass(d)
+	w.stopped = false
+	buffered := w.buffer
+	w.buffer = nil
+	for _, message := range buffered {
+		message()
 	}
+	w.handle(w.arb.Tick(w.now))
 }
 
 // reconfigure puts one of several documents in force.
@@ -298,6 +324,7 @@
 		{"lost origin frees its slots", protections{freeOnOriginLost: true}},
 		{"restart frees every slot", protections{freeOnRestart: true}},
 		{"successor assumes free slots", protections{assumeFree: true}},
+		{"stops are not noticed", protections{ignoreStalls: true}},
 		{"slots are not counted", protections{ignoreSlots: true}},
 	}
 	for _, c := range cases {
--- a/dispatch/arbiter/release.go
+++ b/dispatch/arbiter/release.go
@@ -131,6 +131,24 @@
 	a.ends.fix(gr)
 }
 
+// afterStall distrusts what the process knew when it stopped at before. Grants
+// of that time may leave its buffers only now, and words about endpoints that
+// it finds there may be as old as the stop.
+func (a *Arbiter) afterStall(before time.Time) {
+	if a.off.ignoreStalls {
+		return
+	}
+	latest := a.now.Add(a.opts.Margin + a.opts.StartWithin)
+	for _, gr := range a.grants {
+		if !gr.unknown && a.opts.wordAfter(gr.latestStart).After(before) {
+			a.setStart(gr, latest)
+		}
+	}
+	if a.opts.wordAfter(a.recovery.latestStart).After(before) {
+		a.recovery.latestStart = latest
+	}
+}
+
 // unhold makes a repeated ask a new one.
 func (a *Arbiter) unhold(gr *grant) {
 	if a.held[gr.key] == gr {
--- a/dispatch/arbiter/tables_test.go
+++ b/dispatch/arbiter/tables_test.go
@@ -46,6 +46,7 @@
 	arb    *Arbiter
 	limits limits
 	grants map[string]dispatch.Grant
+	latest api.Announcement
 }
 
 func (tb *table) reset(slots int) {
@@ -104,6 +105,7 @@
 		a := announce(field(d, "incarnation", "1"), tb.number(d, "slots", 2))
 		a.State = api.EndpointState(field(d, "state", "ready"))
 		a.Running = tb.number(d, "running", 0)
+		tb.latest = a
 		mustAnnounce(tb.t, tb.reg, tb.now, first(d), a)
 		return tb.show(tb.arb.Tick(tb.now))
 	case "ask":
@@ -113,8 +115,15 @@
 	case "cancel":
 		return tb.show(tb.arb.Cancel(tb.now, first(d), testOrigin("entry")))
 	case "pass":
-		tb.now = tb.now.Add(tb.duration(first(d)))
-		return tb.show(tb.arb.Tick(tb.now))
+		out := ""
+		for left := tb.duration(first(d)); left > 0; left -= worldStep {
+			tb.now = tb.now.Add(min(left, worldStep))
+			if d.HasArg("renewed") {
+				mustAnnounce(tb.t, tb.reg, tb.now, field(d, "renewed", ""), tb.latest)
+			}
+			out += tb.show(tb.arb.Tick(tb.now))
+		}
+		return out
 	case "limit":
 		tb.limits[first(d)] = tb.number(d, "units", 0)
 		return tb.show(tb.arb.LimitChanged(tb.now, first(d)))
--- a/dispatch/endpoint/advance.go
+++ b/dispatch/endpoint/advance.go
@@ -3,9 +3,11 @@
 import "time"
 
 // Advance applies what the passing of time brings: lapsed leases, the end of
-// back-offs, and removal of endpoints long gone. It costs one comparison while
-// nothing is due.
+// back-offs, and removal of endpoints long gone. It costs two comparisons while
+// nothing is due. Call it at least every half of Reorder: a longer gap is taken
+// for a stall of the process.
 func (r *Registry) Advance(now time.Time) {
+	r.clock.advance(now, r.opts.Reorder)
 	if r.wakeAt.IsZero() || now.Before(r.wakeAt) {
 		return
 	}
--- a/dispatch/endpoint/doc.go
+++ b/dispatch/endpoint/doc.go
@@ -8,6 +8,9 @@
 // message between daemons. A daemon whose feed falls silent for the lease takes
 // the endpoints that only it had heard with it.
 //
+// A process that was stopped for a while finds old words in its buffers when it
+// goes on. The registry notices the gap and counts such words as heard before it.
+//
 // Outcomes of requests are observed with Observe. An endpoint that fails all it
 // gets while others of its service succeed is ejected for a back-off that
 // doubles with each ejection, and then runs one request at a time until one
--- a/dispatch/endpoint/feed.go
+++ b/dispatch/endpoint/feed.go
@@ -78,7 +78,8 @@
 	if source == "" {
 		return errors.New("a feed needs the name of its source")
 	}
-	r.sources[source] = now
+	r.clock.advance(now, r.opts.Reorder)
+	r.sources[source] = r.clock.heard(now)
 	var first error
 	for _, c := range f.Changes {
 		if err := r.mergeChange(now, source, c); err != nil && first == nil {
@@ -107,7 +108,7 @@
 	if err != nil {
 		return err
 	}
-	heard := now.Add(-max(c.Age, 0))
+	heard := r.clock.heard(now).Add(-max(c.Age, 0))
 	if !r.isNews(e, source, c, heard) {
 		return nil
 	}
@@ -115,7 +116,7 @@
 	r.setSource(e, source)
 	changed := r.accept(now, e, c.Announcement, heard, false)
 	if c.EndedAge > 0 {
-		ended := now.Add(-c.EndedAge)
+		ended := r.clock.heard(now).Add(-c.EndedAge)
 		if ended.After(e.EndedHeard) {
 			e.EndedHeard = ended
 			changed = true
--- a/dispatch/endpoint/registry.go
+++ b/dispatch/endpoint/registry.go
@@ -110,6 +110,7 @@
 	version uint64
 	dropped uint64 // version of the latest removed entry
 	wakeAt  time.Time
+	clock   clock
 	// shareLoadUntil is described at ShareLoad.
 	shareLoadUntil time.Time
 }
@@ -182,6 +183,7 @@
 	if err := Validate(id, a); err != nil {
 		return api.AnnouncementReply{}, err
 	}
+	r.clock.advance(now, r.opts.Reorder)
 	e, err := r.entry(now, id)
 	if err != nil {
 		return api.AnnouncementReply{}, err
@@ -191,7 +193,7 @@
 	}
 	moved := e.source != ""
 	r.setSource(e, "")
-	changed := r.accept(now, e, a, now, !moved)
+	changed := r.accept(now, e, a, r.clock.heard(now), !moved)
 	// A recent change is repeated with the next renewals, so that a peer that
 	// ignored it as possibly reordered takes it later.
 	recent := now.Sub(e.changedAt) < 2*r.opts.Lease
--- a/dispatch/endpoint/registry_test.go
+++ b/dispatch/endpoint/registry_test.go
@@ -1,6 +1,7 @@
 package endpoint
 
 import (
+	"flag"
 	"fmt"
 	"maps"
 	"slices"
@@ -16,6 +17,9 @@
 	"magnoliastand.example/dispatch"
 )
 
+// The random tests run with a fixed seed, which the flag overrides.
+var _ = flag.Set("rapid.seed", "1")
+
 var epoch = time.Unix(1_000_000, 0)
 
 // zone is a set of daemons with a registry each.
@@ -109,10 +113,13 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		z.now = z.now.Add(step)
-		for _, r := range z.daemons {
-			r.Advance(z.now)
+		z.advance(step)
+	case "stall":
+		step, err := time.ParseDuration(d.CmdArgs[0].Key)
+		if err != nil {
+			t.Fatal(err)
 		}
+		z.now = z.now.Add(step)
 	case "states":
 		return z.states(on)
 	default:
@@ -144,8 +151,11 @@
 	if _, err := r.Announce(epoch, "e3", announcement("s", "1", api.EndpointReady)); !errors.Is(err, ErrFull) {
 		t.Fatalf("error %v, want %v", err, ErrFull)
 	}
-	later := epoch.Add(DefaultLease)
-	r.Advance(later)
+	later := epoch
+	for later.Before(epoch.Add(DefaultLease)) {
+		later = later.Add(DefaultReorder)
+		r.Advance(later)
+	}
 	if _, err := r.Announce(later, "e3", announcement("s", "1", api.EndpointReady)); err != nil {
 		t.Fatalf("a lapsed endpoint should make room: %v", err)
 	}
@@ -220,9 +230,12 @@
 }
 
 func (z *zone) advance(d time.Duration) {
-	z.now = z.now.Add(d)
-	for _, r := range z.daemons {
-		r.Advance(z.now)
+	const step = 100 * time.Millisecond
+	for ; d > 0; d -= step {
+		z.now = z.now.Add(min(d, step))
+		for _, r := range z.daemons {
+			r.Advance(z.now)
+		}
 	}
 }
 
--- a/fairshare/maxmin_test.go
+++ b/fairshare/maxmin_test.go
@@ -1,12 +1,16 @@
 package fairshare
 
 import (
+	"flag"
 	"math"
 	"testing"
 
 	"pgregory.net/rapid"
 )
 
+// The random tests run with a fixed seed, which the flag overrides.
+var _ = flag.Set("rapid.seed", "1")
+
 const tolerance = 1e-6
 
 func TestMaxMinProperties(t *testing.T) {
