Refusing callers without a key takes no memory at the deciders

Cause: a refusal before Begin wrote an entry at three keepers, so anyone without a key could fill them and block ids of callers. Weighed: saying unknown to all of them (untrue in most cases) against a lookup; earlier attempts of the id under way fail by the key check before dispatch. Also found by the random runs: a new incarnation called an id of its former one absent; abstaining keepers did too. Both say unknown now. Conclusion: only callers who may use a queue take memory.

--- a/dispatch/origin/call.go
+++ b/dispatch/origin/call.go
@@ -51,8 +51,9 @@
 	c.claim.ID = c.r.ID
 }
 
-// prepare checks the request and reads its body.
-func (c *call) prepare() *api.Problem {
+// admit checks that the caller may use the queue.
+func (c *call) admit() *api.Problem {
+	c.identify()
 	if c.idErr != nil {
 		return invalidField(api.HeaderRequestID, c.idErr.Error())
 	}
@@ -67,9 +68,6 @@
 		return p
 	}
 	c.team = team
-	if p := c.readBody(); p != nil {
-		return p
-	}
 	c.setDeadline()
 	return nil
 }
@@ -209,13 +207,21 @@
 	return c.problem(p, c.tracker.End())
 }
 
-// refuseEarly ends a call before Begin.
+// refuseEarly ends a call before Begin whose caller may use the queue.
 func (c *call) refuseEarly(ctx context.Context, p *api.Problem) *Result {
-	run := api.RunUnknown
-	if c.o.cfg.Records.MayRefuse(ctx, &c.claim) {
-		run = api.RunNot
+	return c.problem(p, notRunIf(c.o.cfg.Records.MayRefuse(ctx, &c.claim)))
+}
+
+// refuseUnseen ends a call whose caller may not use the queue.
+func (c *call) refuseUnseen(ctx context.Context, p *api.Problem) *Result {
+	return c.problem(p, notRunIf(c.o.cfg.Records.Unseen(ctx, &c.claim)))
+}
+
+func notRunIf(ok bool) api.Run {
+	if ok {
+		return api.RunNot
 	}
-	return c.problem(p, run)
+	return api.RunUnknown
 }
 
 func (c *call) problem(p *api.Problem, run api.Run) *Result {
--- a/dispatch/origin/config.go
+++ b/dispatch/origin/config.go
@@ -52,6 +52,7 @@
 	HomeOf(id string) string
 	Begin(ctx context.Context, c *record.Claim) record.Decision
 	MayRefuse(ctx context.Context, c *record.Claim) bool
+	Unseen(ctx context.Context, c *record.Claim) bool
 	Await(ctx context.Context, c *record.Claim, d time.Duration) record.Decision
 	Finish(ctx context.Context, c *record.Claim, result record.Result, answer *record.Answer)
 }
--- a/dispatch/origin/httpapi.go
+++ b/dispatch/origin/httpapi.go
@@ -72,7 +72,7 @@
 func (o *Origin) refuse(req *http.Request, r *Request, p *api.Problem) *Result {
 	c := &call{o: o, r: r}
 	c.identify()
-	return c.refuseEarly(req.Context(), p)
+	return c.refuseUnseen(req.Context(), p)
 }
 
 // parseRequest returns the request as far as its header is valid, and a problem
--- a/dispatch/origin/origin.go
+++ b/dispatch/origin/origin.go
@@ -82,11 +82,14 @@
 // attempt that went out is still read to its end.
 func (o *Origin) Handle(ctx context.Context, r *Request) *Result {
 	c := &call{o: o, r: r}
+	if p := c.admit(); p != nil {
+		return c.refuseUnseen(ctx, p)
+	}
 	if p := o.enter(c); p != nil {
 		return c.refuseEarly(ctx, p)
 	}
 	defer o.leaveUnlessAbandoned(c)
-	if p := c.prepare(); p != nil {
+	if p := c.readBody(); p != nil {
 		return c.refuseEarly(ctx, p)
 	}
 	defer o.buffered.Add(-c.reserved)
@@ -96,7 +99,6 @@
 
 // enter registers a call, unless the origin drains or is full.
 func (o *Origin) enter(c *call) *api.Problem {
-	c.identify()
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	switch {
--- a/dispatch/record/keeper.go
+++ b/dispatch/record/keeper.go
@@ -247,7 +247,7 @@
 	k.expire(now)
 	e := k.entries[r.ID]
 	if e == nil || e.state == entryReleased {
-		return LookupReply{Verdict: Absent}
+		return k.absent(now)
 	}
 	if !e.matches(r.Digest) {
 		return LookupReply{Verdict: Mismatch}
@@ -262,6 +262,15 @@
 	}
 }
 
+// absent is the reply for ids that are not remembered: nothing ran as far as
+// this keeper can vouch for it.
+func (k *Keeper) absent(now time.Time) LookupReply {
+	if k.abstains(now) && !k.votesWithoutMemory {
+		return LookupReply{Verdict: Abstain}
+	}
+	return LookupReply{Verdict: Absent}
+}
+
 // OriginGone marks what a dead origin incarnation was running as unknown and
 // returns the ids.
 func (k *Keeper) OriginGone(origin dispatch.DaemonID) []string {
--- a/dispatch/record/random_test.go
+++ b/dispatch/record/random_test.go
@@ -1,6 +1,7 @@
 package record
 
 import (
+	"context"
 	"fmt"
 	"sync"
 	"testing"
@@ -51,6 +52,18 @@
 	return s
 }
 
+// checkUnseen refuses a caller without a key. What ran before must show.
+func (s *sim) checkUnseen(service *Service, c *Claim) {
+	s.mu.Lock()
+	ran := s.runs[c.ID]
+	s.mu.Unlock()
+	if service.Unseen(context.Background(), c) && ran > 0 {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.breach("%s was called unseen after it ran", c.ID)
+	}
+}
+
 func TestRandomRunsStartAtMostOnce(t *testing.T) {
 	var answered, notRun, unknown, inherited int
 	before := invariant.Count(invariant.AtMostOnce)
--- a/dispatch/record/serve.go
+++ b/dispatch/record/serve.go
@@ -130,10 +130,20 @@
 	case home != nil:
 		return home.Lookup(id, r, now)
 	default:
-		return s.copies.Lookup(r, now)
+		return s.lookupCopy(id, r, now)
 	}
 }
 
+// lookupCopy looks up an id that this incarnation does not decide on. If it is
+// one of a former incarnation, nobody can vouch that it did not run.
+func (s *Service) lookupCopy(id ID, r LookupRequest, now time.Time) LookupReply {
+	reply := s.copies.Lookup(r, now)
+	if reply.Verdict == Absent && id.Daemon == s.cfg.Self.Name {
+		reply.Verdict = Unknown
+	}
+	return reply
+}
+
 func (s *Service) wake(id string) {
 	if w, ok := s.waiting[id]; ok {
 		close(w.changed)
@@ -162,6 +172,12 @@
 // The verdict is Answered, Absent if that token ended without running, so that
 // the claim may begin again, or Unknown.
 func (s *Service) Await(ctx context.Context, c *Claim, d time.Duration) Decision {
+	return s.survey(ctx, c, d)
+}
+
+// survey looks an id up at all its deciders, each of which waits up to d while
+// the request is running.
+func (s *Service) survey(ctx context.Context, c *Claim, d time.Duration) Decision {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	sets := s.deciders(c.ID)
--- a/dispatch/record/service.go
+++ b/dispatch/record/service.go
@@ -331,25 +331,6 @@
 	return Decision{Verdict: Proceed}
 }
 
-// MayRefuse reports whether "not run" may be told for a claim that the origin
-// refuses before Begin, and if so makes sure that attempts that arrived earlier
-// do not start afterwards.
-func (s *Service) MayRefuse(ctx context.Context, c *Claim) bool {
-	if c.Own {
-		return true
-	}
-	d := s.decide(ctx, c, 0)
-	switch d.Verdict {
-	case Proceed:
-		s.Finish(ctx, c, ResultNotRun, nil)
-		return true
-	case Superseded:
-		return true
-	default:
-		return false
-	}
-}
-
 func (s *Service) begin(ctx context.Context, daemon string, r BeginRequest) (BeginReply, error) {
 	if daemon == s.cfg.Self.Name {
 		return s.HandleBegin(r), nil
--- a/dispatch/record/sim_test.go
+++ b/dispatch/record/sim_test.go
@@ -295,6 +295,10 @@
 	if !alive() {
 		return
 	}
+	if s.intn(12) == 0 {
+		s.checkUnseen(service, c)
+		return
+	}
 	if s.intn(8) == 0 {
 		before := time.Now()
 		if service.MayRefuse(context.Background(), c) && alive() {
