--- a/daemon/controlplane.go
+++ b/daemon/controlplane.go
@@ -11,8 +11,10 @@
 	"magnoliastand.example/api"
 	"magnoliastand.example/consensus"
 	"magnoliastand.example/control"
+	"magnoliastand.example/control/freshness"
 	"magnoliastand.example/daemon/settings"
 	"magnoliastand.example/dispatch"
+	"magnoliastand.example/dispatch/endpoint"
 	"magnoliastand.example/dispatch/origin"
 	"magnoliastand.example/peerlink"
 )
@@ -30,6 +32,7 @@
 	node     *logNode    // nil without a data folder
 	start    time.Time
 	leader   *leaderDuties
+	planner  *fleetPlanner
 	// zoneArbiter returns the arbiter of this daemon's zone.
 	zoneArbiter func() arbiterRef
 	// ping asks a daemon whether it is alive and may stay arbiter.
@@ -61,14 +64,18 @@
 		upstream: c.upstream,
 		local:    func() *controlLog { return c.machine },
 		vouched:  c.vouched,
+		lease:    freshness.NewLease(set.Cluster, 0, c.mono),
+		mono:     c.mono,
 	}
 	c.follower.register()
 	c.leader = newLeaderDuties(c)
+	c.planner = newFleetPlanner(c)
 	link.Handle(methodPropose, c.handlePropose)
 	link.Handle(methodClaim, c.handleClaim)
 	link.Handle(methodDemand, c.leader.handleDemand)
 	link.Handle(methodJoin, c.handleJoin)
 	link.Handle(methodFleet, c.handleFleet)
+	link.Handle(methodReport, c.handleReport)
 	if set.DataFolder == "" {
 		return c, nil
 	}
@@ -99,6 +106,7 @@
 	wg.Go(func() { c.follower.run(ctx) })
 	wg.Go(func() { c.registerSelf(ctx) })
 	wg.Go(func() { c.leader.run(ctx) })
+	wg.Go(func() { c.planner.run(ctx) })
 	var err error
 	if c.node != nil {
 		err = c.node.run(ctx)
@@ -112,11 +120,14 @@
 
 func (c *controlPlane) leads() bool { return c.node != nil && c.node.leads() }
 
-func (c *controlPlane) vouched() (time.Time, bool) {
+// vouched returns the time since start at which a quorum is known to have
+// confirmed this daemon's lead; false when it does not lead.
+func (c *controlPlane) vouched() (time.Duration, bool) {
 	if c.node == nil {
-		return time.Time{}, false
+		return 0, false
 	}
-	return c.node.vouched()
+	at, ok := c.node.vouched()
+	return at.Sub(c.start), ok
 }
 
 // leaderCandidates lists daemons that may lead the log, the likeliest first.
@@ -176,6 +187,17 @@
 	return kept
 }
 
+// reportLoad tells the leader what this zone's services use and wait for.
+func (c *controlPlane) reportLoad(s endpoint.Summary) {
+	if c.leads() {
+		c.planner.note(s)
+		return
+	}
+	if leader := c.follower.Leader(); leader != "" {
+		c.link.Notify(leader, methodLoad, summaryNotice{Summary: s})
+	}
+}
+
 // registerSelf enters this incarnation into the control log, again whenever
 // the view names another one.
 func (c *controlPlane) registerSelf(ctx context.Context) {
