--- a/dispatch/origin/call.go
+++ b/dispatch/origin/call.go
@@ -51,8 +51,9 @@
 	c.claim.ID = c.r.ID
 }
 
-// prepare checks the request and reads its body.
-func (c *call) prepare() *api.Problem {
+// admit checks that the caller may use the queue.
+func (c *call) admit() *api.Problem {
+	c.identify()
 	if c.idErr != nil {
 		return invalidField(api.HeaderRequestID, c.idErr.Error())
 	}
@@ -67,9 +68,6 @@
 		return p
 	}
 	c.team = team
-	if p := c.readBody(); p != nil {
-		return p
-	}
 	c.setDeadline()
 	return nil
 }
@@ -178,7 +176,10 @@
 		if d.Verdict != record.Running {
 			return d
 		}
-		d = c.o.cfg.Records.Await(ctx, &c.claim, time.Until(c.deadline))
+		d = c.o.cfg.Records.Await(ctx, &c.claim, c.joinTime())
+		if d.Verdict == record.Unknown && c.claim.Idempotent {
+			return record.Decision{Verdict: record.Proceed, Earlier: true}
+		}
 		if d.Verdict != record.Absent || !time.Now().Before(c.deadline) {
 			return d
 		}
@@ -186,6 +187,16 @@
 	return record.Decision{Verdict: record.Unknown}
 }
 
+// joinTime returns how long the call waits for another attempt. The origin of
+// that one may be gone, so an idempotent request keeps time to run by itself.
+func (c *call) joinTime() time.Duration {
+	left := time.Until(c.deadline)
+	if c.claim.Idempotent {
+		return min(left/2, c.longestRun())
+	}
+	return left
+}
+
 func (c *call) kept(answer *record.Answer) *Result {
 	c.apply(request.Answer)
 	return c.answered(answer)
@@ -209,13 +220,21 @@
 	return c.problem(p, c.tracker.End())
 }
 
-// refuseEarly ends a call before Begin.
+// refuseEarly ends a call before Begin whose caller may use the queue.
 func (c *call) refuseEarly(ctx context.Context, p *api.Problem) *Result {
-	run := api.RunUnknown
-	if c.o.cfg.Records.MayRefuse(ctx, &c.claim) {
-		run = api.RunNot
+	return c.problem(p, notRunIf(c.o.cfg.Records.MayRefuse(ctx, &c.claim)))
+}
+
+// refuseUnseen ends a call whose caller may not use the queue.
+func (c *call) refuseUnseen(ctx context.Context, p *api.Problem) *Result {
+	return c.problem(p, notRunIf(c.o.cfg.Records.Unseen(ctx, &c.claim)))
+}
+
+func notRunIf(ok bool) api.Run {
+	if ok {
+		return api.RunNot
 	}
-	return c.problem(p, run)
+	return api.RunUnknown
 }
 
 func (c *call) problem(p *api.Problem, run api.Run) *Result {
