Tell in one line why an instance is where it is

Cause: operators ask where an instance is and why; the history holds it but needs reading.

Weighed: a structured answer was ruled out, since state, pool, permit and history are fields already.

--- a/fleet/instance.go
+++ b/fleet/instance.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"fmt"
 	"slices"
 	"strings"
 )
@@ -124,6 +125,30 @@
 // "zone/rack".
 func (i *Instance) RackName() string { return i.Zone + "/" + i.Rack }
 
+// Why tells an operator in one line what brought the instance into its state
+// and who asked for it.
+func (i *Instance) Why() string {
+	if len(i.History) == 0 {
+		return "no history"
+	}
+	e := i.History[len(i.History)-1]
+	who := string(e.Actor.Role)
+	if e.Actor.Name != "" {
+		who += " " + e.Actor.Name
+	}
+	line := fmt.Sprintf("%s by %s", e.Event, who)
+	if i.Permit != nil && i.Permit.Target != "" {
+		line += " on the way to " + i.Permit.Target
+	}
+	if i.Permit != nil && i.Permit.Wave != "" {
+		line += " for wave " + i.Permit.Wave
+	}
+	if e.Reason != "" {
+		line += ": " + e.Reason
+	}
+	return line
+}
+
 func (i *Instance) clone() *Instance {
 	c := *i
 	if i.Permit != nil {
