--- a/cmd/magnoliastand/cluster_test.go
+++ b/cmd/magnoliastand/cluster_test.go
@@ -55,7 +55,7 @@
 
 // cluster is a set of daemon processes with stand-in endpoints in the test process.
 type cluster struct {
-	t         *testing.T
+	t         testing.TB
 	dir       string
 	members   []*member
 	endpoints []*standin.Endpoint
@@ -63,7 +63,7 @@
 
 // newCluster writes settings for daemons "<zone>-<n>", of which the first of
 // each zone has a disk, and starts them.
-func newCluster(t *testing.T, zones []string, perZone int) *cluster {
+func newCluster(t testing.TB, zones []string, perZone int) *cluster {
 	t.Helper()
 	c := &cluster{t: t, dir: t.TempDir()}
 	for _, zone := range zones {
@@ -90,7 +90,7 @@
 	return c
 }
 
-func freeAddress(t *testing.T) string {
+func freeAddress(t testing.TB) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -113,7 +113,7 @@
 	if m.data != "" {
 		fmt.Fprintf(&b, "data_folder: %q\n", m.data)
 	}
-	fmt.Fprintf(&b, "operators: [{name: tests, key_sha256: %s}]\ntest_faults: true\nlog_level: debug\n", hex.EncodeToString(sum[:]))
+	fmt.Fprintf(&b, "operators: [{name: tests, key_sha256: %s}]\ntest_faults: true\nprofiling: true\nlog_level: debug\n", hex.EncodeToString(sum[:]))
 	if err := os.WriteFile(m.settingsFile, []byte(b.String()), 0o600); err != nil {
 		c.t.Fatal(err)
 	}
@@ -482,6 +482,28 @@
 	return reply.Version
 }
 
+// profile writes a CPU profile of a member, taken over the span, to a file.
+func (c *cluster) profile(m *member, span time.Duration, file string) {
+	ctx, cancel := context.WithTimeout(context.Background(), span+10*time.Second)
+	defer cancel()
+	url := fmt.Sprintf("http://%s/debug/pprof/profile?seconds=%d", m.operators, int(span.Seconds()))
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	req.Header.Set("Authorization", "Bearer "+testOperatorKey)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		c.t.Error(err)
+		return
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	if err != nil || os.WriteFile(file, b, 0o600) != nil {
+		c.t.Errorf("profile of %s not written: %v", m.name, err)
+	}
+}
+
 // awaitControlledArbiters waits until each zone's arbiter is the one that the
 // control log assigned, on every daemon of the zone.
 func (c *cluster) awaitControlledArbiters() {
--- a/cmd/magnoliastand/e2e_test.go
+++ b/cmd/magnoliastand/e2e_test.go
@@ -55,7 +55,7 @@
 }
 
 // post sends one request to a daemon and returns its status, headers and problem.
-func post(t *testing.T, address, queue, key string) (int, http.Header, api.Problem) {
+func post(t testing.TB, address, queue, key string) (int, http.Header, api.Problem) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 	defer cancel()
--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/hex"
 	"net/http"
+	"net/http/pprof"
 	"strings"
 	"time"
 
@@ -30,6 +31,10 @@
 	if d.set.TestFaults {
 		g.POST("/test/cut", d.serveCut)
 	}
+	if d.set.Profiling {
+		e.GET("/debug/pprof/*", echo.WrapHandler(http.HandlerFunc(pprof.Index)), d.requireOperator)
+		e.GET("/debug/pprof/profile", echo.WrapHandler(http.HandlerFunc(pprof.Profile)), d.requireOperator)
+	}
 	return e
 }
 
--- a/daemon/settings/settings.go
+++ b/daemon/settings/settings.go
@@ -40,6 +40,8 @@
 	// StopOnBreach ends the process when an invariant is breached.
 	StopOnBreach bool   `json:"stop_on_breach,omitempty"`
 	Limits       Limits `json:"limits,omitempty"`
+	// Profiling opens the runtime profiles to operators.
+	Profiling bool `json:"profiling,omitempty"`
 	// TestFaults opens an operator call that cuts peer links. Never set in production.
 	TestFaults bool `json:"test_faults,omitempty"`
 }
