A team's limit over processes, seen at the endpoints

Cause: the limit was proved in the ledger's model only. TestTeamLimit asks 200/s of a team with limit 7 in three zones, kills one arbiter, freezes another for 3 s, lowers the limit to 3.

--- a/cmd/magnoliastand/cluster_test.go
+++ b/cmd/magnoliastand/cluster_test.go
@@ -59,13 +59,14 @@
 	dir       string
 	members   []*member
 	endpoints []*standin.Endpoint
+	meter     *standin.TeamMeter
 }
 
 // newCluster writes settings for daemons "<zone>-<n>", of which the first of
 // each zone has a disk, and starts them.
 func newCluster(t testing.TB, zones []string, perZone int) *cluster {
 	t.Helper()
-	c := &cluster{t: t, dir: t.TempDir()}
+	c := &cluster{t: t, dir: t.TempDir(), meter: standin.NewTeamMeter()}
 	for _, zone := range zones {
 		for n := 1; n <= perZone; n++ {
 			m := &member{name: fmt.Sprintf("%s-%d", zone, n), zone: zone}
@@ -433,6 +434,7 @@
 		Daemons:  c.callers(zone),
 		RunTime:  run,
 		Seed:     uint64(len(c.endpoints) + 1),
+		Meter:    c.meter,
 	})
 	if err != nil {
 		c.t.Fatal(err)
--- a/cmd/magnoliastand/e2e_test.go
+++ b/cmd/magnoliastand/e2e_test.go
@@ -278,3 +278,66 @@
 	}
 	c.mustOperator(c.members[2], http.MethodPost, "/v1/document?base="+uintText(version)+"&operation=last", c.document(7))
 }
+
+// TestTeamLimit asks for much more than a team's limit in all zones at once,
+// while an arbiter is killed, another is frozen and the limit is lowered: the
+// endpoints never run more of the team at once than the limit.
+func TestTeamLimit(t *testing.T) {
+	const limit, lowered = 7, 3
+	c := newCluster(t, testZones, 2)
+	key := c.setUp(limit)
+	slow := standin.Delay{Min: 20 * time.Millisecond, Mean: 60 * time.Millisecond, Max: 500 * time.Millisecond}
+	c.startEndpoints(2, slow)
+	wait := c.load(standin.CallerConfig{
+		Daemons:  c.callers(),
+		Streams:  []standin.Stream{{Queue: "reserve", Key: key, Weight: 1, BodyBytes: 50}},
+		IDs:      standin.IDHome,
+		Rate:     200,
+		Duration: 8 * time.Second,
+		Timeout:  2 * time.Second,
+		MaxSends: 2,
+		Seed:     1,
+	})
+	time.Sleep(2 * time.Second)
+	s, ok := c.status(c.member("kumamoto-2"))
+	if !ok {
+		t.Fatal("kumamoto-2 does not answer")
+	}
+	c.kill(c.member(s.Arbiter))
+	if s, ok = c.status(c.member("oita-2")); !ok {
+		t.Fatal("oita-2 does not answer")
+	}
+	frozen := c.member(s.Arbiter)
+	c.signal(frozen, syscall.SIGSTOP)
+	time.Sleep(3 * time.Second)
+	c.signal(frozen, syscall.SIGCONT)
+	sum := c.check(wait())
+	if sum.Answered == 0 {
+		t.Error("nothing was answered")
+	}
+	if peak := c.meter.Peak("schools"); peak > limit || peak < 2 {
+		t.Errorf("%d requests of the team ran at once, the limit is %d", peak, limit)
+	}
+	c.lowerLimit(key, lowered)
+}
+
+// lowerLimit lowers the limit of both teams and checks that, once what ran
+// under the old one has ended, no more than the new one runs.
+func (c *cluster) lowerLimit(key string, limit int) {
+	c.t.Helper()
+	path := "/v1/document?operation=lower&wait=5s&base=" + uintText(c.documentVersion())
+	c.mustOperator(c.members[0], http.MethodPost, path, c.document(limit))
+	time.Sleep(time.Second) // longer than any run of the stand-in endpoints
+	c.meter.Reset()
+	c.check(c.load(standin.CallerConfig{
+		Daemons:  c.callers("fukuoka"),
+		Streams:  []standin.Stream{{Queue: "reserve", Key: key, Weight: 1, BodyBytes: 50}},
+		Rate:     100,
+		Duration: 2 * time.Second,
+		Timeout:  time.Second,
+		Seed:     2,
+	})())
+	if peak := c.meter.Peak("schools"); peak > limit {
+		c.t.Errorf("%d requests of the team ran at once under the lowered limit %d", peak, limit)
+	}
+}
--- a/cmd/magnoliastand/random_test.go
+++ b/cmd/magnoliastand/random_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"math/rand/v2"
 	"net/http"
 	"os"
@@ -19,6 +20,9 @@
 	envSteps = "MAGNOLIASTAND_STEPS"
 )
 
+// randomLimit is the team's upper limit in random runs.
+const randomLimit = 20
+
 func envInt(name string, def int) int {
 	if n, err := strconv.Atoi(os.Getenv(name)); err == nil {
 		return n
@@ -36,7 +40,7 @@
 	steps := envInt(envSteps, 6)
 	rng := rand.New(rand.NewPCG(seed, seed))
 	c := newCluster(t, testZones, 2)
-	key := c.setUp(20)
+	key := c.setUp(randomLimit)
 	c.startEndpoints(2, quickRun)
 	duration := time.Duration(steps+1) * 3 * time.Second
 	waits := []func() *standin.Report{
@@ -57,6 +61,9 @@
 	if s.Answered == 0 {
 		t.Error("nothing was answered")
 	}
+	if peak := c.meter.Peak("schools"); peak > randomLimit {
+		t.Errorf("team schools had %d requests running, its limit is %d", peak, randomLimit)
+	}
 	c.awaitReady(1)
 	c.eventually("keyed work after the faults", func() bool {
 		status, _, _ := post(t, c.members[len(c.members)-1].callers, "reserve", key)
@@ -69,7 +76,7 @@
 	c.t.Helper()
 	m := c.members[rng.IntN(len(c.members))]
 	pause := time.Duration(200+rng.IntN(3000)) * time.Millisecond
-	switch rng.IntN(7) {
+	switch rng.IntN(8) {
 	case 0:
 		c.t.Logf("step %d: kill %s for %s", step, m.name, pause)
 		c.kill(m)
@@ -103,6 +110,12 @@
 		e.SetFaults(standin.Faults{Refuse: 0.2, Crossed: 0.1, Short: 0.1, Doubled: 0.1, Late: 0.1, LateBy: api.Duration(time.Second), Cut: 0.1, Fail: 0.2})
 		time.Sleep(pause)
 		e.SetFaults(standin.Faults{})
+	case 7:
+		e := c.endpoints[rng.IntN(len(c.endpoints))]
+		c.t.Logf("step %d: an endpoint leaves", step)
+		if err := e.Leave(context.Background()); err != nil {
+			c.t.Logf("leave: %v", err)
+		}
 	case 6:
 		c.t.Logf("step %d: kill %s and cut zone of %s", step, m.name, m.name)
 		other := c.members[rng.IntN(len(c.members))]
--- a/standin/endpoint.go
+++ b/standin/endpoint.go
@@ -50,6 +50,8 @@
 	AnswerBytes int
 	// Seed makes run times and faults repeatable.
 	Seed uint64
+	// Meter, if set, counts the running requests of teams over several endpoints.
+	Meter *TeamMeter
 }
 
 func (c *EndpointConfig) setDefaults() {
@@ -200,6 +202,9 @@
 		return
 	}
 	defer e.end()
+	team := req.Header.Get(api.HeaderTeam)
+	e.cfg.Meter.start(team)
+	defer e.cfg.Meter.end(team)
 	if !e.run(req.Context(), p) {
 		return
 	}
