Removed learners learn of it; folders can be inspected; tighter defaults

Cause: a removed learner never asks for votes, so it waited in silence; an operator with a damaged or foreign folder had no way to look into it; the default windows let one follower hold 16 MB of unanswered messages, half of the budget of a daemon.

Weighed: a message type of its own for the question; the pre-vote asks the same and is refused with the hint already, and isn't counted when a learner sends it.

--- a/consensus/config.go
+++ b/consensus/config.go
@@ -68,12 +68,12 @@
 	DefaultElectionTicks         = 10
 	DefaultHeartbeatTicks        = 2
 	DefaultLearnerHeartbeatTicks = 4
-	DefaultMaxAppendBytes        = 256 << 10
-	DefaultMaxInflight           = 64
+	DefaultMaxAppendBytes        = 64 << 10
+	DefaultMaxInflight           = 32
 	DefaultMaxPending            = 4096
-	DefaultMaxPendingBytes       = 16 << 20
-	DefaultMaxEntryBytes         = 4 << 20
-	DefaultChunkBytes            = 128 << 10
+	DefaultMaxPendingBytes       = 4 << 20
+	DefaultMaxEntryBytes         = 2 << 20
+	DefaultChunkBytes            = 64 << 10
 	DefaultMaxSnapshotBytes      = 256 << 20
 	DefaultCatchUpEntries        = 64
 	DefaultTrailEntries          = 1024
--- a/consensus/core.go
+++ b/consensus/core.go
@@ -97,9 +97,14 @@
 		c.tickLeader()
 		return
 	}
-	if c.elapsed >= c.timeout && c.mayCampaign() {
+	if c.elapsed < c.timeout {
+		return
+	}
+	if c.mayCampaign() {
 		c.campaign()
+		return
 	}
+	c.probeMembership()
 }
 
 func (c *Core) tickLeader() {
--- a/consensus/election.go
+++ b/consensus/election.go
@@ -40,6 +40,17 @@
 	return isVoter(c.log.members(), c.cfg.ID) || isVoter(c.log.membersAt(c.log.commit), c.cfg.ID)
 }
 
+// probeMembership asks the known voters for a pre-vote that isn't counted. A
+// learner that hears from no leader so finds out whether it was removed.
+func (c *Core) probeMembership() {
+	c.resetTimeout()
+	for _, id := range voterIDs(c.log.members()) {
+		if id != c.cfg.ID {
+			c.send(Message{Type: MsgPreVote, To: id, Term: c.term + 1, Index: c.log.last(), LogTerm: c.log.lastTerm()})
+		}
+	}
+}
+
 // campaign starts a pre-vote round, or an election where pre-vote is off.
 func (c *Core) campaign() {
 	c.dropReads()
--- a/consensus/node/node_test.go
+++ b/consensus/node/node_test.go
@@ -69,7 +69,7 @@
 }
 
 // TestMembersComeAndGo adds an empty disk, promotes it, and removes the leader,
-// which learns of it and joins again.
+// which learns of it and joins again as a learner, and is removed as such.
 func TestMembersComeAndGo(t *testing.T) {
 	inBubble(t, func(t *testing.T, ctx context.Context, c *cluster) {
 		c.every = 8
@@ -105,6 +105,12 @@
 				t.Errorf("%s has %d entries, want 40; removed %v", m.name, got, m.node.Status().Removed)
 			}
 		}
+		if err := next.node.Remove(ctx, old.store.Node()); err != nil {
+			t.Fatal(err)
+		}
+		for !old.node.Status().Removed {
+			<-old.node.Changed()
+		}
 	})
 }
 
--- a/consensus/storage/disk.go
+++ b/consensus/storage/disk.go
@@ -59,7 +59,7 @@
 			return nil, err
 		}
 	}
-	if err := verifyFile(dir, path); err != nil {
+	if _, _, err := verifyFile(dir, path); err != nil {
 		return nil, err
 	}
 	db, err := openDB(path, false)
--- a/consensus/storage/disk_test.go
+++ b/consensus/storage/disk_test.go
@@ -57,6 +57,10 @@
 
 func TestDiskKeepsState(t *testing.T) {
 	dir := filled(t)
+	r, err := Inspect(dir)
+	if err != nil || r.First != 3 || r.Last != 7 || r.Binding.Cluster != 9 || len(r.Members) != 1 || r.Members[0].ID != r.Node {
+		t.Errorf("report %+v, %v", r, err)
+	}
 	d, err := Open(dir)
 	if err != nil {
 		t.Fatal(err)
--- a/consensus/storage/read.go
+++ b/consensus/storage/read.go
@@ -41,14 +41,20 @@
 }
 
 // verifyFile reads all records of a folder once, so that damage shows at start
-// and before the database library uses the file on its own.
-func verifyFile(dir, path string) error {
+// and before the database library uses the file on its own. It returns what the
+// folder holds; the returned Disk is closed.
+func verifyFile(dir, path string) (*Disk, consensus.State, error) {
 	db, err := openDB(path, true)
 	if err != nil {
-		return err
+		return nil, consensus.State{}, err
 	}
 	d := &Disk{dir: dir, db: db}
-	return closeAfter(db, guard(path, d.verify))
+	var st consensus.State
+	err = closeAfter(db, guard(path, func() (err error) {
+		st, err = d.verify()
+		return err
+	}))
+	return d, st, err
 }
 
 // guard runs do and turns panics and memory faults, which a damaged file can
@@ -65,7 +71,7 @@
 }
 
 // verify reads all records.
-func (d *Disk) verify() error {
+func (d *Disk) verify() (consensus.State, error) {
 	path := d.db.Path()
 	err := d.db.View(func(tx *bbolt.Tx) error {
 		info, err := os.Stat(path)
@@ -78,10 +84,9 @@
 		return d.readMeta(tx)
 	})
 	if err != nil {
-		return errors.WithMessage(err, path)
+		return consensus.State{}, errors.WithMessage(err, path)
 	}
-	_, err = d.Load()
-	return err
+	return d.Load()
 }
 
 func (d *Disk) readMeta(tx *bbolt.Tx) error {
