Bound the reads that wait for a leader

Cause: reads without a leader were kept without bound. Result: as many may wait as calls may be queued; others get ErrQueueFull.

--- a/consensus/node/fault_test.go
+++ b/consensus/node/fault_test.go
@@ -106,17 +106,21 @@
 	})
 }
 
-// TestBoundsAndStop fills the queue of an isolated leader, then stops it: every
-// caller gets a true answer.
+// TestBoundsAndStop fills the queues of an isolated leader with reads and
+// proposals, then stops it: every caller gets a true answer.
 func TestBoundsAndStop(t *testing.T) {
 	inBubble(t, func(t *testing.T, ctx context.Context, c *cluster) {
 		c.tuning.MaxPending = 4
 		three(c)
 		lead := c.leader()
 		c.isolate(lead.name, true)
-		errs := make(chan error, 20)
-		for range cap(errs) {
+		errs := make(chan error, 40)
+		for i := range cap(errs) {
 			go func() {
+				if i%2 == 0 {
+					errs <- lead.node.ReadIndex(ctx)
+					return
+				}
 				_, err := lead.node.Propose(ctx, []byte("x"))
 				errs <- err
 			}()
@@ -126,14 +130,14 @@
 		got := make(map[error]int)
 		for range cap(errs) {
 			err := <-errs
-			for _, kind := range []error{consensus.ErrQueueFull, ErrOutcomeUnknown} {
+			for _, kind := range []error{consensus.ErrQueueFull, ErrOutcomeUnknown, ErrStopped} {
 				if errors.Is(err, kind) {
 					got[kind]++
 				}
 			}
 		}
-		if got[consensus.ErrQueueFull] != 16 || got[ErrOutcomeUnknown] != 4 {
-			t.Errorf("outcomes %v, want 16 full and 4 unknown", got)
+		if got[consensus.ErrQueueFull] != 32 || got[ErrOutcomeUnknown] != 4 || got[ErrStopped] != 4 {
+			t.Errorf("outcomes %v, want 32 full, 4 unknown and 4 stopped", got)
 		}
 		if err := lead.node.ReadIndex(ctx); !errors.Is(err, ErrStopped) {
 			t.Errorf("error after Stop: %v", err)
--- a/consensus/node/loop.go
+++ b/consensus/node/loop.go
@@ -102,8 +102,12 @@
 }
 
 // startRead asks for a read index; without a leader the read is tried again at
-// the next tick.
+// the next tick. As many reads may wait as calls may be queued.
 func (n *Node[R]) startRead(c call[R]) {
+	if len(n.retries)+len(n.reads)+len(n.ready) >= cap(n.calls) {
+		c.answer(consensus.ErrQueueFull)
+		return
+	}
 	id := n.rnd.Uint64()
 	err := n.core.ReadIndex(id)
 	switch {
--- a/consensus/node/types.go
+++ b/consensus/node/types.go
@@ -48,7 +48,8 @@
 // Clock supplies time; its readings must be monotonic.
 type Clock interface {
 	Now() time.Time
-	// NewTicker returns a channel of ticks and a function that stops them.
+	// NewTicker returns a channel of ticks and a function that stops them,
+	// which may be called more than once.
 	NewTicker(d time.Duration) (ticks <-chan time.Time, stop func())
 }
 
