quota: split the balancer and the model into files of one job

What was weighed: the exchange with holders (reports, renewals, confirmation) is a job of its own beside planning; the model's composite steps and its units are separate from its clock, log and leaders. No line of logic changed.

--- a/quota/model_test.go
+++ b/quota/model_test.go
@@ -254,76 +254,6 @@
 	}
 }
 
-// saturate lets every current arbiter start all that it may.
-func (m *model) saturate() {
-	m.round()
-	for z := range modelZones {
-		for range 6 {
-			m.acquire(m.current[zoneName(z)])
-		}
-	}
-	for range 3 * modelZones {
-		m.deliver(0, m.rng.IntN(modelOrigins))
-	}
-	for range 2 * modelZones {
-		m.start(0)
-	}
-}
-
-// slowAssign commits an assignment and a command of before long after their
-// proposal; the old arbiter works until the commit.
-func (m *model) slowAssign(zone string) {
-	m.propose(entry{zone: zone})
-	m.propose(entry{})
-	m.advance(9 * time.Second)
-	m.renew(m.current[zone], false)
-	m.vouch(m.origins[0])
-	m.acquire(m.current[zone])
-	m.deliver(0, 0)
-	m.start(0)
-	m.commitAll()
-	m.round()
-}
-
-// failover replaces an arbiter, and lets the old one go on until its lease ends.
-func (m *model) failover(zone string, n int) {
-	old := m.current[zone]
-	m.propose(entry{zone: zone})
-	m.commitAll()
-	m.propose(entry{})
-	m.commitAll()
-	m.advance(time.Duration(n%4) * 900 * time.Millisecond)
-	m.acquire(old)
-	m.deliver(0, n%modelOrigins)
-	m.start(0)
-	m.advance(time.Duration(n%3) * 1600 * time.Millisecond)
-	m.propose(entry{})
-	m.commitAll()
-	m.declare(zone)
-	if n := len(m.past); n > 0 { // the proposal is repeated
-		m.propose(entry{cmd: m.past[n-1]})
-	}
-	m.commitAll()
-}
-
-// loseOrigin fails a zone over after one of two busy origins died.
-func (m *model) loseOrigin(zone string) {
-	m.saturate()
-	m.killOrigin(0)
-	m.failover(zone, 2)
-	m.saturate()
-}
-
-// lowerRun lowers the longest run time while work under the old one runs.
-func (m *model) lowerRun() {
-	limit := m.ledger.Limit(modelTeam)
-	m.propose(entry{limit: &limit, run: 10 * time.Second})
-	m.commitAll()
-	m.saturate()
-	m.propose(entry{limit: &limit, run: 2 * time.Second})
-	m.commitAll()
-}
-
 // pick returns an arbiter, mostly a current one; ended terms live on as long as
 // nothing tells them.
 func (m *model) pick(n int) *arbiter {
@@ -333,21 +263,6 @@
 	return m.current[zoneName(n)]
 }
 
-// round is a fault-free round of renewals, planning, commits and vouching.
-func (m *model) round() {
-	for range 2 {
-		for z := range modelZones {
-			m.current[zoneName(z)].SetWaiting(modelTeam, int64(1+z))
-			m.renew(m.current[zoneName(z)], false)
-		}
-		m.plan()
-		m.commitAll()
-	}
-	for _, o := range m.origins {
-		m.vouch(o)
-	}
-}
-
 func (m *model) advance(d time.Duration) {
 	m.now += d
 	for _, u := range m.units {
@@ -393,78 +308,6 @@
 	}
 }
 
-// choose returns the n-th unit in a state.
-func (m *model) choose(s unitState, n int) *unit {
-	var found []*unit
-	for _, u := range m.units {
-		if u.state == s {
-			found = append(found, u)
-		}
-	}
-	if len(found) == 0 {
-		return nil
-	}
-	return found[n%len(found)]
-}
-
-// deliver brings a grant to an origin, however late.
-func (m *model) deliver(n, o int) {
-	u := m.choose(inFlight, n)
-	if u == nil {
-		return
-	}
-	to := m.origins[o]
-	fresh := m.now < to.freshUntil || m.credulous
-	newest := to.terms[u.zone] == u.term || m.credulous
-	if !fresh || !newest {
-		u.state = ended
-		m.release(u)
-		return
-	}
-	u.state = received
-	u.origin = o
-	u.run = min(u.run, to.run)
-	u.startUntil = m.now + time.Duration(float64(modelBounds.StartWithin)/to.rate)
-}
-
-func (m *model) start(n int) {
-	u := m.choose(received, n)
-	if u == nil {
-		return
-	}
-	if !u.alive || m.now > u.startUntil {
-		u.state = ended
-		m.release(u)
-		return
-	}
-	u.state = running
-	// The run is bounded on a clock that may be slow.
-	u.end = m.now + time.Duration(float64(u.run)*(1+1.0/DriftDivisor))
-	m.started++
-}
-
-func (m *model) finish(n int) {
-	u := m.choose(running, n)
-	if n%3 == 0 {
-		u = m.choose(ended, n)
-	}
-	if u == nil {
-		return
-	}
-	u.state = ended
-	if u.alive {
-		m.release(u)
-	}
-}
-
-// release tells the arbiter that counts the unit.
-func (m *model) release(u *unit) {
-	if !u.released {
-		u.released = true
-		u.owner.Release(modelTeam)
-	}
-}
-
 // declare lets all living origins declare to the zone's arbiter, which proposes
 // a transfer.
 func (m *model) declare(zone string) {
