arbiter: adopt and return the units of declared grants

Cause: quota.Holder counts adopted units as running until Release, and nobody released them, so each succession took units from a team for good. Weighed: the daemon counts them (it does not learn when an adopted grant ends); taken: the arbiter adopts a unit with the grant and returns it with it. Registry.Summary is removed, the arbiter's has the same sums.

--- a/dispatch/arbiter/arbiter_test.go
+++ b/dispatch/arbiter/arbiter_test.go
@@ -17,6 +17,7 @@
 type unlimited struct{}
 
 func (unlimited) Acquire(string) bool { return true }
+func (unlimited) Adopt(string, int64) {}
 func (unlimited) Release(string)      {}
 
 // testDocument has service "counter" with an open, a quick and a long queue.
--- a/dispatch/arbiter/options.go
+++ b/dispatch/arbiter/options.go
@@ -99,7 +99,9 @@
 type Limiter interface {
 	// Acquire takes one unit of the team's limit. It reports false when none is free.
 	Acquire(team string) bool
-	// Release returns one unit that Acquire took.
+	// Adopt counts units that grants of earlier terms occupy, also beyond the limit.
+	Adopt(team string, units int64)
+	// Release returns one unit that Acquire took or Adopt counted.
 	Release(team string)
 }
 
--- a/dispatch/arbiter/random_test.go
+++ b/dispatch/arbiter/random_test.go
@@ -44,6 +44,8 @@
 	return true
 }
 
+func (c *counter) Adopt(team string, units int64) { c.used[team] += int(units) }
+
 func (c *counter) Release(team string) {
 	c.used[team]--
 	if c.used[team] < 0 {
@@ -282,6 +284,11 @@
 	if st := w.arb.Stats(); st != (Stats{}) {
 		w.fail("after everything ended: %+v", st)
 	}
+	for team, n := range w.limiter.used {
+		if n != 0 {
+			w.fail("after everything ended, %d units of %s are held", n, team)
+		}
+	}
 	return w.breach
 }
 
--- a/dispatch/arbiter/recovery.go
+++ b/dispatch/arbiter/recovery.go
@@ -57,8 +57,7 @@
 	return a.finish()
 }
 
-// adopt counts a grant of an earlier term. Its team's unit, if any, belongs to
-// the allotment of that term's arbiter.
+// adopt counts a grant of an earlier term, with its team's unit.
 func (a *Arbiter) adopt(origin dispatch.DaemonID, h dispatch.HeldGrant) {
 	id := h.Grant.ID
 	if id.Zone != a.opts.Zone || id.Term >= a.opts.Term {
@@ -95,6 +94,11 @@
 		gr.slots.bound(gr.slots.undeclared-1, gr.slots.mayRun)
 	}
 	a.occupy(gr)
+	if gr.team.name != "" {
+		gr.unit = true
+		gr.team.units++
+		a.limiter.Adopt(gr.team.name, 1)
+	}
 }
 
 // standsForUnknown reports whether an adopted grant is one of the slots that
--- a/dispatch/arbiter/tables_test.go
+++ b/dispatch/arbiter/tables_test.go
@@ -30,6 +30,12 @@
 	return true
 }
 
+func (l limits) Adopt(team string, units int64) {
+	if _, ok := l[team]; ok {
+		l[team] -= int(units)
+	}
+}
+
 func (l limits) Release(team string) {
 	if _, ok := l[team]; ok {
 		l[team]++
--- a/dispatch/arbiter/world_test.go
+++ b/dispatch/arbiter/world_test.go
@@ -79,6 +79,7 @@
 	doc     api.Document
 	reg     *endpoint.Registry
 	arb     *Arbiter
+	limiter *counter
 	procs   []*process
 	entries []*entry
 	open    map[askKey]dispatch.GrantID // asks that have not ended; zero id while they wait
@@ -138,8 +139,8 @@
 func (w *world) start(rec Recovery) {
 	w.term++
 	opts := Options{Zone: "oita", Term: w.term, Recovery: rec}
-	limiter := &counter{used: make(map[string]int), breach: func(s string) { w.fail("%s", s) }}
-	w.arb = newArbiter(w.now, opts, w.off, NewConfig(w.doc), w.reg, limiter)
+	w.limiter = &counter{used: make(map[string]int), breach: func(s string) { w.fail("%s", s) }}
+	w.arb = newArbiter(w.now, opts, w.off, NewConfig(w.doc), w.reg, w.limiter)
 }
 
 // pass lets time pass in small steps.
--- a/dispatch/endpoint/doc.go
+++ b/dispatch/endpoint/doc.go
@@ -11,6 +11,8 @@
 // A process that was stopped for a while finds old words in its buffers when it
 // goes on. The registry notices the gap and counts such words as heard before it.
 //
+// Summary is what the arbiter of a zone tells other zones, in sums.
+//
 // Outcomes of requests are observed with Observe. An endpoint that fails all it
 // gets while others of its service succeed is ejected for a back-off that
 // doubles with each ejection, and then runs one request at a time until one
--- a/dispatch/endpoint/summary.go
+++ b/dispatch/endpoint/summary.go
@@ -1,10 +1,5 @@
 package endpoint
 
-import (
-	"slices"
-	"strings"
-)
-
 // Summary tells other availability zones what a zone has, in sums, so that its
 // size grows with services and not with endpoints.
 type Summary struct {
@@ -24,30 +19,3 @@
 	// Waiting is the number of requests that wait in the arbiter.
 	Waiting int `cbor:"5,keyasint,omitempty"`
 }
-
-// Summary sums the ready endpoints of each service, in the order of the
-// services' names. Free and Waiting are the arbiter's to fill in.
-func (r *Registry) Summary(zone string) Summary {
-	sums := make(map[string]*ServiceSummary)
-	for _, e := range r.entries {
-		if e.State != StateReady {
-			continue
-		}
-		name := e.Announcement.Service
-		s, ok := sums[name]
-		if !ok {
-			s = &ServiceSummary{Service: name}
-			sums[name] = s
-		}
-		s.Endpoints++
-		s.Slots += e.Announcement.Slots
-	}
-	out := Summary{Zone: zone}
-	for _, s := range sums {
-		out.Services = append(out.Services, *s)
-	}
-	slices.SortFunc(out.Services, func(a, b ServiceSummary) int {
-		return strings.Compare(a.Service, b.Service)
-	})
-	return out
-}
