arbiter: judge the wait only by what the waiting asks saw

Cause: the rate of an earlier burst, or of the team's bare share, could refuse an ask that would have started at once. Taken: the rate since the oldest of the waiting asks came, and before two starts all slots of the class. Ruled out: the share's rate, which is too slow while others don't use theirs.

--- a/dispatch/arbiter/estimate.go
+++ b/dispatch/arbiter/estimate.go
@@ -43,13 +43,13 @@
 }
 
 // expectedWait estimates how long a new ask of the team would wait behind the
-// team's own asks in the queue: at the rate at which these have started while
-// others waited behind them, or before any did, at the rate that the team's
-// share of the slots gives the queue. It is zero while there is nothing to
-// judge by.
+// team's own asks in the queue, at the rate at which these have started since
+// the first of them began to wait. Before two have started it assumes that all
+// slots serve them, so that nothing is refused that could have started. It is
+// zero while there is nothing to judge by.
 func (a *Arbiter) expectedWait(q *queue, teamName string) time.Duration {
 	ln, ok := q.lanes[teamName]
-	if !ok || ln.count == 0 || q.runTime == 0 || a.recovery.pending {
+	if !ok || ln.count == 0 || a.recovery.pending {
 		return 0
 	}
 	if ln.interval > 0 {
@@ -59,13 +59,7 @@
 	if slots == 0 {
 		return 0
 	}
-	part := 1.0
-	if active := q.class.order.ActiveWeight(); active > 0 {
-		part = min(ln.line.team.weight/active, 1)
-	}
-	part = max(part, minShare) / float64(ln.line.active())
-	rate := float64(slots) * part / q.runTime.Seconds()
-	return time.Duration(float64(ln.count) / rate * float64(time.Second))
+	return time.Duration(ln.count) * q.runTime / time.Duration(slots)
 }
 
 // slotsFor returns the most slots that the class may occupy.
--- a/dispatch/arbiter/recovery.go
+++ b/dispatch/arbiter/recovery.go
@@ -88,6 +88,7 @@
 	// The predecessor may have freed and granted again the slot of a grant that
 	// ended before this term, so it must not stand for an unknown slot.
 	if !gr.endsAt.After(a.recovery.startedAt) || a.endedWithProcess(gr) {
+		a.forget(gr.slots)
 		return
 	}
 	if gr.standsForUnknown() {
--- a/dispatch/arbiter/waiting.go
+++ b/dispatch/arbiter/waiting.go
@@ -148,21 +148,12 @@
 	}
 	ln.startedAt = now
 	if ln.count == 1 {
+		// The lane is about to be empty: what it will see next says more.
 		ln.startedAt = time.Time{}
+		ln.interval = 0
 	}
 }
 
-// active returns the number of the line's queues that wait.
-func (l *line) active() int {
-	n := 0
-	for _, ln := range l.lanes {
-		if ln.count > 0 {
-			n++
-		}
-	}
-	return n
-}
-
 // before reports whether the lane goes before another one of its line.
 func (ln *lane) before(other *lane) bool {
 	if ln.virtual != other.virtual {
