--- a/dispatch/endpoint/registry_test.go
+++ b/dispatch/endpoint/registry_test.go
@@ -114,6 +114,12 @@
 			t.Fatal(err)
 		}
 		z.advance(step)
+	case "restart":
+		name := d.CmdArgs[0].Key
+		z.daemons[name] = NewRegistry(Options{EjectAfter: 3})
+		for _, other := range []string{"a", "b", "c"} {
+			delete(z.seen, name+" "+other)
+		}
 	case "stall":
 		step, err := time.ParseDuration(d.CmdArgs[0].Key)
 		if err != nil {
