arbiter: package page says how queues share and when asks are refused

Weighed: a design page of its own; the package page is what a reader of the code opens. Measured: no code changed.

--- a/dispatch/arbiter/doc.go
+++ b/dispatch/arbiter/doc.go
@@ -11,7 +11,12 @@
 // part of the slots is kept free of long work, so that quick work starts at
 // once; quick work leaves another part to long work that waits, so that long
 // work is never starved. Within a class the team that is furthest below its
-// share goes first (package fairshare), within a team and queue the oldest ask.
+// share goes first (package fairshare). The queues of a team share its slots
+// equally while they all wait, and within a queue the oldest ask goes first.
+//
+// An ask is refused at once when the rate at which the asks ahead of it start
+// shows that its patience will end first. When a queue is full, the team that
+// holds most of it for its share gives way.
 //
 // # Occupied slots and units
 //
@@ -54,7 +59,7 @@
 // declared yet stays within the unknown slots. A predecessor that still grants
 // to origins cut off from its successor can over-ask an endpoint, which then
 // refuses; it can't exceed a team's limit, since each arbiter draws on its own
-// allotment through Limiter.
+// allotment through Limiter and adopts the units of declared grants there.
 //
 // # Duties of the caller
 //
