--- /dev/null
+++ b/jobs/doc.go
@@ -0,0 +1,2 @@
+// Package jobs is part of magnoliastand.
+package jobs
