control: stamp commands in the order that the ledger's waits rely on

Cause: a wait of retired units begins at the time stamp of a command whose proposer had applied the end of the term. If the clock were read before the applied index, the stamp could be older than that entry and the wait end early.

Weighed: a rule in the docs would rest on every caller; Clock.Stamp takes the index as an argument and reads the clock after it.

Measured: tests of control under the race detector pass.

--- a/control/clock.go
+++ b/control/clock.go
@@ -20,3 +20,12 @@
 
 // Now returns the cluster time.
 func (c *Clock) Now() time.Duration { return c.base + c.mono() - c.start }
+
+// Stamp sets the time of a command that the leader is about to propose. applied
+// is State.Index, read before the call: the clock is read after it, so that the
+// stamp is no older than the newest entry that it knows.
+func (c *Clock) Stamp(cmd *Command, applied uint64, wall time.Time) {
+	cmd.Applied = applied
+	cmd.At = c.Now()
+	cmd.UnixMilli = wall.UnixMilli()
+}
--- a/control/command.go
+++ b/control/command.go
@@ -28,7 +28,7 @@
 type Command struct {
 	// At is the leader's cluster time when it proposed the command.
 	At time.Duration `cbor:"1,keyasint"`
-	// Applied is the log index that the leader had applied by then.
+	// Applied is the log index that the leader had applied by then (Clock.Stamp).
 	Applied uint64 `cbor:"2,keyasint"`
 	// UnixMilli is the leader's wall clock, for display in the history only.
 	UnixMilli int64 `cbor:"3,keyasint,omitempty"`
--- a/control/state_test.go
+++ b/control/state_test.go
@@ -254,7 +254,9 @@
 	mono := 100 * time.Second
 	c := NewClock(7*time.Second, func() time.Duration { return mono })
 	mono += 3 * time.Second
-	if c.Now() != 10*time.Second {
-		t.Fatalf("cluster time %s", c.Now())
+	var cmd Command
+	c.Stamp(&cmd, 8, time.UnixMilli(9))
+	if cmd.At != 10*time.Second || cmd.Applied != 8 || cmd.UnixMilli != 9 {
+		t.Fatalf("stamped %+v", cmd)
 	}
 }
