Cancel waves over all teams, waiting and running

Cause: a wave cancelled two or three tasks, since it came between turns, for one team and for waiting tasks only; the table hardly exercised cancels.

--- a/planner/replay/run.go
+++ b/planner/replay/run.go
@@ -111,7 +111,7 @@
 			r.end(w, t)
 		}
 	}
-	if r.now%cancelTurn == 0 && r.now > 0 {
+	if r.now%cancelTurn == cancelOffset {
 		r.cancelWave()
 	}
 	if r.now%platformTurn == 0 {
--- a/planner/replay/tasks.go
+++ b/planner/replay/tasks.go
@@ -175,26 +175,38 @@
 	}
 }
 
-// cancelWave cancels a part of the waiting tasks of one team, each twice.
+// cancelWave cancels most waiting tasks of all teams, each twice, and a part
+// of the running ones.
 func (r *run) cancelWave() {
-	n := int(r.now/cancelTurn) % len(teams)
 	for _, s := range r.services {
-		t := s.teams[n]
-		for _, b := range []*placement.Backlog{t.quick, t.long} {
-			var ids []string
-			for _, task := range b.Head(int(cancelPart * float64(b.Len()))) {
-				ids = append(ids, task.ID)
-			}
-			for _, id := range ids {
-				j := t.jobs[id]
-				if b.Cancel(id) {
-					s.drop(j, r.trueSize(j))
-					r.m.cancelled++
-				}
-				if b.Cancel(id) {
-					r.m.breaches++
-				}
-			}
+		for _, t := range s.teams {
+			r.cancelWaiting(s, t, t.quick)
+			r.cancelWaiting(s, t, t.long)
+		}
+	}
+	for _, w := range r.workers {
+		for n := len(w.tasks) - 1; n >= 0; n -= cancelEach {
+			r.release(w.take(w.tasks[n].ID))
+			r.m.cancelled++
+		}
+	}
+}
+
+// cancelWaiting cancels a part of a backlog. A second cancel that takes
+// something out is counted as a breach.
+func (r *run) cancelWaiting(s *serviceState, t *teamState, b *placement.Backlog) {
+	var ids []string
+	for _, task := range b.Head(int(cancelPart * float64(b.Len()))) {
+		ids = append(ids, task.ID)
+	}
+	for _, id := range ids {
+		j := t.jobs[id]
+		if b.Cancel(id) {
+			s.drop(j, r.trueSize(j))
+			r.m.cancelled++
+		}
+		if b.Cancel(id) {
+			r.m.breaches++
 		}
 	}
 }
--- a/planner/replay/workload.go
+++ b/planner/replay/workload.go
@@ -31,8 +31,12 @@
 	impossiblePart = 0.001
 	// cancelTurn is the time between waves of cancels, in milliseconds.
 	cancelTurn placement.Millis = 7 * 60_000
-	// cancelPart is the part of its waiting tasks that a team cancels in a wave.
-	cancelPart = 0.5
+	// cancelOffset puts the waves into the turn of a queue, when much waits.
+	cancelOffset placement.Millis = 15_000
+	// cancelPart is the part of the waiting tasks that is cancelled in a wave.
+	cancelPart = 0.8
+	// cancelEach is such that one of so many running tasks is cancelled in a wave.
+	cancelEach = 3
 )
 
 // job is a task with what only the replay knows.
