--- a/cmd/magnoliastand/random_test.go
+++ b/cmd/magnoliastand/random_test.go
@@ -51,6 +51,7 @@
 	for step := range steps {
 		time.Sleep(time.Duration(500+rng.IntN(1000)) * time.Millisecond)
 		c.randomFault(rng, step)
+		c.logSlots()
 	}
 	c.awaitControlledArbiters()
 	reports := make([]*standin.Report, 0, len(waits))
@@ -127,3 +128,12 @@
 		mend()
 	}
 }
+
+// logSlots prints what the arbiters hold, for the analysis of a run.
+func (c *cluster) logSlots() {
+	for _, m := range c.members {
+		if s, ok := c.status(m); ok && s.Slots != nil {
+			c.t.Logf("  %s term %d: %+v", m.name, s.ArbiterTerm, *s.Slots)
+		}
+	}
+}
--- a/cmd/magnoliastand/serve.go
+++ b/cmd/magnoliastand/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	stdlog "log"
 	"os"
 	"os/signal"
 	"syscall"
@@ -55,6 +56,9 @@
 
 // runDaemon serves until ctx ends. A second signal ends the grace period.
 func runDaemon(ctx context.Context, set settings.Settings, log zerolog.Logger) error {
+	// net/http reports surplus bytes of endpoints through the standard logger,
+	// with their content, which must not enter a log.
+	stdlog.SetOutput(io.Discard)
 	d, err := daemon.New(set, log)
 	if err != nil {
 		return errors.Wrap(err, "start")
--- a/daemon/arbiterhost.go
+++ b/daemon/arbiterhost.go
@@ -363,12 +363,18 @@
 	return true
 }
 
-// stats returns the arbiter's counts; false when this daemon is not the arbiter.
-func (h *arbiterHost) stats() (arbiter.Stats, bool) {
+// status returns what the arbiter holds; nil when this daemon is not the arbiter.
+func (h *arbiterHost) status() *SlotStatus {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.arb == nil {
-		return arbiter.Stats{}, false
+		return nil
 	}
-	return h.arb.Stats(), true
+	st := h.arb.Stats()
+	out := &SlotStatus{Waiting: st.Waiting, Forwarded: st.Forwarded, Granted: st.Granted, Unknown: st.UnknownSlots}
+	if a, ok := h.limiter.(*allotment); ok {
+		out.Leased = a.Leased()
+		out.Teams = a.teamStatus()
+	}
+	return out
 }
--- a/daemon/controlplane.go
+++ b/daemon/controlplane.go
@@ -37,9 +37,11 @@
 	zoneArbiter func() arbiterRef
 	// ping asks a daemon whether it is alive and may stay arbiter.
 	ping func(ctx context.Context, daemon string) (heartbeat, error)
-	// onFirstIncarnation is called when the control log had no entry of this
-	// daemon's name before.
-	onFirstIncarnation func()
+	// onRegistered is called when the control log holds this incarnation; first
+	// tells that it had no entry of this daemon's name before.
+	onRegistered func(first bool)
+	// ownHoldings answers a holdingRequest for this daemon.
+	ownHoldings func(holdingRequest) holdingReply
 
 	clockMu   sync.Mutex
 	clock     *control.Clock
@@ -203,7 +205,9 @@
 func (c *controlPlane) registerSelf(ctx context.Context) {
 	for ctx.Err() == nil {
 		d, ok := c.holder.View().Daemon(c.self.Name)
-		if !ok || d.Incarnation != c.self.Incarnation {
+		if ok && d.Incarnation == c.self.Incarnation {
+			c.onRegistered(false)
+		} else {
 			c.proposeSelf(ctx)
 		}
 		sleepCtx(ctx, registerInterval)
@@ -226,8 +230,8 @@
 		c.log.Debug().Err(err).Msg("daemon not registered yet")
 		return
 	}
-	if result.First {
-		c.onFirstIncarnation()
+	if result.Refusal == nil {
+		c.onRegistered(result.First)
 	}
 }
 
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -144,6 +144,8 @@
 		Self:  d.self,
 		Zone:  d.set.AvailabilityZone,
 		Peers: recordPeers{link: d.link},
+		// Without the registry a successor could count as the first incarnation.
+		AwaitRegistration: true,
 	})
 	members := make([]record.Member, 0, len(d.set.Peers))
 	for _, p := range d.set.Peers {
@@ -151,7 +153,7 @@
 	}
 	d.records.SetMembers(members)
 	serveRecords(d.link, d.records)
-	d.control.onFirstIncarnation = d.records.BeginAsFirst
+	d.control.onRegistered = d.records.Registered
 	d.origin = origin.New(origin.Config{
 		Self:    d.self,
 		Zone:    d.set.AvailabilityZone,
@@ -160,17 +162,24 @@
 		Slots:   d.slots,
 		Metrics: d.metrics,
 		Limits: origin.Limits{
-			MaxInFlight: d.set.Limits.Requests,
-			BodyTimeout: d.set.Limits.BodyTimeout.Std(),
+			MaxInFlight:          d.set.Limits.Requests,
+			BodyTimeout:          d.set.Limits.BodyTimeout.Std(),
+			IdleConnsPerEndpoint: max(1, spareConnections/len(d.set.Peers)),
 		},
 	})
 	d.slots.held = d.origin.Held
+	d.link.Handle(methodHoldings, d.slots.handleHoldings)
+	d.control.ownHoldings = d.slots.holdings
 	d.metrics.gauge("requests_in_flight", "Requests being handled.", func() float64 { return float64(d.origin.InFlight()) })
 	d.metrics.gauge("configuration_version", "Version of the configuration in force.", func() float64 {
 		return float64(d.control.holder.View().Version())
 	})
 }
 
+// spareConnections is the number of idle connections that all daemons together
+// keep to one endpoint, so that those in use stay within the users' 64.
+const spareConnections = 48
+
 // breachStop returns what ends the process at a breach, or nil by the settings.
 func (d *Daemon) breachStop() func(invariant.Breach) {
 	if !d.set.StopOnBreach {
--- a/daemon/leader.go
+++ b/daemon/leader.go
@@ -28,10 +28,12 @@
 	balancer *quota.Balancer
 	term     uint64
 	lastTick time.Time
+
+	transfers *transfers // used by run only
 }
 
 func newLeaderDuties(c *controlPlane) *leaderDuties {
-	return &leaderDuties{plane: c, kick: make(chan struct{}, 1)}
+	return &leaderDuties{plane: c, kick: make(chan struct{}, 1), transfers: newTransfers(c)}
 }
 
 // run carries out the duties while this daemon leads, until ctx ends.
@@ -46,8 +48,10 @@
 			return
 		}
 		if !l.plane.leads() {
+			l.transfers.forget()
 			continue
 		}
+		l.transfer(ctx)
 		l.balance(ctx)
 		l.moveTime(ctx)
 	}
@@ -78,6 +82,13 @@
 	l.propose(ctx, &control.Command{Allot: &cmd})
 }
 
+// transfer moves units of ended arbiter terms to their successors.
+func (l *leaderDuties) transfer(ctx context.Context) {
+	if cmd := l.transfers.plan(ctx); !cmd.Empty() {
+		l.propose(ctx, &control.Command{Allot: &cmd})
+	}
+}
+
 // moveTime commits cluster time while units wait for it to pass.
 func (l *leaderDuties) moveTime(ctx context.Context) {
 	waiting := false
--- a/daemon/limiter.go
+++ b/daemon/limiter.go
@@ -128,3 +128,12 @@
 	}
 	return nil, err
 }
+
+// teamStatus lists the teams with work or units in this zone.
+func (a *allotment) teamStatus() []TeamStatus {
+	var list []TeamStatus
+	for _, t := range a.Teams() {
+		list = append(list, TeamStatus(t))
+	}
+	return list
+}
--- a/daemon/message.go
+++ b/daemon/message.go
@@ -20,6 +20,7 @@
 	methodPropose      = "control.propose"
 	methodClaim        = "control.claim"
 	methodDemand       = "control.demand"
+	methodHoldings     = "slot.holdings"
 	methodReport       = "control.report"
 	methodJoin         = "control.join"
 	methodLog          = "log.message"
--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -13,7 +13,6 @@
 	"magnoliastand.example/control"
 	"magnoliastand.example/control/httpapi"
 	"magnoliastand.example/daemon/settings"
-	"magnoliastand.example/dispatch/arbiter"
 )
 
 // operatorRoutes serves operators, the platform and metrics.
@@ -89,8 +88,32 @@
 	Daemons  []MemberStatus  `json:"daemons"`
 	InFlight int             `json:"requests_in_flight"`
 	// Slots is set on a zone's arbiter.
-	Slots *arbiter.Stats `json:"slots,omitempty"`
-	Log   *LogStatus     `json:"log,omitempty"`
+	Slots *SlotStatus `json:"slots,omitempty"`
+	Log   *LogStatus  `json:"log,omitempty"`
+}
+
+// SlotStatus is what a zone's arbiter holds.
+type SlotStatus struct {
+	// Waiting and Forwarded count asks, Granted counts requests that may be running.
+	Waiting   int `json:"waiting"`
+	Forwarded int `json:"forwarded"`
+	Granted   int `json:"granted"`
+	// Unknown counts slots that an earlier term may have granted.
+	Unknown int `json:"unknown"`
+	// Leased tells whether keyed work may be started.
+	Leased bool         `json:"leased"`
+	Teams  []TeamStatus `json:"teams,omitempty"`
+}
+
+// TeamStatus is the zone's part of a team's limit.
+type TeamStatus struct {
+	Team    string `json:"team"`
+	Running int64  `json:"running"`
+	// Idle counts units that nothing uses.
+	Idle    int64 `json:"idle"`
+	Waiting int64 `json:"waiting"`
+	// Frozen tells that the team holds more units than its limit.
+	Frozen bool `json:"frozen,omitempty"`
 }
 
 // ArbiterStatus names the arbiter of a zone.
@@ -138,9 +161,7 @@
 	if v, ok := d.control.follower.lease.Vouch(); ok {
 		s.VouchedAgo = api.Duration(v.Age.Round(time.Millisecond))
 	}
-	if st, ok := d.host.stats(); ok {
-		s.Slots = &st
-	}
+	s.Slots = d.host.status()
 	for _, a := range v.Arbiters() {
 		s.Arbiters = append(s.Arbiters, ArbiterStatus{Zone: a.Zone, Daemon: a.Daemon, Term: a.Term})
 	}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -66,7 +66,8 @@
 	OutcomeUnused Outcome = iota + 1
 	// OutcomeAnswered means that the whole answer of the endpoint was read.
 	OutcomeAnswered
-	// OutcomeRefused means that the endpoint said that it did not accept the request.
+	// OutcomeRefused means that the endpoint said that it did not accept the
+	// request, or could not be reached.
 	OutcomeRefused
 	// OutcomeFailed means that the whole answer says the endpoint failed (status 5xx).
 	OutcomeFailed
--- a/peerlink/inlink.go
+++ b/peerlink/inlink.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"sync"
+	"sync/atomic"
 
 	"github.com/coder/websocket"
 )
@@ -19,6 +20,8 @@
 	cancel context.CancelFunc
 	slots  chan struct{}
 	once   sync.Once
+	// lossy is described at outLink.
+	lossy atomic.Bool
 }
 
 // accept upgrades an HTTP request to a link and serves it until it breaks.
@@ -96,8 +99,12 @@
 			return
 		}
 		if l.node.isBlocked(l.peer) {
+			l.lossy.Store(true)
 			continue
 		}
+		if l.lossy.Load() {
+			return
+		}
 		l.node.stats.received(len(b))
 		var f frame
 		if err := decode(b, &f); err != nil {
@@ -164,8 +171,13 @@
 		select {
 		case f := <-l.send:
 			if l.node.isBlocked(l.peer) {
+				l.lossy.Store(true)
 				continue
 			}
+			if l.lossy.Load() {
+				l.close()
+				return
+			}
 			if err := l.node.writeOne(l.ws, f); err != nil {
 				l.close()
 				return
--- a/peerlink/outlink.go
+++ b/peerlink/outlink.go
@@ -24,6 +24,10 @@
 	up   chan struct{}
 	down chan struct{}
 
+	// lossy is set when a test cut dropped a frame; the link is closed with the
+	// next frame after the cut, since a connection that lost bytes can't go on.
+	lossy atomic.Bool
+
 	seq     atomic.Uint64
 	mu      sync.Mutex
 	pending map[uint64]chan frame
@@ -135,8 +139,12 @@
 			return errors.Wrap(ErrDisconnected, err.Error())
 		}
 		if l.node.isBlocked(l.remote) {
+			l.lossy.Store(true)
 			continue
 		}
+		if l.lossy.Load() {
+			return errors.Wrap(ErrDisconnected, "frames were lost")
+		}
 		l.node.stats.received(len(b))
 		var f frame
 		if err := decode(b, &f); err != nil {
@@ -163,8 +171,13 @@
 		select {
 		case f := <-l.send:
 			if l.node.isBlocked(l.remote) {
+				l.lossy.Store(true)
 				continue
 			}
+			if l.lossy.Load() {
+				l.close(errors.Wrap(ErrDisconnected, "frames were lost"))
+				return
+			}
 			if err := l.node.writeOne(l.ws, f); err != nil {
 				l.close(err)
 				return
--- a/quota/holder.go
+++ b/quota/holder.go
@@ -244,3 +244,25 @@
 	}
 	return t
 }
+
+// TeamUnits is what a holder has of one team.
+type TeamUnits struct {
+	Team string
+	// Running units are in use, Idle ones can be acquired, Waiting is what
+	// SetWaiting recorded.
+	Running, Idle, Waiting int64
+	// Frozen tells that the team holds more units than its limit.
+	Frozen bool
+}
+
+// Teams lists what the holder has, in order of the teams' names.
+func (h *Holder) Teams() []TeamUnits {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	list := make([]TeamUnits, 0, len(h.teams))
+	for name, t := range h.teams {
+		list = append(list, TeamUnits{Team: name, Running: t.running, Idle: max(t.idle(), 0), Waiting: t.waiting, Frozen: t.frozen})
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Team < list[j].Team })
+	return list
+}
