arbiter: two faults of succession found by varied sizes

Cause: the random runs had one size of zone. With sizes drawn for each run they found that a successor which starts while a service is not configured took its longest run as zero, and that a declared grant of a term before the predecessor stood for a slot which the predecessor had freed by the endpoint's word and granted again. Taken: the longest run of earlier terms has a default of 30 s, and only a grant of the term one less stands for an unknown slot. Ruled out: counting what the predecessor adopted (it can't be told from the declaration).

--- a/dispatch/arbiter/doc.go
+++ b/dispatch/arbiter/doc.go
@@ -41,8 +41,8 @@
 //	granted + unknown <= slots
 //
 // holds throughout. An unknown slot becomes known when an origin declares a
-// grant that it holds, and usable when that grant is released. Unknown slots
-// that nobody declares become usable when
+// grant of the term before, and usable when that grant is released. Unknown
+// slots that nobody declares become usable when
 //
 //   - every daemon that may hold a grant has declared (Recovery.Complete), or
 //   - the endpoint announces how many requests it runs, in a word from after
@@ -52,8 +52,9 @@
 //     ended, or
 //   - the latest start of an earlier term's grant plus the longest run has passed.
 //
-// A declared grant counts against the slots, not against the number that the
-// endpoint said to be running, since it may have ended before that word.
+// Only a grant of the term one less stands for an unknown slot: the predecessor
+// may have freed older ones. It counts against the slots, not against the number
+// that the endpoint said to be running, since it may have ended before that word.
 //
 // It follows that no grant has to wait for the slowest origin: what is not
 // declared yet stays within the unknown slots. A predecessor that still grants
--- a/dispatch/arbiter/options.go
+++ b/dispatch/arbiter/options.go
@@ -51,8 +51,8 @@
 	// Complete states that no other daemon can hold a grant of an earlier term.
 	// The first arbiter of a zone has no origins and a complete list.
 	Complete bool
-	// LongestRun is the longest run that any service had in earlier terms, if
-	// it was longer than what is configured now.
+	// LongestRun is the longest run that any service had in earlier terms, also
+	// one that is configured no more. Default 30 s.
 	LongestRun time.Duration
 }
 
@@ -71,6 +71,7 @@
 )
 
 func (o Options) withDefaults() Options {
+	o.Recovery.LongestRun = orDefault(o.Recovery.LongestRun, defaultLongestRun)
 	o.StartWithin = orDefault(o.StartWithin, DefaultStartWithin)
 	o.Margin = orDefault(o.Margin, DefaultMargin)
 	o.EndpointGrace = orDefault(o.EndpointGrace, DefaultEndpointGrace)
--- a/dispatch/arbiter/random_test.go
+++ b/dispatch/arbiter/random_test.go
@@ -32,12 +32,13 @@
 
 // counter is a Limiter with the same limit for each team.
 type counter struct {
+	limit  int
 	used   map[string]int
 	breach func(string)
 }
 
 func (c *counter) Acquire(team string) bool {
-	if c.used[team] >= worldLimit {
+	if c.used[team] >= c.limit {
 		return false
 	}
 	c.used[team]++
@@ -218,7 +219,7 @@
 
 // reconfigure puts one of several documents in force.
 func (w *world) reconfigure() {
-	w.doc = worldDocument()
+	w.doc = w.document()
 	svc := &w.doc.Services[0]
 	switch w.choose.n(6) {
 	case 4:
@@ -237,7 +238,7 @@
 
 // succeed replaces the arbiter by one of the next term.
 func (w *world) succeed() {
-	rec := Recovery{Complete: w.choose.n(2) == 0}
+	rec := Recovery{Complete: w.choose.n(2) == 0, LongestRun: worldLongestRun}
 	for _, e := range w.entries {
 		e.declares = w.now.Add(time.Duration(w.choose.n(60)) * worldStep)
 		if rec.Complete || e.alive {
@@ -275,7 +276,7 @@
 	for _, p := range w.procs {
 		p.alive, p.silent, p.state = true, false, api.EndpointReady
 	}
-	w.doc = worldDocument()
+	w.doc = w.document()
 	w.handle(w.arb.SetConfig(w.now, NewConfig(w.doc)))
 	w.pass(12 * time.Second)
 	for key, id := range w.open {
--- a/dispatch/arbiter/recovery.go
+++ b/dispatch/arbiter/recovery.go
@@ -91,7 +91,7 @@
 		a.forget(gr.slots)
 		return
 	}
-	if gr.standsForUnknown() {
+	if a.standsForUnknown(gr) {
 		gr.slots.bound(gr.slots.undeclared-1, gr.slots.mayRun)
 	}
 	a.occupy(gr)
@@ -103,9 +103,10 @@
 }
 
 // standsForUnknown reports whether an adopted grant is one of the slots that
-// the predecessor held occupied. One on an earlier process may have been freed.
-func (g *grant) standsForUnknown() bool {
-	return g.Grant.EndpointIncarnation == g.slots.incarnation
+// the predecessor held occupied. It may have freed one that an earlier term
+// granted, by the endpoint's word, and one on an earlier process.
+func (a *Arbiter) standsForUnknown(gr *grant) bool {
+	return gr.Grant.ID.Term+1 == a.opts.Term && gr.Grant.EndpointIncarnation == gr.slots.incarnation
 }
 
 // Reconnected tells that the link to an origin was made anew, and what the
@@ -164,7 +165,7 @@
 	// The predecessor may have worked with more configured slots.
 	undeclared := sl.announced
 	for _, gr := range a.grants {
-		if gr.slots == sl && gr.standsForUnknown() {
+		if gr.slots == sl && a.standsForUnknown(gr) {
 			undeclared--
 		}
 	}
--- a/dispatch/arbiter/tables_test.go
+++ b/dispatch/arbiter/tables_test.go
@@ -142,6 +142,8 @@
 		tb.start(Recovery{
 			Origins:  []dispatch.DaemonID{testOrigin("entry"), testOrigin("other")},
 			Complete: true,
+			// As configured, see testDocument.
+			LongestRun: 10 * time.Second,
 		})
 		return ""
 	case "declare":
--- a/dispatch/arbiter/world_test.go
+++ b/dispatch/arbiter/world_test.go
@@ -15,10 +15,7 @@
 
 // Sizes and times of the simulated zone.
 const (
-	worldEndpoints  = 3
-	worldSlots      = 2
 	worldTeams      = 2
-	worldLimit      = 2 // units of each team for each term
 	worldLongestRun = 3 * time.Second
 	worldRenewal    = time.Second
 	worldStep       = 50 * time.Millisecond
@@ -73,6 +70,8 @@
 // knows what really runs. It records the first breach.
 type world struct {
 	choose  chooser
+	slots   int // of each endpoint
+	limit   int // units of each team for each term
 	off     protections
 	now     time.Time
 	term    uint64
@@ -94,13 +93,15 @@
 func newWorld(choose chooser, off protections) *world {
 	w := &world{
 		choose: choose,
+		slots:  1 + choose.n(3),
+		limit:  1 + choose.n(3),
 		off:    off,
 		now:    epoch,
 		reg:    endpoint.NewRegistry(endpoint.Options{}),
 		open:   make(map[askKey]dispatch.GrantID),
 	}
-	w.doc = worldDocument()
-	for i := range worldEndpoints {
+	w.doc = w.document()
+	for i := range 2 + choose.n(4) {
 		p := &process{id: fmt.Sprint("e", i), alive: true, state: api.EndpointReady}
 		p.running = make(map[*work]struct{})
 		w.procs = append(w.procs, p)
@@ -113,8 +114,8 @@
 	return w
 }
 
-func worldDocument() api.Document {
-	doc := testDocument(worldSlots, api.Team{Name: "t0", Share: 1}, api.Team{Name: "t1", Share: 3})
+func (w *world) document() api.Document {
+	doc := testDocument(w.slots, api.Team{Name: "t0", Share: 1}, api.Team{Name: "t1", Share: 3})
 	doc.Services[0].LongestRun = api.Duration(worldLongestRun)
 	return doc
 }
@@ -139,7 +140,7 @@
 func (w *world) start(rec Recovery) {
 	w.term++
 	opts := Options{Zone: "oita", Term: w.term, Recovery: rec}
-	w.limiter = &counter{used: make(map[string]int), breach: func(s string) { w.fail("%s", s) }}
+	w.limiter = &counter{limit: w.limit, used: make(map[string]int), breach: func(s string) { w.fail("%s", s) }}
 	w.arb = newArbiter(w.now, opts, w.off, NewConfig(w.doc), w.reg, w.limiter)
 }
 
@@ -184,7 +185,7 @@
 		return
 	}
 	p.announceAt = w.now.Add(worldRenewal)
-	a := announce(fmt.Sprint(p.incarnation), worldSlots)
+	a := announce(fmt.Sprint(p.incarnation), w.slots)
 	a.State = p.state
 	a.Running = len(p.running)
 	w.send(func() {
@@ -259,8 +260,8 @@
 	}
 	units := make(map[unit]int)
 	for _, p := range w.procs {
-		if len(p.running) > worldSlots {
-			w.fail("%d requests run on %s with %d slots", len(p.running), p.id, worldSlots)
+		if len(p.running) > w.slots {
+			w.fail("%d requests run on %s with %d slots", len(p.running), p.id, w.slots)
 		}
 		for job := range p.running {
 			if job.grant.Team != "" {
@@ -269,8 +270,8 @@
 		}
 	}
 	for u, n := range units {
-		if n > worldLimit {
-			w.fail("%d requests of %s granted in term %d run, limit %d", n, u.team, u.term, worldLimit)
+		if n > w.limit {
+			w.fail("%d requests of %s granted in term %d run, limit %d", n, u.team, u.term, w.limit)
 		}
 	}
 }
