--- a/consensus/checker_test.go
+++ b/consensus/checker_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"reflect"
+	"slices"
 
 	"magnoliastand.example/consensus"
 )
@@ -16,6 +17,8 @@
 	entries map[[2]uint64]known
 	// applied by index, up to max.
 	applied map[uint64]consensus.Entry
+	first   []consensus.Member
+	saves   int
 	max     uint64
 	// states by index of the last applied entry.
 	states map[uint64]string
@@ -54,6 +57,15 @@
 		}
 		k.votes[key] = hs.Vote
 	}
+	if k.saves++; k.saves%8 == 0 {
+		st, _ := n.store.Load()
+		if got := n.core.Status().Members; !reflect.DeepEqual(got, slices.Clone(consensus.MembersOf(st))) {
+			k.fault("node %d goes by members %v, its disk by %v", n.id, got, consensus.MembersOf(st))
+		}
+	}
+	if u.Snapshot != nil && !reflect.DeepEqual(u.Snapshot.Members, k.membersAt(u.Snapshot.Index)) {
+		k.fault("snapshot %d of node %d has members %v", u.Snapshot.Index, n.id, u.Snapshot.Members)
+	}
 	for i, e := range u.Entries {
 		prev, held := n.core.TermAt(e.Index - 1)
 		if i > 0 {
@@ -70,6 +82,16 @@
 	}
 }
 
+// membersAt returns the membership after a committed entry.
+func (k *checker) membersAt(index uint64) []consensus.Member {
+	for ; index > 1; index-- {
+		if e := k.applied[index]; e.Kind == consensus.EntryMembership {
+			return e.Members
+		}
+	}
+	return k.first
+}
+
 // committed checks an entry that a node applies: state machine safety.
 func (k *checker) committed(n *simNode, e consensus.Entry) {
 	old, ok := k.applied[e.Index]
--- a/consensus/config.go
+++ b/consensus/config.go
@@ -59,6 +59,8 @@
 	singleVote  bool
 	termCommit  bool
 	oneChange   bool
+	termChange  bool
+	leaving     bool
 	caughtUp    bool
 	readRound   bool
 }
--- a/consensus/election.go
+++ b/consensus/election.go
@@ -37,7 +37,8 @@
 // committed membership. A voter whose removal isn't committed may hold the
 // newest log, so that nobody else can be elected; it then doesn't count itself.
 func (c *Core) mayCampaign() bool {
-	return isVoter(c.log.members(), c.cfg.ID) || isVoter(c.log.membersAt(c.log.commit), c.cfg.ID)
+	leaving := isVoter(c.log.membersAt(c.log.commit), c.cfg.ID) && !c.cfg.off.leaving
+	return isVoter(c.log.members(), c.cfg.ID) || leaving
 }
 
 // probeMembership asks the known voters for a pre-vote that isn't counted. A
--- a/consensus/export_test.go
+++ b/consensus/export_test.go
@@ -15,6 +15,8 @@
 	OffSingleVote  = Off{singleVote: true}
 	OffTermCommit  = Off{termCommit: true}
 	OffOneChange   = Off{oneChange: true}
+	OffTermChange  = Off{termChange: true}
+	OffLeaving     = Off{leaving: true}
 	OffCaughtUp    = Off{caughtUp: true}
 	OffReadRound   = Off{readRound: true}
 )
--- a/consensus/membership.go
+++ b/consensus/membership.go
@@ -9,7 +9,9 @@
 )
 
 // ProposeMembership appends a membership change to the log of the leader. It
-// is in force at once and final when committed. Only one change may be pending.
+// is in force at once and final when committed. Only one change may be pending,
+// and none is taken before the leader has committed an entry of its term, since
+// an earlier leader may have started another change.
 // Errors match ErrNotLeader, ErrMembershipPending, ErrUnknownMember,
 // ErrMemberExists, ErrNotCaughtUp or ErrQuorumAtRisk.
 func (c *Core) ProposeMembership(ch Change) (index, term uint64, err error) {
@@ -17,8 +19,9 @@
 	if c.role != Leader {
 		return 0, 0, &NotLeaderError{Leader: c.leader}
 	}
-	pending := c.log.configIndex() > c.log.commit || c.log.commit < c.termStart
-	if pending && !c.cfg.off.oneChange {
+	pending := c.log.configIndex() > c.log.commit && !c.cfg.off.oneChange
+	early := c.log.commit < c.termStart && !c.cfg.off.termChange
+	if pending || early {
 		return 0, 0, ErrMembershipPending
 	}
 	old := c.log.members()
--- a/consensus/protection_test.go
+++ b/consensus/protection_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	"magnoliastand.example/consensus"
+	"magnoliastand.example/consensus/bootstrap"
 )
 
 // protectionSeeds bounds the schedules in which a fault must show.
@@ -56,6 +57,8 @@
 		"quorum check":         {consensus.OffCheckQuorum, isolatedLeads},
 		"catch-up of learners": {consensus.OffCaughtUp, emptyLearnerCounts},
 		"commit of own term":   {consensus.OffTermCommit, oldTermOverwritten},
+		"change in own term":   {consensus.OffTermChange, earlyChangeOverwritten},
+		"leaving voters lead":  {consensus.OffLeaving, leavingBlocks},
 	} {
 		if tc.harm(consensus.Off{}) {
 			t.Errorf("%s: harm with the protection", name)
@@ -160,3 +163,78 @@
 	s.calm(40, s.nodes[2:], func(m consensus.Message) bool { return m.To < 3 })
 	return len(s.check.faults) > 0
 }
+
+// earlyChangeOverwritten lets node 1 promote node 5 on their two disks only, and
+// node 2 win the next term and remove node 1 with the help of node 3 only. Then
+// nodes 1, 4 and 5 are a majority of the first change.
+func earlyChangeOverwritten(off consensus.Off) bool {
+	s := newSim(7, 4, off, callerFaults{})
+	s.boot(5, bootstrap.Binding{Phase: bootstrap.Joined, Cluster: simCluster})
+	only := func(ids ...consensus.NodeID) func(consensus.Message) bool {
+		return func(m consensus.Message) bool { return !slices.Contains(ids, m.To) || !slices.Contains(ids, m.From) }
+	}
+	s.calm(30, s.nodes[:1], nil)
+	for _, kind := range []consensus.ChangeKind{consensus.AddLearner, consensus.Promote} {
+		_, _, _ = s.nodes[0].core.ProposeMembership(consensus.Change{Kind: kind, Member: consensus.Member{ID: 5}})
+		s.turn(s.nodes[0])
+		if kind == consensus.AddLearner {
+			s.calm(10, s.nodes[:1], nil)
+		}
+	}
+	s.calm(2, s.nodes[:1], only(1, 5))
+	s.calm(30, s.nodes[1:4], func(m consensus.Message) bool {
+		return only(2, 3, 4)(m) || m.Type == consensus.MsgPreVote && m.From != 2 || m.Type == consensus.MsgAppend && m.To == 4
+	})
+	_, _, _ = s.nodes[1].core.ProposeMembership(consensus.Change{Kind: consensus.Remove, Member: consensus.Member{ID: 1}})
+	s.turn(s.nodes[1])
+	s.calm(2, s.nodes[1:2], only(2, 3))
+	s.calm(30, []*simNode{s.nodes[0], s.nodes[3], s.nodes[4]}, only(1, 4, 5))
+	return len(s.check.faults) > 0
+}
+
+// leavingBlocks lets a leader propose its own removal while it is cut off, and
+// another voter of four be lost: only the leaving one can win.
+func leavingBlocks(off consensus.Off) bool {
+	s := newSim(8, 4, off, callerFaults{})
+	s.calm(100, s.nodes, nil)
+	old := s.leader()
+	s.cut[old.id] = true
+	_, _, _ = old.core.ProposeMembership(consensus.Change{Kind: consensus.Remove, Member: consensus.Member{ID: old.id}})
+	s.turn(old)
+	s.nodes[slices.Index(s.nodes, old)^1].core = nil
+	s.calm(50, []*simNode{old}, nil)
+	s.heal()
+	s.calm(200, s.nodes, nil)
+	return s.leader() == nil
+}
+
+// TestLostMessagesAreSentAgain loses all messages of one kind for some ticks, in
+// a cluster that keeps its leader.
+func TestLostMessagesAreSentAgain(t *testing.T) {
+	restoreSink(t)
+	for _, typ := range []consensus.MessageType{
+		consensus.MsgAppend, consensus.MsgAppendResp, consensus.MsgSnapshot, consensus.MsgSnapshotResp,
+	} {
+		s, lead := calmThree(9, consensus.Off{})
+		term := lead.core.Status().Term
+		behind := s.nodes[1]
+		s.cut[behind.id] = true
+		for range 8 {
+			_, _, _ = lead.core.Propose(make([]byte, 50))
+			s.turn(lead)
+			s.calm(2, s.nodes, nil)
+		}
+		if err := lead.core.Compact(lead.core.Status().Applied, lead.state); err != nil {
+			t.Fatal(err)
+		}
+		s.heal()
+		for range 10 {
+			s.calm(2, s.nodes, func(m consensus.Message) bool { return m.Type == typ })
+			s.calm(1, s.nodes, nil)
+		}
+		s.calm(20, s.nodes, nil)
+		if st := behind.core.Status(); st.Applied != lead.core.Status().Applied || st.Term != term || s.check.seen["installs"] == 0 {
+			t.Errorf("message type %d lost: applied %d of %d in term %d", typ, st.Applied, lead.core.Status().Applied, st.Term)
+		}
+	}
+}
--- a/consensus/sim_test.go
+++ b/consensus/sim_test.go
@@ -67,6 +67,7 @@
 		s.nextID++
 		members = append(members, consensus.Member{ID: s.nextID, Voter: true})
 	}
+	s.check.first = members
 	for _, m := range members {
 		s.boot(m.ID, bootstrap.Binding{Phase: bootstrap.Formed, Cluster: simCluster, Members: members})
 	}
