--- /dev/null
+++ b/control/httpapi/httpapi_test.go
@@ -0,0 +1,220 @@
+package httpapi
+
+import (
+	"context"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/labstack/echo/v5"
+	"github.com/pkg/errors"
+
+	"magnoliastand.example/api"
+	"magnoliastand.example/control"
+)
+
+const operatorKey = "operator-key"
+
+const document = `
+name: office
+availability_zones: [{name: fukuoka}]
+pools: [{name: quotes}]
+services:
+- name: quote
+  pool: quotes
+  slots_per_endpoint: 8
+  connections_per_endpoint: 64
+  longest_run: 30s
+  queues: [{name: quick, max_wait: 1500ms}]
+teams: [{name: schools, share: 3, limit: 40}]
+`
+
+// fakeService is one daemon with a state of its own.
+type fakeService struct {
+	state      *control.State
+	err        error
+	barrierErr error
+	looks      int // how often InForce still names a missing daemon
+}
+
+func (f *fakeService) Propose(_ context.Context, cmd *control.Command) (control.Result, error) {
+	if f.err != nil {
+		return control.Result{}, f.err
+	}
+	return f.state.Apply(f.state.Index()+1, cmd), nil
+}
+func (f *fakeService) View() *control.View           { return f.state.View() }
+func (f *fakeService) Barrier(context.Context) error { return f.barrierErr }
+func (f *fakeService) History(context.Context) ([]control.HistoryEntry, error) {
+	return f.state.History(), f.barrierErr
+}
+func (f *fakeService) InForce(uint64) (reached, missing []string) {
+	f.looks--
+	if f.looks >= 0 {
+		return []string{"d1"}, []string{"d2"}
+	}
+	return []string{"d1", "d2"}, []string{}
+}
+
+type fixture struct {
+	t       *testing.T
+	service *fakeService
+	echo    *echo.Echo
+}
+
+func newFixture(t *testing.T) *fixture {
+	f := &fixture{t: t, service: &fakeService{state: control.New("c", control.Options{})}, echo: echo.New()}
+	Register(f.echo, f.service, []Operator{{Name: "other", Hash: control.HashKey("x")}, {Name: "ops", Hash: control.HashKey(operatorKey)}})
+	return f
+}
+
+// send sends a request with the operator key.
+func (f *fixture) send(method, target, body string) *httptest.ResponseRecorder {
+	req := httptest.NewRequest(method, target, strings.NewReader(body))
+	req.Header.Set("Authorization", "Bearer "+operatorKey)
+	rec := httptest.NewRecorder()
+	f.echo.ServeHTTP(rec, req)
+	return rec
+}
+
+// call sends a request and decodes the JSON answer.
+func (f *fixture) call(method, target, body string, want int) (map[string]any, http.Header) {
+	f.t.Helper()
+	rec := f.send(method, target, body)
+	if rec.Code != want {
+		f.t.Fatalf("%s %s: status %d, want %d: %s", method, target, rec.Code, want, rec.Body)
+	}
+	if problem := rec.Header().Get("Content-Type") == api.ProblemMediaType; problem != (want >= 400) {
+		f.t.Fatalf("content type %q", rec.Header().Get("Content-Type"))
+	}
+	out := map[string]any{}
+	_ = json.Unmarshal(rec.Body.Bytes(), &out)
+	return out, rec.Header()
+}
+
+func TestEveryRouteNeedsAnOperatorKey(t *testing.T) {
+	f := newFixture(t)
+	for _, route := range f.echo.Router().Routes() {
+		for _, header := range []string{"", "Bearer ", "Bearer wrong", operatorKey} {
+			req := httptest.NewRequest(route.Method, strings.ReplaceAll(route.Path, ":", ""), http.NoBody)
+			req.Header.Set("Authorization", header)
+			rec := httptest.NewRecorder()
+			f.echo.ServeHTTP(rec, req)
+			if rec.Code != http.StatusUnauthorized || !strings.Contains(rec.Body.String(), string(api.CodeOperatorRequired)) {
+				t.Errorf("%s %s with %q: status %d", route.Method, route.Path, header, rec.Code)
+			}
+		}
+	}
+}
+
+func TestDocumentRoundTrip(t *testing.T) {
+	f := newFixture(t)
+	f.call("POST", "/v1/document?operation=a&base=0&wait=1s", document, 200)
+	got, header := f.call("GET", "/v1/document", "", 200)
+	if header.Get(HeaderDocumentVersion) != "1" || got["document_version"] != 1.0 {
+		t.Fatalf("got %v", got)
+	}
+	asJSON, _ := json.Marshal(got["document"])
+	f.call("POST", "/v1/document/check", string(asJSON), 200)
+	asYAML := f.send("GET", "/v1/document?format=yaml", "").Body.Bytes()
+	for _, text := range [][]byte{asJSON, asYAML} {
+		doc, err := api.LoadDocument(text)
+		if err != nil || doc.Services[0].Queues[0].Patience() != 1500*time.Millisecond {
+			t.Fatalf("%v of %s", err, text)
+		}
+	}
+	history, _ := f.call("GET", "/v1/document/history", "", 200)
+	entry := history["documents"].([]any)[0].(map[string]any)
+	if entry["actor"] != "ops" || entry["version"] != 1.0 || len(entry["digest"].(string)) != 64 {
+		t.Fatalf("history %v", history)
+	}
+}
+
+func TestWaitEndsWhenInForceOrTimeIsUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t)
+		f.service.looks = 3
+		start := time.Now()
+		got, _ := f.call("POST", "/v1/document?operation=a&base=0&wait=10s", document, 200)
+		if len(got["missing"].([]any)) != 0 || time.Since(start) != 3*waitInterval {
+			t.Fatalf("got %v after %s", got, time.Since(start))
+		}
+		f.service.looks = 1 << 30
+		start = time.Now()
+		got, _ = f.call("POST", "/v1/document?operation=b&base=1&wait=2s", document, 200)
+		if len(got["missing"].([]any)) != 1 || time.Since(start) != 2*time.Second {
+			t.Fatalf("got %v after %s", got, time.Since(start))
+		}
+	})
+}
+
+func TestKeysAreGrantedListedAndWithdrawn(t *testing.T) {
+	f := newFixture(t)
+	f.call("POST", "/v1/document?operation=a&base=0", document, 200)
+	granted, header := f.call("POST", "/v1/teams/schools/keys?operation=k1", `{"label":"counter"}`, 201)
+	text, id := granted["key"].(string), granted["key_id"].(string)
+	if team, err := f.service.View().Authorize(text); err != nil || team != "schools" || header.Get("Cache-Control") != "no-store" {
+		t.Fatalf("granted %v: %v", granted, err)
+	}
+	again, _ := f.call("POST", "/v1/teams/schools/keys?operation=k1", `{"label":"counter"}`, 201)
+	if again["key_id"] != id || again["key"] != nil || again["repeated"] != true {
+		t.Fatalf("repeated grant %v", again)
+	}
+	own := control.NewKey()
+	body := fmt.Sprintf(`{"key_id":%q,"hash":%q}`, own.ID, hex.EncodeToString(own.Hash[:]))
+	f.call("POST", "/v1/teams/schools/keys?operation=k2", body, 201)
+	if _, err := f.service.View().Authorize(own.Text); err != nil {
+		t.Fatal(err)
+	}
+	f.call("POST", "/v1/teams/schools/keys?operation=k3", "", 409)
+	for _, target := range []string{"/v1/keys", "/v1/teams/schools/keys"} {
+		list, _ := f.call("GET", target, "", 200)
+		raw := fmt.Sprint(list)
+		if len(list["keys"].([]any)) != 2 || strings.Contains(raw, text[30:]) || strings.Contains(raw, hex.EncodeToString(own.Hash[:])) {
+			t.Fatalf("list %v", list)
+		}
+	}
+	f.call("DELETE", "/v1/keys/"+id+"?operation=w1", "", 200)
+	f.call("DELETE", "/v1/keys/"+id+"?operation=w1", "", 200)
+	if _, err := f.service.View().Authorize(text); err == nil {
+		t.Fatal("a withdrawn key is valid")
+	}
+}
+
+// TestProblems runs a table of calls and prints status and problem.
+func TestProblems(t *testing.T) {
+	f := newFixture(t)
+	datadriven.RunTest(t, "testdata/problems", func(t *testing.T, d *datadriven.TestData) string {
+		if d.Cmd == "service" { // sets the errors of the service
+			f.service.err, f.service.barrierErr = nil, nil
+			if d.HasArg("unreachable") {
+				f.service.err, f.service.barrierErr = errors.New("timeout"), errors.New("cut off")
+			}
+			if d.HasArg("leaderless") {
+				f.service.err = errors.Wrap(ErrNotProposed, "no leader")
+			}
+			return ""
+		}
+		method, target, body := d.Cmd, d.CmdArgs[0].String(), d.Input
+		var replace []string
+		if d.HasArg("replace") {
+			d.ScanArgs(t, "replace", &replace)
+			body = strings.Replace(document, replace[0], replace[1], 1)
+		}
+		if d.HasArg("size") {
+			var n int
+			d.ScanArgs(t, "size", &n)
+			body = strings.Repeat("#", n)
+		}
+		rec := f.send(method, strings.ReplaceAll(target, "LONG", strings.Repeat("x", 200)), body)
+		h := rec.Header()
+		return fmt.Sprintf("%d version=%s retry=%s\n%s", rec.Code, h.Get(HeaderDocumentVersion), h.Get("Retry-After"), rec.Body)
+	})
+}
--- /dev/null
+++ b/control/state_test.go
@@ -0,0 +1,262 @@
+package control
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"magnoliastand.example/api"
+	"magnoliastand.example/invariant"
+)
+
+// run applies commands to a state at consecutive indexes.
+func run(s *State, cmds ...*Command) Result {
+	var r Result
+	for _, c := range cmds {
+		r = s.Apply(s.Index()+1, c)
+	}
+	return r
+}
+
+func wantRefusal(t *testing.T, r Result, code RefusalCode) {
+	t.Helper()
+	if r.Refusal == nil || r.Refusal.Code != code {
+		t.Fatalf("got %+v (%v), want refusal %s", r, r.Refusal, code)
+	}
+}
+
+func TestOperationsAreBoundedAndKeptForTheWindow(t *testing.T) {
+	s := New(testCluster, Options{})
+	for i := range MaxOperations {
+		c := withdrawKey("op-"+testKey(i).ID, testKey(i).ID)
+		c.At = time.Duration(i)
+		run(s, c)
+	}
+	late := withdrawKey("late", testKey(1).ID)
+	late.At = OperationWindow
+	wantRefusal(t, run(s, late), RefusedOperationsFull)
+	if r := run(s, withdrawKey("op-"+testKey(0).ID, testKey(0).ID)); !r.Repeated {
+		t.Fatal("a result within the window was dropped")
+	}
+	late.At = OperationWindow + 1
+	wantRefusal(t, run(s, late), RefusedNotFound)
+	if len(s.ops.queue) > MaxOperations || len(s.ops.byID) != len(s.ops.queue) {
+		t.Fatalf("%d results kept", len(s.ops.queue))
+	}
+}
+
+func TestMalformedCommandsAreRefused(t *testing.T) {
+	s := New(testCluster, Options{})
+	run(s, applyDoc("a", 0, testDocument(1, 5)))
+	two := grantKey("k", "team-0", testKey(1))
+	two.Tick = &Tick{}
+	wantRefusal(t, run(s, &Command{}), RefusedMalformed)
+	wantRefusal(t, run(s, two), RefusedMalformed)
+	wantRefusal(t, run(s, &Command{Fleet: []byte{1}}), RefusedFleet)
+	bad := testDocument(1, -1)
+	r := run(s, applyDoc("b", 1, bad))
+	wantRefusal(t, r, RefusedDocument)
+	if len(r.Refusal.Faults) != 1 || r.Refusal.Faults[0].Path != "teams[0].limit" {
+		t.Fatalf("faults %v", r.Refusal.Faults)
+	}
+	if s.Version() != 1 {
+		t.Fatalf("a refused command changed the version to %d", s.Version())
+	}
+}
+
+func TestViewsDoNotChange(t *testing.T) {
+	s := New(testCluster, Options{})
+	run(s, applyDoc("a", 0, testDocument(1, 5)), grantKey("k1", "team-0", testKey(1)))
+	before := s.View()
+	run(s, withdrawKey("w1", testKey(1).ID), applyDoc("b", 1, testDocument(0, 0)))
+	if team, err := before.Authorize(testKey(1).Text); err != nil || team != "team-0" {
+		t.Fatal("an older view changed")
+	}
+}
+
+func TestAuthorizeRefusesEverythingElse(t *testing.T) {
+	s := New(testCluster, Options{})
+	k := testKey(1)
+	run(s, applyDoc("a", 0, testDocument(2, 5)), grantKey("k1", "team-1", k))
+	wrong := k.Text[:len(k.Text)-1] + "f"
+	for _, text := range []string{"mk_", k.Text + "0", k.Text[1:], wrong, "MK" + k.Text[2:], testKey(9).Text} {
+		if _, err := s.View().Authorize(text); !errors.Is(err, ErrKeyInvalid) {
+			t.Errorf("%q: %v", text, err)
+		}
+	}
+	if _, err := s.View().Authorize(""); !errors.Is(err, ErrKeyMissing) {
+		t.Error(err)
+	}
+	fresh := NewKey()
+	if id, ok := splitKey(fresh.Text); !ok || id != fresh.ID || fresh.Hash != HashKey(fresh.Text) {
+		t.Errorf("generated key %q is malformed", fresh.Text)
+	}
+}
+
+func TestHolderNeverGoesBack(t *testing.T) {
+	s := New(testCluster, Options{})
+	run(s, applyDoc("a", 0, testDocument(1, 5)))
+	old := s.Delta(0)
+	oldView := s.View()
+	run(s, applyDoc("b", 1, testDocument(2, 5)))
+	h := NewHolder(testCluster)
+	if ok, err := h.Offer(s.Delta(0)); !ok || err != nil {
+		t.Fatal(ok, err)
+	}
+	if ok, _ := h.Offer(old); ok {
+		t.Fatal("an older delta was taken")
+	}
+	if ok, _ := h.OfferView(oldView); ok || h.View().Version() != 2 {
+		t.Fatal("an older view was taken")
+	}
+	other := New("cluster-b", Options{})
+	run(other, applyDoc("a", 0, testDocument(1, 5)))
+	if _, err := h.Offer(other.Delta(0)); !errors.Is(err, ErrOtherCluster) {
+		t.Fatal(err)
+	}
+	if _, err := h.OfferView(other.View()); !errors.Is(err, ErrOtherCluster) {
+		t.Fatal(err)
+	}
+	run(s, grantKey("k", "team-0", testKey(1)), grantKey("l", "team-1", testKey(2)))
+	var gap *GapError
+	if _, err := h.Offer(s.Delta(3)); !errors.As(err, &gap) || gap.Have != 2 || gap.From != 3 {
+		t.Fatal(err)
+	}
+}
+
+// TestCheckerCatchesBackwardsView shows that the invariant catches a holder
+// whose protection is off.
+func TestCheckerCatchesBackwardsView(t *testing.T) {
+	breaches := catchBreaches(t)
+	s := New(testCluster, Options{})
+	run(s, applyDoc("a", 0, testDocument(1, 5)))
+	old := s.View()
+	run(s, applyDoc("b", 1, testDocument(2, 5)))
+	h := NewHolder(testCluster)
+	h.backwards = true
+	h.OfferView(s.View())
+	h.OfferView(old)
+	if len(*breaches) != 1 || (*breaches)[0].Invariant != invariant.ConfigNeverReverts {
+		t.Fatalf("breaches %v", *breaches)
+	}
+}
+
+// catchBreaches collects breaches until the test ends.
+func catchBreaches(t *testing.T) *[]invariant.Breach {
+	t.Helper()
+	var got []invariant.Breach
+	old := invariant.SetSink(func(b invariant.Breach) { got = append(got, b) })
+	t.Cleanup(func() { invariant.SetSink(old) })
+	return &got
+}
+
+func TestHolderWait(t *testing.T) {
+	s := New(testCluster, Options{})
+	h := NewHolder(testCluster)
+	done := make(chan *View)
+	go func() {
+		v, _ := h.Wait(context.Background(), 2)
+		done <- v
+	}()
+	run(s, applyDoc("a", 0, testDocument(1, 5)))
+	h.OfferView(s.View())
+	run(s, applyDoc("b", 1, testDocument(1, 6)))
+	h.OfferView(s.View())
+	if v := <-done; v.Version() != 2 {
+		t.Fatalf("version %d", v.Version())
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	if _, err := h.Wait(ctx, 3); !errors.Is(err, context.Canceled) {
+		t.Fatal(err)
+	}
+}
+
+func TestTombstonesAreBoundedAndDeltasStayRight(t *testing.T) {
+	s := New(testCluster, Options{})
+	run(s, applyDoc("a", 0, testDocument(1, 5)))
+	h := NewHolder(testCluster)
+	h.Offer(s.Delta(0))
+	stale := NewHolder(testCluster)
+	run(s, grantKey("g0", "team-0", testKey(1)))
+	stale.Offer(s.Delta(0))
+	run(s, withdrawKey("w0", testKey(1).ID))
+	for i := 2; i < 2*maxTombstones; i++ {
+		k := testKey(i)
+		run(s, grantKey("g"+k.ID, "team-0", k), withdrawKey("w"+k.ID, k.ID))
+		h.Offer(s.Delta(h.View().Version()))
+	}
+	if s.removed > maxTombstones || len(s.keys) > maxTombstones {
+		t.Fatalf("%d tombstones", s.removed)
+	}
+	d := s.Delta(stale.View().Version())
+	if !d.Full {
+		t.Fatal("a delta over dropped removals is not full")
+	}
+	stale.Offer(d)
+	if len(stale.View().Keys("")) != 0 || len(h.View().Keys("")) != 0 {
+		t.Fatal("a withdrawn key is still valid")
+	}
+}
+
+func TestSnapshotsOfOthersAreRefused(t *testing.T) {
+	s := New(testCluster, Options{})
+	run(s, applyDoc("a", 0, testDocument(1, 5)))
+	snap, _ := s.Snapshot()
+	if err := New("cluster-b", Options{}).Restore(snap); !errors.Is(err, ErrOtherCluster) {
+		t.Fatal(err)
+	}
+	if err := s.Restore(snap[:len(snap)/2]); err == nil || s.Version() != 1 {
+		t.Fatal("a torn snapshot was restored")
+	}
+	again, _ := s.Snapshot()
+	if !bytes.Equal(snap, again) {
+		t.Fatal("snapshots of one state differ")
+	}
+}
+
+// fakeFleet is a delegate that keeps its newest command.
+type fakeFleet struct {
+	last []byte
+	doc  *api.Document
+}
+
+func (f *fakeFleet) Apply(cmd []byte) ([]byte, error) {
+	if string(cmd) == "bad" {
+		return nil, errors.New("bad command")
+	}
+	f.last = cmd
+	return append([]byte("did "), cmd...), nil
+}
+func (f *fakeFleet) Snapshot() ([]byte, error)         { return f.last, nil }
+func (f *fakeFleet) Restore(b []byte) error            { f.last = b; return nil }
+func (f *fakeFleet) DocumentApplied(doc *api.Document) { f.doc = doc }
+
+func TestFleetIsDelegated(t *testing.T) {
+	f := &fakeFleet{}
+	s := New(testCluster, Options{Fleet: f})
+	run(s, applyDoc("a", 0, testDocument(1, 5)))
+	r := run(s, &Command{Fleet: []byte("move")})
+	wantRefusal(t, run(s, &Command{Fleet: []byte("bad")}), RefusedFleet)
+	if string(r.Fleet) != "did move" || f.doc == nil {
+		t.Fatalf("result %+v, document %v", r, f.doc)
+	}
+	snap, _ := s.Snapshot()
+	g := &fakeFleet{}
+	if err := New(testCluster, Options{Fleet: g}).Restore(snap); err != nil || string(g.last) != "move" {
+		t.Fatal(err, g.last)
+	}
+}
+
+func TestLeaderClockContinuesFromTheLog(t *testing.T) {
+	mono := 100 * time.Second
+	c := NewClock(7*time.Second, func() time.Duration { return mono })
+	mono += 3 * time.Second
+	var cmd Command
+	c.Stamp(&cmd, 8, time.UnixMilli(9))
+	if cmd.At != 10*time.Second || cmd.Applied != 8 || cmd.UnixMilli != 9 {
+		t.Fatalf("stamped %+v", cmd)
+	}
+}
--- /dev/null
+++ b/daemon/problem.go
@@ -0,0 +1,77 @@
+package daemon
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/labstack/echo/v5"
+	"github.com/pkg/errors"
+
+	"magnoliastand.example/api"
+)
+
+// decodeBody decodes a bounded JSON body strictly.
+func decodeBody(c *echo.Context, limit int64, v any) *api.Problem {
+	body := http.MaxBytesReader(c.Response(), c.Request().Body, limit)
+	dec := json.NewDecoder(body)
+	dec.DisallowUnknownFields()
+	err := dec.Decode(v)
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return api.NewProblem(http.StatusRequestEntityTooLarge, api.CodeBodyTooLarge, "",
+			"the body has more than "+strconv.FormatInt(limit, 10)+" bytes")
+	case err != nil:
+		return bodyFault(err)
+	}
+	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
+		return bodyFault(errors.New("the body holds more than one JSON value"))
+	}
+	return nil
+}
+
+func bodyFault(err error) *api.Problem {
+	p := api.NewProblem(http.StatusBadRequest, api.CodeInvalidField, "", err.Error())
+	p.Field = "body"
+	var typeErr *json.UnmarshalTypeError
+	if errors.As(err, &typeErr) && typeErr.Field != "" {
+		p.Field = typeErr.Field
+	}
+	return p
+}
+
+// writeHTTPError writes an error of a handler as a problem document.
+func writeHTTPError(c *echo.Context, err error) {
+	var p *api.Problem
+	if !errors.As(err, &p) {
+		p = problemOf(err)
+	}
+	h := c.Response().Header()
+	h.Set(echo.HeaderContentType, api.ProblemMediaType)
+	if p.RetryAfterMS > 0 {
+		h.Set(echo.HeaderRetryAfter, strconv.FormatInt((p.RetryAfterMS+999)/1000, 10))
+	}
+	b, marshalErr := json.Marshal(p)
+	if marshalErr != nil {
+		b = nil
+	}
+	c.Response().WriteHeader(p.Status)
+	_, _ = c.Response().Write(b) // an error means that the caller is gone
+}
+
+// problemOf converts a router's error.
+func problemOf(err error) *api.Problem {
+	status := http.StatusInternalServerError
+	var sc echo.HTTPStatusCoder
+	if errors.As(err, &sc) {
+		status = sc.StatusCode()
+	}
+	switch status {
+	case http.StatusNotFound, http.StatusMethodNotAllowed:
+		return api.NewProblem(status, api.CodeNotFound, "", "there is no such call; see docs/API.md")
+	default:
+		return api.NewProblem(status, api.CodeInternal, "", http.StatusText(status))
+	}
+}
