Keep time for the run free before a deadline

Cause: at five times the slots' rate with a deadline of 1 s, requests were granted so late that they ended after it; their runs were wasted (goodput 77%, 626 unknown or lost of 15,900). Ruled out: slots lost by the arbiter, since all were granted. The origin now asks for a slot up to the deadline less 1.5 times the queue's mean run time, at most half of what is left.

--- a/dispatch/origin/origin.go
+++ b/dispatch/origin/origin.go
@@ -49,6 +49,7 @@
 	cfg      Config
 	client   *client
 	budget   *budget
+	runTimes *runTimes
 	buffered atomic.Int64
 
 	mu       sync.Mutex
@@ -63,12 +64,13 @@
 func New(cfg Config) *Origin {
 	cfg.setDefaults()
 	return &Origin{
-		cfg:    cfg,
-		client: newClient(cfg.Limits),
-		budget: newBudget(cfg.Retry),
-		calls:  make(map[*call]struct{}),
-		held:   make(map[dispatch.GrantID]*heldGrant),
-		idle:   make(chan struct{}),
+		cfg:      cfg,
+		client:   newClient(cfg.Limits),
+		budget:   newBudget(cfg.Retry),
+		runTimes: newRunTimes(),
+		calls:    make(map[*call]struct{}),
+		held:     make(map[dispatch.GrantID]*heldGrant),
+		idle:     make(chan struct{}),
 	}
 }
 
--- a/dispatch/origin/run.go
+++ b/dispatch/origin/run.go
@@ -49,9 +49,11 @@
 // acquire asks for a slot until it is granted or refused. A lost arbiter
 // changes nothing for the request: it asks again.
 func (c *call) acquire(ctx context.Context) (dispatch.Grant, error) {
-	waitUntil := time.Now().Add(c.maxWait())
-	if c.deadline.Before(waitUntil) {
-		waitUntil = c.deadline
+	now := time.Now()
+	waitUntil := now.Add(c.maxWait())
+	latest := c.deadline.Add(-c.o.runTimes.reserve(c.r.Queue, c.deadline.Sub(now)))
+	if latest.Before(waitUntil) {
+		waitUntil = latest
 	}
 	ctx, cancel := context.WithDeadline(ctx, waitUntil)
 	defer cancel()
@@ -124,6 +126,9 @@
 		}
 		c.o.release(grant, outcome, elapsed)
 		c.o.cfg.Metrics.Attempted(c.r.Queue, outcome, elapsed)
+		if outcome == dispatch.OutcomeAnswered {
+			c.o.runTimes.observe(c.r.Queue, elapsed)
+		}
 		ch <- end
 	}()
 	timer := time.NewTimer(time.Until(c.deadline))
