Declare requests of unknown outcome; release grants that nobody waits for

Cause: a declaration to a new arbiter left out requests that may still be running after an unknown outcome, and so did the count for a transfer of a team's units; both could let one more run than slots or limit allow. A grant made between two inputs for an ask given up meanwhile held its slot for the longest run. Units of declared grants were adopted twice, by host and arbiter. Found by the arbiter's random runs. Not wired: Arbiter.Reconnected, which only frees such slots earlier.

--- a/daemon/arbiterhost.go
+++ b/daemon/arbiterhost.go
@@ -36,8 +36,6 @@
 // limiterHandle is the arbiter's part of the teams' limits for one term.
 type limiterHandle interface {
 	arbiter.Limiter
-	// Adopt counts units that an origin declared as running under an earlier term.
-	Adopt(team string, units int64)
 	// SetWaiting records how many asks of a team wait.
 	SetWaiting(team string, n int64)
 	// End ends the term: nothing can be acquired from now on.
@@ -67,7 +65,8 @@
 	delivered map[waiterKey]dispatch.GrantID
 	taken     map[dispatch.GrantID]waiterKey
 	forwards  map[waiterKey]context.CancelFunc
-	adopted   map[dispatch.GrantID]struct{}
+	// unclaimed holds grants that nobody waited for, until they are released.
+	unclaimed []waiterKey
 }
 
 func newArbiterHost(zone string, link *peerlink.Node, log zerolog.Logger) *arbiterHost {
@@ -90,7 +89,6 @@
 	h.delivered = make(map[waiterKey]dispatch.GrantID)
 	h.taken = make(map[dispatch.GrantID]waiterKey)
 	h.forwards = make(map[waiterKey]context.CancelFunc)
-	h.adopted = make(map[dispatch.GrantID]struct{})
 }
 
 // setDocument puts a new document in force.
@@ -294,7 +292,6 @@
 		return errNotArbiter
 	}
 	if r.Declaration != nil {
-		h.adopt(*r.Declaration)
 		h.deliver(h.arb.Declare(time.Now(), *r.Declaration))
 	}
 	for _, rel := range r.Releases {
@@ -303,21 +300,6 @@
 	return nil
 }
 
-// adopt counts the units of declared grants once for each grant.
-func (h *arbiterHost) adopt(d dispatch.Declaration) {
-	for _, held := range d.Held {
-		g := held.Grant
-		if g.Team == "" || g.ID.Zone != h.zone || g.ID.Term >= h.arb.Term() {
-			continue
-		}
-		if _, ok := h.adopted[g.ID]; ok {
-			continue
-		}
-		h.adopted[g.ID] = struct{}{}
-		h.limiter.Adopt(g.Team, 1)
-	}
-}
-
 // originLost tells the arbiter that a daemon incarnation has ended.
 func (h *arbiterHost) originLost(id dispatch.DaemonID) {
 	h.mu.Lock()
@@ -329,6 +311,8 @@
 
 // deliver carries out the arbiter's events. The lock is held.
 func (h *arbiterHost) deliver(events []arbiter.Event) {
+	// The events are valid until the next input, which a release is.
+	defer h.releaseUnclaimed()
 	for _, ev := range events {
 		switch e := ev.(type) {
 		case arbiter.Granted:
@@ -349,7 +333,16 @@
 	h.taken[e.Grant.ID] = key
 	if !h.end(key, askOutcome{grant: &e.Grant}) {
 		// Nobody waits: the ask was given up between two inputs.
-		h.log.Debug().Str("request", e.Grant.RequestID).Msg("grant without a waiting ask")
+		h.unclaimed = append(h.unclaimed, key)
+	}
+}
+
+// releaseUnclaimed returns grants that nobody waited for. The lock is held.
+func (h *arbiterHost) releaseUnclaimed() {
+	for len(h.unclaimed) > 0 {
+		key := h.unclaimed[0]
+		h.unclaimed = h.unclaimed[1:]
+		h.releaseUnused(key)
 	}
 }
 
--- a/daemon/limiter.go
+++ b/daemon/limiter.go
@@ -25,7 +25,7 @@
 // Release implements arbiter.Limiter.
 func (noTeams) Release(string) {}
 
-// Adopt implements limiterHandle.
+// Adopt implements arbiter.Limiter.
 func (noTeams) Adopt(string, int64) {}
 
 // SetWaiting implements limiterHandle.
--- a/daemon/slots.go
+++ b/daemon/slots.go
@@ -29,13 +29,25 @@
 	ctx context.Context
 	wg  sync.WaitGroup
 	mu  sync.Mutex
-	// accepted holds each grant given to the origin and not released.
-	accepted map[dispatch.GrantID]dispatch.Grant
+	// accepted holds each grant given to the origin whose request may be running:
+	// not released, or released with an unknown outcome within its longest run.
+	accepted map[dispatch.GrantID]acceptedGrant
 	// declared is the newest term that grants of a zone were declared to.
 	declared  map[string]uint64
 	releasers map[string]*releaser
 }
 
+// acceptedGrant is a grant that this daemon took.
+type acceptedGrant struct {
+	grant dispatch.Grant
+	// unknownSince is when the request of a grant released with an unknown
+	// outcome started; zero for grants in use.
+	unknownSince time.Time
+}
+
+// unknownMargin is added to the longest run of a request of unknown outcome.
+const unknownMargin = time.Second
+
 func newSlotClient(ctx context.Context, self dispatch.DaemonID, zone string, link *peerlink.Node, host *arbiterHost) *slotClient {
 	return &slotClient{
 		self:      self,
@@ -43,7 +55,7 @@
 		link:      link,
 		host:      host,
 		ctx:       ctx,
-		accepted:  make(map[dispatch.GrantID]dispatch.Grant),
+		accepted:  make(map[dispatch.GrantID]acceptedGrant),
 		declared:  make(map[string]uint64),
 		releasers: make(map[string]*releaser),
 	}
@@ -100,7 +112,7 @@
 	s.mu.Lock()
 	stale := g.ID.Term < s.declared[g.ID.Zone]
 	if !stale {
-		s.accepted[g.ID] = *g
+		s.accepted[g.ID] = acceptedGrant{grant: *g}
 	}
 	s.mu.Unlock()
 	if stale {
@@ -113,10 +125,34 @@
 func (s *slotClient) Release(r dispatch.Release) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	delete(s.accepted, r.Grant)
+	s.settle(r)
 	s.releaserOf(r.Grant.Zone).add(r)
 }
 
+// settle forgets a released grant, or keeps one whose request may still be
+// running. The lock is held.
+func (s *slotClient) settle(r dispatch.Release) {
+	a, ok := s.accepted[r.Grant]
+	if !ok || r.Outcome != dispatch.OutcomeUnknown {
+		delete(s.accepted, r.Grant)
+		return
+	}
+	now := time.Now()
+	s.expire(now)
+	a.unknownSince = now.Add(-r.Elapsed)
+	s.accepted[r.Grant] = a
+}
+
+// expire forgets requests of unknown outcome past their longest run. The lock
+// is held.
+func (s *slotClient) expire(now time.Time) {
+	for id, a := range s.accepted {
+		if !a.unknownSince.IsZero() && now.Sub(a.unknownSince) > a.grant.LongestRun+unknownMargin {
+			delete(s.accepted, id)
+		}
+	}
+}
+
 // releaserOf returns the zone's releaser, starting it if needed. The lock is held.
 func (s *slotClient) releaserOf(zone string) *releaser {
 	rel := s.releasers[zone]
@@ -147,13 +183,19 @@
 	for _, h := range started.Held {
 		running[h.Grant.ID] = h
 	}
-	for id, g := range s.accepted {
+	now := time.Now()
+	s.expire(now)
+	for id, a := range s.accepted {
 		if id.Zone != zone {
 			continue
 		}
 		h, ok := running[id]
 		if !ok {
-			h = dispatch.HeldGrant{Grant: g}
+			h = dispatch.HeldGrant{Grant: a.grant}
+		}
+		if !a.unknownSince.IsZero() {
+			h.Started = true
+			h.Running = now.Sub(a.unknownSince)
 		}
 		d.Held = append(d.Held, h)
 	}
--- a/daemon/transfer.go
+++ b/daemon/transfer.go
@@ -50,10 +50,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.declared[r.Zone] = max(s.declared[r.Zone], r.Term)
+	s.expire(time.Now())
 	counts := make(map[string]int64)
-	for id, g := range s.accepted {
-		if id.Zone == r.Zone && id.Term < r.Term && g.Team != "" {
-			counts[g.Team]++
+	for id, a := range s.accepted {
+		if id.Zone == r.Zone && id.Term < r.Term && a.grant.Team != "" {
+			counts[a.grant.Team]++
 		}
 	}
 	reply := holdingReply{Incarnation: s.self.Incarnation}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -96,7 +96,8 @@
 func (r *Refusal) Error() string { return string(r.Code) + ": " + r.Detail }
 
 // Declaration is what an origin tells a new arbiter of its zone: the grants it
-// still holds. Asks that wait are sent again by the origin.
+// still holds, and those it released with an unknown outcome, as started, until
+// their longest run has passed. Asks that wait are sent again by the origin.
 type Declaration struct {
 	Origin DaemonID    `cbor:"1,keyasint"`
 	Held   []HeldGrant `cbor:"2,keyasint"`
