Hand the lead over at shutdown; bind log identities to daemons

Cause: a stopped leader cost an election time-out; a peer could have sent log messages under another member's identity; a removed disk went on asking in silence.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -316,6 +316,7 @@
 		d.awaitSuccessor(graceCtx)
 	}
 	d.handOverRecords()
+	d.handOverLead()
 	d.servers.stop()
 	d.cancel()
 	d.link.Close()
@@ -371,6 +372,16 @@
 	}
 }
 
+// handOverLead passes the lead of the control log on before the daemon stops.
+func (d *Daemon) handOverLead() {
+	if d.control.node == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), handOverTimeout)
+	defer cancel()
+	d.control.node.handOver(ctx)
+}
+
 // Document returns the document in force and its version.
 func (d *Daemon) Document() (api.Document, uint64) {
 	v := d.control.holder.View()
--- a/daemon/lognode.go
+++ b/daemon/lognode.go
@@ -193,9 +193,10 @@
 	if started == nil || cbor.Unmarshal(payload, &m) != nil {
 		return
 	}
-	n.mu.Lock()
-	n.names[m.From] = from.Name
-	n.mu.Unlock()
+	if !n.belongs(started, m.From, from.Name) {
+		n.log.Warn().Str("peer", from.Name).Msg("log message under another node's identity refused")
+		return
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), logTick)
 	defer cancel()
 	if err := started.Step(ctx, m); err != nil {
@@ -203,6 +204,23 @@
 	}
 }
 
+// belongs reports whether a node id is that of the named daemon, by the
+// membership or by the first message under that id, which it then records.
+func (n *logNode) belongs(started *node.Node[control.Result], id consensus.NodeID, daemon string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if name, ok := n.names[id]; ok {
+		return name == daemon
+	}
+	for _, m := range started.Status().Members {
+		if m.ID == id && m.Name != daemon {
+			return false
+		}
+	}
+	n.names[id] = daemon
+	return true
+}
+
 func (n *logNode) handleForm(from peerlink.Identity, payload []byte) {
 	var m bootstrap.Message
 	n.mu.Lock()
@@ -244,9 +262,19 @@
 	return false
 }
 
-// joinUntilMember asks the leader to add this node as a learner.
+// joinUntilMember asks the leader to add this node as a learner, while it is
+// no member. An identity that was removed never comes back: its folder has to
+// be emptied, and the daemon goes on without a part in the log until then.
 func (n *logNode) joinUntilMember(ctx context.Context) {
-	for ctx.Err() == nil && !n.isMember() {
+	for ctx.Err() == nil {
+		if n.running().Status().Removed {
+			n.log.Error().Str("folder", logFolder).Msg("this disk was replaced as a member of the control log; stop the daemon, empty the folder and start it again")
+			return
+		}
+		if n.isMember() {
+			sleepCtx(ctx, joinInterval)
+			continue
+		}
 		self := consensus.Member{ID: n.disk.Node(), Name: n.self, Zone: n.zone}
 		for _, peer := range n.voters {
 			callCtx, cancel := context.WithTimeout(ctx, readTimeout)
@@ -266,6 +294,20 @@
 	return started.AddLearner(ctx, m)
 }
 
+// handOver passes the lead on, so that a planned stop costs no election time-out.
+func (n *logNode) handOver(ctx context.Context) {
+	if !n.leads() {
+		return
+	}
+	if err := n.running().Handover(ctx); err != nil {
+		n.log.Warn().Err(err).Msg("lead of the control log not handed over")
+		return
+	}
+	for n.leads() && ctx.Err() == nil {
+		sleepCtx(ctx, catchUpBackoff)
+	}
+}
+
 // leads reports whether this node leads the log.
 func (n *logNode) leads() bool {
 	started := n.running()
