jobs: replicated state of jobs and workers, scheduler, HTTP interfaces

Cause: accepted jobs must survive restarts, a job that is not idempotent must start at most once, and a team must stay under its limit whatever workers do.

Weighed: leases for each job against one lease for each worker. One for each worker makes a renewal cost nothing per task, and the start command needs no expiry of its own, since the worker counts its lease from when it sent the heartbeat. Outcomes are kept as 2,048 samples in the state, so that the plan is a pure function of a view.

The HTTP interface has no tests yet.

--- /dev/null
+++ b/jobs/assign.go
@@ -0,0 +1,79 @@
+package jobs
+
+import (
+	"magnoliastand.example/invariant"
+	"magnoliastand.example/placement"
+)
+
+// assign checks a planned assignment against the present state.
+func (s *State) assign(c *Assign) (*Job, error) {
+	j, err := s.find(c.ID)
+	if err != nil {
+		return nil, err
+	}
+	if err := s.checkAssign(j, c); err != nil {
+		return nil, err
+	}
+	again := j.MayHaveRun
+	s.epoch++
+	n, err := s.transition(j, EventAssign, c.Reason, func(n *Job) {
+		n.Worker, n.Epoch, n.MayHaveRun, n.RanBefore = c.Worker, s.epoch, true, again
+	})
+	if err != nil {
+		return nil, err
+	}
+	invariant.Check(!again || n.Spec.Idempotent, invariant.AtMostOnce,
+		"job %s is not idempotent, may have run and was assigned again with epoch %d", n.ID, n.Epoch)
+	t, _ := s.team(n.Team)
+	invariant.Check(s.running[n.Team] <= t.Limit, invariant.TeamLimit,
+		"team %q may have %d jobs running of at most %d", n.Team, s.running[n.Team], t.Limit)
+	return n, nil
+}
+
+func (s *State) checkAssign(j *Job, c *Assign) error {
+	if j.State != Accepted || j.Epoch != c.IfEpoch {
+		return refuse(CodeWrongState, "job %s is %s with epoch %d", j.ID, j.State, j.Epoch)
+	}
+	if j.MayHaveRun && !j.Spec.Idempotent && !s.opts.ignoreRun {
+		return refuse(CodeMayHaveRun, "job %s is not idempotent and may have run", j.ID)
+	}
+	w := s.workers[c.Worker]
+	if w == nil || w.State != Ready || w.Pool != j.Spec.Pool {
+		return refuse(CodeWorker, "worker %q is not ready in pool %q", c.Worker, j.Spec.Pool)
+	}
+	if s.now > w.Until {
+		return refuse(CodeWorker, "the lease of worker %q has lapsed", c.Worker)
+	}
+	if n := len(s.onWorker[c.Worker]); n >= w.Slots {
+		return refuse(CodeWorker, "worker %q has %d tasks", c.Worker, n)
+	}
+	t, ok := s.team(j.Team)
+	if !s.opts.ignoreLimit && (!ok || s.running[j.Team] >= t.Limit) {
+		return refuse(CodeTeamLimit, "team %q may have %d jobs running of at most %d", j.Team, s.running[j.Team], t.Limit)
+	}
+	return nil
+}
+
+// preempt takes an idempotent job to a further stage of its preemption.
+func (s *State) preempt(c *Preempt) (*Job, error) {
+	j, err := s.find(c.ID)
+	if err != nil {
+		return nil, err
+	}
+	if j.Epoch != c.Epoch || !j.Spec.Idempotent || !j.State.OnWorker() {
+		return nil, refuse(CodeWrongState, "job %s is %s with epoch %d and can't be preempted", j.ID, j.State, j.Epoch)
+	}
+	if c.Stage <= j.Stage || c.Stage > placement.Stop {
+		return nil, refuse(CodeWrongState, "job %s is at stage %d of its preemption", j.ID, j.Stage)
+	}
+	event := EventStage
+	if c.Stage == placement.Stop {
+		event = EventStop
+	}
+	return s.transition(j, event, c.Reason, func(n *Job) {
+		n.Stage, n.StageSince = c.Stage, s.now
+		if event == EventStop {
+			n.Intent = StopPreempt
+		}
+	})
+}
--- /dev/null
+++ b/jobs/command.go
@@ -0,0 +1,174 @@
+package jobs
+
+import "magnoliastand.example/placement"
+
+// Command is one entry of the log: changes that are checked and applied one
+// after the other. A refused change does not affect the others.
+type Command struct {
+	// At is the control clock when the command was proposed. An earlier time
+	// than that of the command before counts as the same time.
+	At      Millis   `cbor:"1,keyasint"`
+	Changes []Change `cbor:"2,keyasint"`
+}
+
+// Change is one change of the state. Exactly one field is set.
+type Change struct {
+	SetTeams   *SetTeams   `cbor:"1,keyasint,omitempty"`
+	Submit     *Submit     `cbor:"2,keyasint,omitempty"`
+	Cancel     *Cancel     `cbor:"3,keyasint,omitempty"`
+	Assign     *Assign     `cbor:"4,keyasint,omitempty"`
+	Preempt    *Preempt    `cbor:"5,keyasint,omitempty"`
+	Refuse     *Judge      `cbor:"6,keyasint,omitempty"`
+	Park       *Judge      `cbor:"7,keyasint,omitempty"`
+	Unpark     *Judge      `cbor:"8,keyasint,omitempty"`
+	Heartbeat  *Heartbeat  `cbor:"9,keyasint,omitempty"`
+	Outcome    *Outcome    `cbor:"10,keyasint,omitempty"`
+	Lose       *OnWorker   `cbor:"11,keyasint,omitempty"`
+	Quarantine *OnWorker   `cbor:"12,keyasint,omitempty"`
+	Release    *OnWorker   `cbor:"13,keyasint,omitempty"`
+	Drain      *OnWorker   `cbor:"14,keyasint,omitempty"`
+	Resume     *OnWorker   `cbor:"15,keyasint,omitempty"`
+	Checkpoint *Checkpoint `cbor:"16,keyasint,omitempty"`
+}
+
+// Team is the share and the upper limit of a team.
+type Team struct {
+	Name  string `cbor:"1,keyasint"`
+	Share int    `cbor:"2,keyasint"`
+	// Limit bounds the jobs of the team that may be running at once.
+	Limit int `cbor:"3,keyasint"`
+}
+
+// SetTeams replaces the teams. Open queues belong to the team with the empty
+// name, which has share 1 and no limit unless it is listed.
+type SetTeams struct {
+	Teams []Team `cbor:"1,keyasint"`
+}
+
+// Submit accepts a job. The caller has authenticated the team. A repeated
+// submission with the same id and content returns the job.
+type Submit struct {
+	// ID is JobID of the team and the submitter's operation id.
+	ID   string `cbor:"1,keyasint"`
+	Team string `cbor:"2,keyasint,omitempty"`
+	Spec Spec   `cbor:"3,keyasint"`
+}
+
+// Cancel cancels a job, or asks its worker to stop it. It is idempotent.
+type Cancel struct {
+	ID     string `cbor:"1,keyasint"`
+	Reason string `cbor:"2,keyasint,omitempty"`
+}
+
+// Assign gives an accepted job to a ready worker.
+type Assign struct {
+	ID     string `cbor:"1,keyasint"`
+	Worker string `cbor:"2,keyasint"`
+	// IfEpoch must equal the epoch of the job, as the planner saw it.
+	IfEpoch uint64 `cbor:"3,keyasint,omitempty"`
+	Reason  string `cbor:"4,keyasint,omitempty"`
+}
+
+// Preempt takes the preemption of an idempotent job to a stage.
+type Preempt struct {
+	ID     string          `cbor:"1,keyasint"`
+	Epoch  uint64          `cbor:"2,keyasint"`
+	Stage  placement.Stage `cbor:"3,keyasint"`
+	Reason string          `cbor:"4,keyasint,omitempty"`
+}
+
+// Judge decides on a job that does not run.
+type Judge struct {
+	ID     string `cbor:"1,keyasint"`
+	Reason string `cbor:"2,keyasint,omitempty"`
+}
+
+// TaskReport is one task that a worker holds: it runs, or its outcome has not
+// been acknowledged yet.
+type TaskReport struct {
+	ID    string `cbor:"1,keyasint"`
+	Epoch uint64 `cbor:"2,keyasint"`
+	// Used is the present use of the task.
+	Used Size `cbor:"3,keyasint"`
+}
+
+// Heartbeat registers a worker and renews its lease. Tasks lists everything
+// that the worker holds.
+type Heartbeat struct {
+	Worker      string `cbor:"1,keyasint"`
+	Zone        string `cbor:"2,keyasint"`
+	Rack        string `cbor:"3,keyasint"`
+	Pool        string `cbor:"4,keyasint"`
+	Capacity    Size   `cbor:"5,keyasint"`
+	Slots       int    `cbor:"6,keyasint"`
+	Incarnation string `cbor:"7,keyasint"`
+	// Seq grows with each heartbeat of the incarnation; late ones are refused.
+	Seq   uint64       `cbor:"8,keyasint"`
+	Tasks []TaskReport `cbor:"9,keyasint,omitempty"`
+	// Leaving workers get no new tasks.
+	Leaving bool `cbor:"10,keyasint,omitempty"`
+}
+
+// OutcomeKind is how a task ended. The list is closed.
+type OutcomeKind string
+
+// Kinds of outcomes.
+const (
+	OutcomeSucceeded OutcomeKind = "succeeded"
+	OutcomeFailed    OutcomeKind = "failed"
+	// OutcomeStopped means that the worker stopped the task before its end.
+	OutcomeStopped OutcomeKind = "stopped"
+	// OutcomeNotStarted means that the worker did not and will not start the task.
+	OutcomeNotStarted OutcomeKind = "not-started"
+)
+
+// Outcome is the end of a task as its worker reported it. A repeated outcome
+// returns the job.
+type Outcome struct {
+	ID     string      `cbor:"1,keyasint"`
+	Worker string      `cbor:"2,keyasint"`
+	Epoch  uint64      `cbor:"3,keyasint"`
+	Kind   OutcomeKind `cbor:"4,keyasint"`
+	Reason string      `cbor:"5,keyasint,omitempty"`
+	// Used is the largest use of the task and Run its run time.
+	Used Size   `cbor:"6,keyasint"`
+	Run  Millis `cbor:"7,keyasint"`
+	// Result is an opaque reference for the submitter, of at most MaxPayload bytes.
+	Result []byte `cbor:"8,keyasint,omitempty"`
+}
+
+// Checkpoint records that a running task can continue from a reference.
+type Checkpoint struct {
+	ID        string `cbor:"1,keyasint"`
+	Worker    string `cbor:"2,keyasint"`
+	Epoch     uint64 `cbor:"3,keyasint"`
+	Reference []byte `cbor:"4,keyasint"`
+}
+
+// OnWorker is the body of changes that need only a worker.
+type OnWorker struct {
+	Worker string `cbor:"1,keyasint"`
+	Reason string `cbor:"2,keyasint,omitempty"`
+}
+
+// Result holds one result for each change of a command, in order.
+type Result struct {
+	Changes []ChangeResult `cbor:"1,keyasint"`
+}
+
+// ChangeResult describes the outcome of one change.
+type ChangeResult struct {
+	// Refused is empty for an accepted change; Detail explains a refusal.
+	Refused Code   `cbor:"1,keyasint,omitempty"`
+	Detail  string `cbor:"2,keyasint,omitempty"`
+	// Field names the faulty field of an invalid change.
+	Field string `cbor:"8,keyasint,omitempty"`
+	// Job, State and Epoch describe the job after the change.
+	Job   string   `cbor:"3,keyasint,omitempty"`
+	State JobState `cbor:"4,keyasint,omitempty"`
+	Epoch uint64   `cbor:"5,keyasint,omitempty"`
+	// Lease is how much of the worker's lease is left after a heartbeat.
+	Lease Millis `cbor:"6,keyasint,omitempty"`
+	// LeaseEpoch is the worker's lease epoch after a heartbeat.
+	LeaseEpoch uint64 `cbor:"7,keyasint,omitempty"`
+}
--- /dev/null
+++ b/jobs/errors.go
@@ -0,0 +1,42 @@
+package jobs
+
+import "fmt"
+
+// Code is the stable reason why a change was refused.
+type Code string
+
+// Codes of refused changes.
+const (
+	CodeInvalid     Code = "invalid-change"
+	CodeNotFound    Code = "not-found"
+	CodeWrongState  Code = "wrong-state"
+	CodeMismatch    Code = "request-mismatch"
+	CodeUnknownTeam Code = "unknown-team"
+	CodeTeamLimit   Code = "team-limit"
+	CodeFull        Code = "too-many-jobs"
+	CodeWorker      Code = "worker-not-ready"
+	CodeStaleEpoch  Code = "stale-epoch"
+	CodeStaleSeq    Code = "stale-heartbeat"
+	CodeMayHaveRun  Code = "may-have-run"
+	CodeLease       Code = "lease-stands"
+)
+
+// Refusal is the error of a change that the state did not accept. The state is
+// unchanged by it.
+type Refusal struct {
+	Code Code
+	// Field names the faulty field of an invalid change.
+	Field  string
+	Detail string
+}
+
+// Error implements error.
+func (r *Refusal) Error() string { return string(r.Code) + ": " + r.Detail }
+
+func refuse(code Code, format string, args ...any) error {
+	return &Refusal{Code: code, Detail: fmt.Sprintf(format, args...)}
+}
+
+func invalid(field, format string, args ...any) error {
+	return &Refusal{Code: CodeInvalid, Field: field, Detail: field + ": " + fmt.Sprintf(format, args...)}
+}
--- /dev/null
+++ b/jobs/httpapi/problem.go
@@ -0,0 +1,98 @@
+package httpapi
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/labstack/echo/v5"
+	"github.com/pkg/errors"
+
+	"magnoliastand.example/api"
+	"magnoliastand.example/jobs"
+)
+
+// problems writes the errors of next as problem documents.
+func problems(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c *echo.Context) error {
+		err := next(c)
+		if err == nil {
+			return nil
+		}
+		var p *api.Problem
+		if !errors.As(err, &p) {
+			p = api.NewProblem(http.StatusInternalServerError, api.CodeInternal, api.RunUnknown, err.Error())
+		}
+		header := c.Response().Header()
+		if p.Status == http.StatusUnauthorized {
+			header.Set("WWW-Authenticate", "Bearer")
+		}
+		if p.RetryAfterMS > 0 {
+			header.Set("Retry-After", strconv.FormatInt((p.RetryAfterMS+999)/1000, 10))
+		}
+		header.Set(echo.HeaderContentType, api.ProblemMediaType)
+		return c.JSON(p.Status, p)
+	}
+}
+
+func unavailable(run api.Run, err error) *api.Problem {
+	p := api.NewProblem(http.StatusServiceUnavailable, api.CodeUnavailable, run, "the control quorum does not answer: "+err.Error())
+	p.RetryAfterMS = retryAfter.Milliseconds()
+	return p
+}
+
+func fieldProblem(field, format string, args ...any) *api.Problem {
+	p := api.NewProblem(http.StatusBadRequest, api.CodeInvalidField, api.RunNot, fmt.Sprintf(format, args...))
+	p.Field = field
+	return p
+}
+
+// refusalProblem turns a refused change into a problem. A refused change had
+// no effect.
+func refusalProblem(r *jobs.ChangeResult) *api.Problem {
+	status, code := http.StatusConflict, api.Code(r.Refused)
+	switch r.Refused {
+	case jobs.CodeInvalid:
+		p := fieldProblem(r.Field, "%s", r.Detail)
+		return p
+	case jobs.CodeNotFound:
+		status, code = http.StatusNotFound, api.CodeNotFound
+	case jobs.CodeUnknownTeam:
+		status, code = http.StatusUnauthorized, api.CodeKeyInvalid
+	case jobs.CodeFull:
+		status, code = http.StatusTooManyRequests, api.CodeQueueFull
+	}
+	p := api.NewProblem(status, code, api.RunNot, r.Detail)
+	if status == http.StatusTooManyRequests {
+		p.RetryAfterMS = retryAfter.Milliseconds()
+	}
+	return p
+}
+
+// decodeBody reads a JSON body of bounded size into v. Unknown fields are
+// refused.
+func decodeBody(c *echo.Context, limit int64, v any) error {
+	d := json.NewDecoder(http.MaxBytesReader(c.Response(), c.Request().Body, limit))
+	d.DisallowUnknownFields()
+	err := d.Decode(v)
+	if err == nil {
+		_, err = d.Token()
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		err = errors.New("the body holds more than one value")
+	}
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return api.NewProblem(http.StatusRequestEntityTooLarge, api.CodeBodyTooLarge, api.RunNot,
+			fmt.Sprintf("the body has more than %d bytes", limit))
+	}
+	field := ""
+	var wrong *json.UnmarshalTypeError
+	if errors.As(err, &wrong) {
+		field = wrong.Field
+	}
+	return fieldProblem(field, "the body is not what is expected: %s", err)
+}
--- /dev/null
+++ b/jobs/job.go
@@ -0,0 +1,193 @@
+package jobs
+
+import (
+	"slices"
+
+	"magnoliastand.example/api"
+	"magnoliastand.example/placement"
+)
+
+// Size is an amount of resources.
+type Size struct {
+	// Processors is in thousandths of a core.
+	Processors int `cbor:"1,keyasint,omitempty" json:"processors"`
+	MemoryMB   int `cbor:"2,keyasint,omitempty" json:"memory_mb"`
+	// Accelerators is a number of devices.
+	Accelerators int `cbor:"3,keyasint,omitempty" json:"accelerators"`
+}
+
+// valid reports whether every amount lies within its bounds.
+func (s Size) valid() bool {
+	for _, n := range []int{s.Processors, s.MemoryMB, s.Accelerators} {
+		if n < 0 || n > MaxAmount {
+			return false
+		}
+	}
+	return true
+}
+
+// Placement returns s with a number of slots, as package placement needs it.
+func (s Size) Placement(slots int) placement.Size {
+	return placement.Size{Slots: slots, Processors: s.Processors, MemoryMB: s.MemoryMB, Accelerators: s.Accelerators}
+}
+
+// Spec is what a submitter states about a job. It never changes.
+type Spec struct {
+	// Queue groups jobs whose declared sizes are corrected together and which
+	// are spread over racks and availability zones.
+	Queue string `cbor:"1,keyasint,omitempty"`
+	// Pool names the pool whose workers may run the job.
+	Pool string `cbor:"2,keyasint"`
+	Size Size   `cbor:"3,keyasint"`
+	// RunTime is the declared run time.
+	RunTime Millis `cbor:"4,keyasint"`
+	// Idempotent jobs may be stopped and run again.
+	Idempotent bool `cbor:"5,keyasint,omitempty"`
+	Urgent     bool `cbor:"6,keyasint,omitempty"`
+	// Payload is an opaque reference for the worker, of at most MaxPayload bytes.
+	Payload []byte `cbor:"7,keyasint,omitempty"`
+}
+
+func (s *Spec) equal(o *Spec) bool {
+	return s.Queue == o.Queue && s.Pool == o.Pool && s.Size == o.Size && s.RunTime == o.RunTime &&
+		s.Idempotent == o.Idempotent && s.Urgent == o.Urgent && slices.Equal(s.Payload, o.Payload)
+}
+
+// Record is one transition in the history of a job.
+type Record struct {
+	At     Millis   `cbor:"1,keyasint" json:"at_ms"`
+	Event  Event    `cbor:"2,keyasint" json:"event"`
+	State  JobState `cbor:"3,keyasint" json:"state"`
+	Worker string   `cbor:"4,keyasint,omitempty" json:"worker,omitempty"`
+	Reason string   `cbor:"5,keyasint,omitempty" json:"reason,omitempty"`
+}
+
+// StopIntent tells why a job is stopping.
+type StopIntent string
+
+// Reasons to stop a job.
+const (
+	StopCancel  StopIntent = "cancel"
+	StopPreempt StopIntent = "preempt"
+)
+
+// Job is one accepted job. Stored jobs are replaced and never modified, so
+// that views may share them.
+type Job struct {
+	ID string `cbor:"1,keyasint"`
+	// Team is empty for jobs of open queues.
+	Team string `cbor:"2,keyasint,omitempty"`
+	Spec Spec   `cbor:"3,keyasint"`
+	// Seq orders jobs by submission.
+	Seq       uint64   `cbor:"4,keyasint"`
+	Submitted Millis   `cbor:"5,keyasint"`
+	State     JobState `cbor:"6,keyasint"`
+	// Since is when the job entered its state.
+	Since Millis `cbor:"7,keyasint"`
+	// Epoch identifies the last assignment; 0 before the first.
+	Epoch  uint64 `cbor:"8,keyasint,omitempty"`
+	Worker string `cbor:"9,keyasint,omitempty"`
+	// MayHaveRun is set once a worker may have started the job, and cleared
+	// only by that worker's word that it did not.
+	MayHaveRun bool `cbor:"10,keyasint,omitempty"`
+	// Intent tells why the job is stopping.
+	Intent StopIntent `cbor:"11,keyasint,omitempty"`
+	// Stage and StageSince tell how far a preemption went.
+	Stage      placement.Stage `cbor:"12,keyasint,omitempty"`
+	StageSince Millis          `cbor:"13,keyasint,omitempty"`
+	// Used is the use that the worker last reported.
+	Used Size `cbor:"14,keyasint"`
+	// FailedOn lists the workers on which the job failed.
+	FailedOn []string `cbor:"15,keyasint,omitempty"`
+	// Checkpoint is an opaque reference that the next start receives.
+	Checkpoint []byte   `cbor:"16,keyasint,omitempty"`
+	History    []Record `cbor:"17,keyasint"`
+	// Started is when the worker first reported the task of this assignment.
+	Started Millis `cbor:"18,keyasint,omitempty"`
+	// RanBefore is MayHaveRun as it was before the last assignment.
+	RanBefore bool `cbor:"19,keyasint,omitempty"`
+	// Result is an opaque reference from the worker that ended the job.
+	Result []byte `cbor:"20,keyasint,omitempty"`
+}
+
+// Reason returns why the job is in its state.
+func (j *Job) Reason() string {
+	if len(j.History) == 0 {
+		return ""
+	}
+	return j.History[len(j.History)-1].Reason
+}
+
+// Task returns the job as package placement sees it. Urgent jobs are of the
+// quick class.
+func (j *Job) Task() placement.Task {
+	class := api.ClassLong
+	if j.Spec.Urgent {
+		class = api.ClassQuick
+	}
+	return placement.Task{
+		ID: j.ID, Team: j.Team, Queue: j.Spec.Queue, Class: class,
+		Declared: j.Spec.Size.Placement(1), DeclaredRun: j.Spec.RunTime,
+		Idempotent: j.Spec.Idempotent, Submitted: j.Submitted, FailedOn: j.FailedOn,
+	}
+}
+
+// record appends to the history and forgets the oldest records, but the first.
+func (j *Job) record(r Record) {
+	h := make([]Record, 0, min(len(j.History)+1, MaxHistory))
+	drop := max(len(j.History)+1-MaxHistory, 0)
+	for n := range j.History {
+		if n == 0 || n > drop {
+			h = append(h, j.History[n])
+		}
+	}
+	h = append(h, r)
+	j.History = h
+}
+
+// Worker is a process that runs tasks. Stored workers are replaced and never
+// modified.
+type Worker struct {
+	ID       string `cbor:"1,keyasint"`
+	Zone     string `cbor:"2,keyasint"`
+	Rack     string `cbor:"3,keyasint"`
+	Pool     string `cbor:"4,keyasint"`
+	Capacity Size   `cbor:"5,keyasint"`
+	// Slots bounds the tasks on the worker.
+	Slots int `cbor:"6,keyasint"`
+	// Incarnation differs at each start of the worker; tasks of an older one
+	// can no longer be running.
+	Incarnation string      `cbor:"7,keyasint"`
+	State       WorkerState `cbor:"8,keyasint"`
+	Since       Millis      `cbor:"9,keyasint"`
+	Reason      string      `cbor:"10,keyasint,omitempty"`
+	// Until is when the lease of the worker lapses.
+	Until Millis `cbor:"11,keyasint"`
+	// Seq is the number of the last heartbeat of the incarnation.
+	Seq uint64 `cbor:"12,keyasint"`
+	// LeaseEpoch counts the leases of the worker; it grows when it registers
+	// after a loss or as a new incarnation.
+	LeaseEpoch uint64 `cbor:"13,keyasint"`
+}
+
+// Placement returns the worker as package placement sees it, with nothing in use.
+func (w *Worker) Placement() placement.Worker {
+	return placement.Worker{ID: w.ID, Zone: w.Zone, Rack: w.Rack, Capacity: w.Capacity.Placement(w.Slots), Open: w.State == Ready}
+}
+
+// Sample is one outcome, kept to correct sizes and to judge workers.
+type Sample struct {
+	Team     string `cbor:"1,keyasint,omitempty"`
+	Queue    string `cbor:"2,keyasint,omitempty"`
+	Worker   string `cbor:"3,keyasint"`
+	Declared Size   `cbor:"4,keyasint"`
+	RunTime  Millis `cbor:"5,keyasint"`
+	Used     Size   `cbor:"6,keyasint"`
+	Run      Millis `cbor:"7,keyasint"`
+	Failed   bool   `cbor:"8,keyasint,omitempty"`
+}
+
+// Task returns the task of the sample, without id.
+func (s *Sample) Task() placement.Task {
+	return placement.Task{Team: s.Team, Queue: s.Queue, Declared: s.Declared.Placement(1), DeclaredRun: s.RunTime}
+}
--- /dev/null
+++ b/jobs/lifecycle.go
@@ -0,0 +1,133 @@
+package jobs
+
+// JobState is the state of a job. The list is closed.
+type JobState string
+
+// States of a job.
+const (
+	// Accepted jobs wait for a worker.
+	Accepted JobState = "accepted"
+	// Assigned jobs have a worker that has not reported them as running.
+	Assigned JobState = "assigned"
+	Running  JobState = "running"
+	// Stopping jobs have a worker that was told to stop them.
+	Stopping  JobState = "stopping"
+	Succeeded JobState = "succeeded"
+	Failed    JobState = "failed"
+	Cancelled JobState = "cancelled"
+	// Parked jobs failed too often and wait for their submitter.
+	Parked JobState = "parked"
+	// Unknown jobs are not idempotent and may have run to any point.
+	Unknown JobState = "unknown"
+)
+
+// Event is the cause of a transition of a job. The list is closed.
+type Event string
+
+// Events of a job.
+const (
+	EventSubmit  Event = "submit"
+	EventAssign  Event = "assign"
+	EventStarted Event = "started"
+	EventStop    Event = "stop"
+	EventSucceed Event = "succeed"
+	EventFail    Event = "fail"
+	EventRefuse  Event = "refuse"
+	EventRequeue Event = "requeue"
+	EventCancel  Event = "cancel"
+	EventPark    Event = "park"
+	EventRelease Event = "release"
+	EventLose    Event = "lose"
+	// EventStage records a further stage of a preemption.
+	EventStage Event = "preempt"
+)
+
+// OnWorker reports whether a job in state s may be running on its worker.
+func (s JobState) OnWorker() bool { return s == Assigned || s == Running || s == Stopping }
+
+// Finished reports whether a job in state s never starts again.
+func (s JobState) Finished() bool {
+	return s == Succeeded || s == Failed || s == Cancelled || s == Unknown
+}
+
+// Next returns the state that follows s after e. It returns false if e is not
+// allowed in s. It is the only definition of the states of a job.
+func Next(s JobState, e Event) (JobState, bool) {
+	switch e {
+	case EventSubmit:
+		return Accepted, s == ""
+	case EventAssign:
+		return Assigned, s == Accepted
+	case EventStarted:
+		return Running, s == Assigned
+	case EventStop:
+		return Stopping, s == Assigned || s == Running
+	case EventSucceed:
+		return Succeeded, s.OnWorker() || s == Unknown
+	case EventFail:
+		return Failed, s.OnWorker() || s == Unknown
+	case EventRefuse:
+		return Failed, s == Accepted
+	case EventRequeue:
+		return Accepted, s.OnWorker()
+	case EventCancel:
+		return Cancelled, s == Accepted || s == Parked || s == Stopping
+	case EventPark:
+		return Parked, s == Accepted
+	case EventRelease:
+		return Accepted, s == Parked
+	case EventLose:
+		return Unknown, s.OnWorker()
+	case EventStage:
+		return s, s == Running
+	}
+	return s, false
+}
+
+// WorkerState is the state of a worker. The list is closed.
+type WorkerState string
+
+// States of a worker. Only ready workers get new tasks.
+const (
+	Ready       WorkerState = "ready"
+	Draining    WorkerState = "draining"
+	Quarantined WorkerState = "quarantined"
+	// Lost workers let their lease lapse.
+	Lost WorkerState = "lost"
+)
+
+// WorkerEvent is the cause of a transition of a worker. The list is closed.
+type WorkerEvent string
+
+// Events of a worker.
+const (
+	WorkerRegister   WorkerEvent = "register"
+	WorkerDrain      WorkerEvent = "drain"
+	WorkerResume     WorkerEvent = "resume"
+	WorkerQuarantine WorkerEvent = "quarantine"
+	WorkerRelease    WorkerEvent = "release"
+	WorkerLose       WorkerEvent = "lose"
+)
+
+// NextWorker returns the state that follows s after e. It returns false if e
+// is not allowed in s. A quarantined worker stays so when it registers again.
+func NextWorker(s WorkerState, e WorkerEvent) (WorkerState, bool) {
+	switch e {
+	case WorkerRegister:
+		if s == Quarantined {
+			return s, true
+		}
+		return Ready, true
+	case WorkerDrain:
+		return Draining, s == Ready || s == Draining
+	case WorkerResume:
+		return Ready, s == Draining
+	case WorkerQuarantine:
+		return Quarantined, s == Ready || s == Draining
+	case WorkerRelease:
+		return Ready, s == Quarantined
+	case WorkerLose:
+		return Lost, s == Ready || s == Draining || s == Quarantined
+	}
+	return s, false
+}
--- /dev/null
+++ b/jobs/outcome.go
@@ -0,0 +1,119 @@
+package jobs
+
+import "slices"
+
+// maxFailedOn bounds the workers that a job remembers to have failed on.
+const maxFailedOn = 2 * MaxAttempts
+
+// outcome ends a task. Outcomes of earlier assignments are refused; a repeated
+// one changes nothing; a late one settles an unknown job.
+func (s *State) outcome(c *Outcome) (*Job, error) {
+	j, err := s.find(c.ID)
+	if err != nil {
+		return nil, err
+	}
+	if !c.Used.valid() || c.Run < 0 {
+		return nil, invalid("used", "amounts of 0 to %d and a run time are required", MaxAmount)
+	}
+	if len(c.Result) > MaxPayload {
+		return nil, invalid("result", "at most %d bytes are allowed", MaxPayload)
+	}
+	if j.Epoch != c.Epoch {
+		return nil, refuse(CodeStaleEpoch, "job %s has epoch %d, the outcome is for %d", j.ID, j.Epoch, c.Epoch)
+	}
+	if !j.State.OnWorker() && j.State != Unknown {
+		return j, nil
+	}
+	if j.Worker != c.Worker {
+		return nil, refuse(CodeStaleEpoch, "job %s is not on worker %q", j.ID, c.Worker)
+	}
+	switch c.Kind {
+	case OutcomeSucceeded:
+		s.sample(j, c)
+		return s.transition(j, EventSucceed, c.Reason, func(n *Job) { n.Used, n.Result = c.Used, c.Result })
+	case OutcomeFailed:
+		s.sample(j, c)
+		return s.failed(j, c)
+	case OutcomeStopped:
+		return s.stopped(j, c.Reason)
+	case OutcomeNotStarted:
+		return s.notStarted(j, c)
+	}
+	return nil, invalid("outcome", "%q is not an outcome", c.Kind)
+}
+
+// sample keeps the outcome for the planner.
+func (s *State) sample(j *Job, c *Outcome) {
+	if n := len(s.samples); n >= MaxSamples {
+		s.samples = slices.Delete(s.samples, 0, n+1-MaxSamples)
+	}
+	s.samples = append(s.samples, Sample{
+		Team: j.Team, Queue: j.Spec.Queue, Worker: c.Worker, Declared: j.Spec.Size, RunTime: j.Spec.RunTime,
+		Used: c.Used, Run: c.Run, Failed: c.Kind == OutcomeFailed,
+	})
+}
+
+// failed ends a job that is not idempotent, and queues another again until it
+// failed MaxAttempts times.
+func (s *State) failed(j *Job, c *Outcome) (*Job, error) {
+	if !j.Spec.Idempotent || j.State == Unknown {
+		return s.transition(j, EventFail, c.Reason, nil)
+	}
+	if j.Intent == StopCancel {
+		return s.transition(j, EventCancel, c.Reason, nil)
+	}
+	n, err := s.transition(j, EventRequeue, c.Reason, func(n *Job) { n.failOn(c.Worker) })
+	if err != nil || len(n.FailedOn) < MaxAttempts {
+		return n, err
+	}
+	return s.transition(n, EventPark, "failed too often; last: "+c.Reason, nil)
+}
+
+func (j *Job) failOn(worker string) {
+	j.FailedOn = append(slices.Clone(j.FailedOn), worker)
+	if n := len(j.FailedOn) - maxFailedOn; n > 0 {
+		j.FailedOn = j.FailedOn[n:]
+	}
+}
+
+// stopped handles a task that ended before its end.
+func (s *State) stopped(j *Job, reason string) (*Job, error) {
+	switch {
+	case j.State == Stopping && j.Intent == StopCancel:
+		return s.transition(j, EventCancel, reason, nil)
+	case j.Spec.Idempotent && j.State != Unknown:
+		return s.transition(j, EventRequeue, reason, nil)
+	}
+	return s.transition(j, EventFail, "stopped before its end: "+reason, nil)
+}
+
+// notStarted handles a task that its worker never started. It may be assigned
+// again even if it is not idempotent.
+func (s *State) notStarted(j *Job, c *Outcome) (*Job, error) {
+	if j.Started > 0 {
+		return s.stopped(j, c.Reason)
+	}
+	if j.State == Unknown {
+		return s.transition(j, EventFail, "not started: "+c.Reason, func(n *Job) { n.MayHaveRun = n.RanBefore })
+	}
+	if j.State == Stopping && j.Intent == StopCancel {
+		return s.transition(j, EventCancel, c.Reason, func(n *Job) { n.MayHaveRun = n.RanBefore })
+	}
+	return s.transition(j, EventRequeue, c.Reason, func(n *Job) {
+		n.MayHaveRun = n.RanBefore
+		n.failOn(c.Worker)
+	})
+}
+
+// vanish handles a task that can no longer be running and left no outcome.
+func (s *State) vanish(j *Job, reason string) {
+	event := EventLose
+	switch {
+	case j.Spec.Idempotent && j.Intent == StopCancel:
+		event = EventCancel
+	case j.Spec.Idempotent || s.opts.ignoreRun:
+		event = EventRequeue
+	}
+	// The transition is allowed for every job on a worker.
+	_, _ = s.transition(j, event, reason, nil)
+}
--- /dev/null
+++ b/jobs/state.go
@@ -0,0 +1,160 @@
+package jobs
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"magnoliastand.example/invariant"
+)
+
+// options turn single protections off, to show that the checks notice.
+type options struct {
+	// ignoreRun assigns jobs again that may have run.
+	ignoreRun bool
+	// ignoreLimit assigns beyond the limits of teams.
+	ignoreLimit bool
+	// ignoreLease loses workers whose lease stands.
+	ignoreLease bool
+	// ignorePast accepts heartbeats of earlier incarnations.
+	ignorePast bool
+}
+
+// State is the replicated state of jobs and workers. It is not safe for
+// concurrent use.
+type State struct {
+	now Millis
+	// version counts the applied commands.
+	version uint64
+	seq     uint64
+	epoch   uint64
+	jobs    map[string]*Job
+	workers map[string]*Worker
+	past    map[string][]string
+	teams   map[string]Team
+	samples []Sample
+	// finished lists the ids of finished jobs in the order in which they finished.
+	finished []string
+
+	// The indexes below are derived from jobs.
+	onWorker map[string]map[string]struct{}
+	running  map[string]int
+
+	view *View
+	opts options
+}
+
+// New returns an empty state.
+func New() *State {
+	return &State{
+		jobs:     map[string]*Job{},
+		workers:  map[string]*Worker{},
+		past:     map[string][]string{},
+		teams:    map[string]Team{},
+		onWorker: map[string]map[string]struct{}{},
+		running:  map[string]int{},
+	}
+}
+
+// Now returns the time of the newest command.
+func (s *State) Now() Millis { return s.now }
+
+// put stores j in place of the job with the same id and updates the indexes.
+func (s *State) put(j *Job) {
+	old := s.jobs[j.ID]
+	if old != nil {
+		s.index(old, -1)
+	}
+	s.jobs[j.ID] = j
+	s.index(j, 1)
+	if j.State.Finished() && (old == nil || !old.State.Finished()) {
+		s.finished = append(s.finished, j.ID)
+	}
+}
+
+// index adds sign times the contribution of j to every index.
+func (s *State) index(j *Job, sign int) {
+	if !j.State.OnWorker() {
+		return
+	}
+	s.running[j.Team] += sign
+	if s.running[j.Team] == 0 {
+		delete(s.running, j.Team)
+	}
+	if sign < 0 {
+		delete(s.onWorker[j.Worker], j.ID)
+		return
+	}
+	if s.onWorker[j.Worker] == nil {
+		s.onWorker[j.Worker] = map[string]struct{}{}
+	}
+	s.onWorker[j.Worker][j.ID] = struct{}{}
+}
+
+// transition applies e to a copy of j, lets change edit the copy, and stores it.
+func (s *State) transition(j *Job, e Event, reason string, change func(*Job)) (*Job, error) {
+	next, ok := Next(j.State, e)
+	if !ok {
+		return nil, refuse(CodeWrongState, "job %s is %s: %s is not allowed", j.ID, j.State, e)
+	}
+	c := *j
+	if next != c.State {
+		c.State = next
+		c.Since = s.now
+	}
+	if change != nil {
+		change(&c)
+	}
+	c.record(Record{At: s.now, Event: e, State: next, Worker: c.Worker, Reason: cut(reason)})
+	if next == Accepted || next == Cancelled || next == Parked {
+		c.Worker, c.Intent, c.Stage, c.StageSince, c.Used, c.Started = "", "", 0, 0, Size{}, 0
+	}
+	s.put(&c)
+	return &c, nil
+}
+
+func cut(reason string) string { return reason[:min(len(reason), MaxReasonLen)] }
+
+// tasksOf returns the jobs of the worker in order of submission.
+func (s *State) tasksOf(worker string) []*Job {
+	out := make([]*Job, 0, len(s.onWorker[worker]))
+	for id := range s.onWorker[worker] {
+		out = append(out, s.jobs[id])
+	}
+	slices.SortFunc(out, func(a, b *Job) int { return cmp.Compare(a.Seq, b.Seq) })
+	return out
+}
+
+// prune forgets jobs that finished long ago.
+func (s *State) prune() {
+	n := 0
+	for ; n < len(s.finished); n++ {
+		age := s.now - s.jobs[s.finished[n]].Since
+		crowded := len(s.finished)-n > MaxFinished && age > ResendWindow
+		if age <= KeepFinished && !crowded {
+			break
+		}
+		delete(s.jobs, s.finished[n])
+	}
+	s.finished = slices.Delete(s.finished, 0, n)
+}
+
+// CheckAll checks the invariants and indexes of the whole state. It costs time
+// in proportion to the state and returns whether all hold.
+func (s *State) CheckAll() bool {
+	running := map[string]int{}
+	good := true
+	for _, id := range slices.Sorted(maps.Keys(s.jobs)) {
+		j := s.jobs[id]
+		if !j.State.OnWorker() {
+			continue
+		}
+		running[j.Team]++
+		w := s.workers[j.Worker]
+		good = invariant.Check(w != nil && w.State != Lost, invariant.AtMostOnce,
+			"job %s is %s on worker %q, which is not known or lost", j.ID, j.State, j.Worker) && good
+	}
+	good = invariant.Check(maps.Equal(running, s.running), invariant.TeamLimit,
+		"teams run %v, counted %v", running, s.running) && good
+	return good
+}
