Workers and jobs over the control log

Their state lives in the log beside the fleet's; the leader serves them, since a follower's older clock would grant a worker too long a lease, and other daemons pass calls on over the peer link. A team's limit is split by job_limit into a part for jobs and a part for requests, so that both together stay within it. Known gap: raising job_limit while requests use the old part lets both pass the limit until those end. Not run in processes yet.

--- a/api/document.go
+++ b/api/document.go
@@ -87,8 +87,10 @@
 	Name string `json:"name"`
 	// Share is the team's weight when the fleet is full, a positive number.
 	Share int `json:"share"`
-	// Limit bounds requests of the team that may be running at once, fleet-wide; 0 means none may run.
+	// Limit bounds requests and jobs of the team that may be running at once, fleet-wide; 0 means none may run.
 	Limit int `json:"limit"`
+	// JobLimit is the part of Limit that is set aside for jobs; the rest is for requests.
+	JobLimit int `json:"job_limit,omitempty"`
 }
 
 // BudgetScope names what an availability budget ranges over.
--- a/api/validate.go
+++ b/api/validate.go
@@ -148,6 +148,7 @@
 		v.unique(names, path+".name", t.Name)
 		v.intRange(path+".share", int64(t.Share), 1, MaxTeamShare)
 		v.intRange(path+".limit", int64(t.Limit), 0, MaxTeamLimit)
+		v.intRange(path+".job_limit", int64(t.JobLimit), 0, max(int64(t.Limit), 0))
 	}
 }
 
--- a/control/apply.go
+++ b/control/apply.go
@@ -67,7 +67,7 @@
 func teamLimits(doc *api.Document) []quota.TeamLimit {
 	limits := make([]quota.TeamLimit, 0, len(doc.Teams))
 	for _, t := range doc.Teams {
-		limits = append(limits, quota.TeamLimit{Team: t.Name, Limit: int64(t.Limit)})
+		limits = append(limits, quota.TeamLimit{Team: t.Name, Limit: int64(t.Limit - t.JobLimit)})
 	}
 	return limits
 }
--- a/daemon/callers.go
+++ b/daemon/callers.go
@@ -22,6 +22,7 @@
 	d.origin.Register(mux)
 	e.Any("/v1/queues/*", echo.WrapHandler(mux))
 	e.Any("/v1/home", echo.WrapHandler(mux))
+	d.jobRoutes(e)
 	e.HTTPErrorHandler = writeHTTPError
 	return e
 }
--- a/daemon/controllog.go
+++ b/daemon/controllog.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
@@ -12,22 +13,62 @@
 	"magnoliastand.example/control"
 	"magnoliastand.example/fleet"
 	"magnoliastand.example/invariant"
+	"magnoliastand.example/jobs"
 	"magnoliastand.example/quota"
 )
 
-// fleetDelegate runs the fleet state inside the control state.
+// jobsPrefix marks a delegated command as one of the jobs' state. It can't
+// begin a fleet command, which is a CBOR map.
+const jobsPrefix = 0
+
+// fleetDelegate runs the states of fleet and jobs inside the control state.
 type fleetDelegate struct {
 	state *fleet.State
+	jobs  *jobs.State
+	// jobsChanged is called after each command of the jobs' state.
+	jobsChanged func()
+}
+
+// delegateImage is the snapshot of both states.
+type delegateImage struct {
+	Fleet []byte `cbor:"1,keyasint"`
+	Jobs  []byte `cbor:"2,keyasint"`
 }
 
 // Apply implements control.Delegate.
-func (d *fleetDelegate) Apply(cmd []byte) ([]byte, error) { return d.state.ApplyBytes(cmd) }
+func (d *fleetDelegate) Apply(cmd []byte) ([]byte, error) {
+	if len(cmd) == 0 || cmd[0] != jobsPrefix {
+		return d.state.ApplyBytes(cmd)
+	}
+	defer d.jobsChanged()
+	return d.jobs.ApplyBytes(cmd[1:])
+}
 
 // Snapshot implements control.Delegate.
-func (d *fleetDelegate) Snapshot() ([]byte, error) { return d.state.Snapshot() }
+func (d *fleetDelegate) Snapshot() ([]byte, error) {
+	var img delegateImage
+	var err error
+	if img.Fleet, err = d.state.Snapshot(); err != nil {
+		return nil, errors.Wrap(err, "fleet")
+	}
+	if img.Jobs, err = d.jobs.Snapshot(); err != nil {
+		return nil, errors.Wrap(err, "jobs")
+	}
+	b, err := cbor.Marshal(img)
+	return b, errors.Wrap(err, "encode")
+}
 
 // Restore implements control.Delegate.
-func (d *fleetDelegate) Restore(b []byte) error { return d.state.Restore(b) }
+func (d *fleetDelegate) Restore(b []byte) error {
+	var img delegateImage
+	if err := cbor.Unmarshal(b, &img); err != nil {
+		return errors.Wrap(err, "decode")
+	}
+	if err := d.state.Restore(img.Fleet); err != nil {
+		return errors.Wrap(err, "fleet")
+	}
+	return errors.Wrap(d.jobs.Restore(img.Jobs), "jobs")
+}
 
 // CheckDocument implements control.DocumentChecker.
 func (d *fleetDelegate) CheckDocument(doc *api.Document) []api.Fault {
@@ -43,6 +84,20 @@
 	}
 	_, err := d.state.Apply(cmd)
 	invariant.Check(err == nil, invariant.ConfigNeverReverts, "a checked document was refused by the fleet state: %v", err)
+	d.setTeams(doc)
+}
+
+// setTeams gives the jobs' state the teams with their limits for jobs.
+func (d *fleetDelegate) setTeams(doc *api.Document) {
+	set := &jobs.SetTeams{}
+	for _, t := range doc.Teams {
+		set.Teams = append(set.Teams, jobs.Team{Name: t.Name, Share: t.Share, Limit: t.JobLimit})
+	}
+	b, err := jobs.EncodeCommand(jobs.Command{At: d.jobs.Now(), Changes: []jobs.Change{{SetTeams: set}}})
+	if err == nil {
+		_, err = d.jobs.ApplyBytes(b)
+	}
+	invariant.Check(err == nil, invariant.ConfigNeverReverts, "teams were refused by the state of jobs: %v", err)
 }
 
 // controlLog is the control state as a state machine of the replicated log. It
@@ -54,7 +109,10 @@
 
 	mu    sync.Mutex
 	fleet *fleet.State
+	jobs  *jobs.State
 	state *control.State
+	// jobsNews is closed at the next command of the jobs' state.
+	jobsNews chan struct{}
 	// current is set once a read of the log has shown that the applied state is
 	// not older than what this daemon showed before it started.
 	current bool
@@ -69,7 +127,11 @@
 // reset installs the empty state. The lock is held, or not yet shared.
 func (l *controlLog) reset() {
 	l.fleet = fleet.New()
-	l.state = control.New(l.cluster, control.Options{Fleet: &fleetDelegate{state: l.fleet}})
+	l.jobs = jobs.New()
+	l.state = control.New(l.cluster, control.Options{Fleet: &fleetDelegate{
+		state: l.fleet, jobs: l.jobs, jobsChanged: l.tellJobs,
+	}})
+	l.tellJobs()
 }
 
 // Apply implements node.StateMachine.
@@ -159,6 +221,23 @@
 	f(l.state.Ledger(), l.state.Index())
 }
 
+// tellJobs wakes those that wait for news of jobs. The lock is held, or not
+// yet shared.
+func (l *controlLog) tellJobs() {
+	if l.jobsNews != nil {
+		close(l.jobsNews)
+	}
+	l.jobsNews = make(chan struct{})
+}
+
+// jobsView returns a snapshot of the jobs and a channel that is closed once
+// there is a newer one.
+func (l *controlLog) jobsView() (*jobs.View, <-chan struct{}) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.jobs.View(), l.jobsNews
+}
+
 // fleetView returns a snapshot of the fleet.
 func (l *controlLog) fleetView() fleet.View {
 	l.mu.Lock()
--- a/daemon/controlplane.go
+++ b/daemon/controlplane.go
@@ -109,6 +109,7 @@
 	wg.Go(func() { c.registerSelf(ctx) })
 	wg.Go(func() { c.leader.run(ctx) })
 	wg.Go(func() { c.planner.run(ctx) })
+	wg.Go(func() { c.scheduleJobs(ctx) })
 	var err error
 	if c.node != nil {
 		err = c.node.run(ctx)
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"net/http"
 	"sync"
 	"time"
 
@@ -37,6 +38,10 @@
 	servers *servers
 	// operators may use the operators' interface.
 	operators []httpapi.Operator
+	// workerKeys are the hashes of the keys that workers present.
+	workerKeys []control.KeyHash
+	// jobs serves workers and submitters while this daemon leads.
+	jobs http.Handler
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -52,11 +57,12 @@
 // New returns a daemon that listens on its addresses and does not run yet.
 func New(set settings.Settings, log zerolog.Logger) (*Daemon, error) {
 	d := &Daemon{
-		set:       set,
-		self:      dispatch.DaemonID{Name: set.Name, Incarnation: rand.Text()[:incarnationLength]},
-		log:       log.With().Str("daemon", set.Name).Logger(),
-		failed:    make(chan error, 1),
-		operators: operatorsOf(set),
+		set:        set,
+		self:       dispatch.DaemonID{Name: set.Name, Incarnation: rand.Text()[:incarnationLength]},
+		log:        log.With().Str("daemon", set.Name).Logger(),
+		failed:     make(chan error, 1),
+		operators:  operatorsOf(set),
+		workerKeys: workerKeysOf(set),
 	}
 	d.ctx, d.cancel = context.WithCancel(context.Background())
 	if err := d.connect(); err != nil {
--- a/daemon/message.go
+++ b/daemon/message.go
@@ -21,6 +21,7 @@
 	methodClaim        = "control.claim"
 	methodDemand       = "control.demand"
 	methodHoldings     = "slot.holdings"
+	methodJobs         = "jobs.call"
 	methodReport       = "control.report"
 	methodJoin         = "control.join"
 	methodLog          = "log.message"
--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -50,27 +50,41 @@
 
 // isOperatorKey compares the key's hash with each configured one in constant time.
 func (d *Daemon) isOperatorKey(key string) bool {
-	hash := control.HashKey(key)
-	found := false
+	hashes := make([]control.KeyHash, 0, len(d.operators))
 	for _, o := range d.operators {
-		found = o.Hash.Equal(hash) || found
+		hashes = append(hashes, o.Hash)
 	}
-	return found
+	return isKeyOf(hashes, key)
 }
 
 // operatorsOf returns the operators of the settings, whose hashes were checked.
 func operatorsOf(s settings.Settings) []httpapi.Operator {
 	list := make([]httpapi.Operator, 0, len(s.Operators))
 	for _, o := range s.Operators {
-		op := httpapi.Operator{Name: o.Name}
-		if _, err := hex.Decode(op.Hash[:], []byte(o.KeySHA256)); err != nil {
-			continue
+		if hash, ok := parseHash(o.KeySHA256); ok {
+			list = append(list, httpapi.Operator{Name: o.Name, Hash: hash})
 		}
-		list = append(list, op)
 	}
 	return list
 }
 
+// workerKeysOf returns the workers' keys of the settings, which were checked.
+func workerKeysOf(s settings.Settings) []control.KeyHash {
+	list := make([]control.KeyHash, 0, len(s.WorkerKeySHA256))
+	for _, text := range s.WorkerKeySHA256 {
+		if hash, ok := parseHash(text); ok {
+			list = append(list, hash)
+		}
+	}
+	return list
+}
+
+func parseHash(text string) (control.KeyHash, bool) {
+	var hash control.KeyHash
+	n, err := hex.Decode(hash[:], []byte(text))
+	return hash, err == nil && n == len(hash)
+}
+
 // Status is the body of GET /v1/status.
 type Status struct {
 	Daemon   string `json:"daemon"`
--- a/daemon/problem.go
+++ b/daemon/problem.go
@@ -48,17 +48,22 @@
 	if !errors.As(err, &p) {
 		p = problemOf(err)
 	}
-	h := c.Response().Header()
+	writeProblem(c.Response(), p)
+}
+
+// writeProblem writes a problem document.
+func writeProblem(w http.ResponseWriter, p *api.Problem) {
+	h := w.Header()
 	h.Set(echo.HeaderContentType, api.ProblemMediaType)
 	if p.RetryAfterMS > 0 {
 		h.Set(echo.HeaderRetryAfter, strconv.FormatInt((p.RetryAfterMS+999)/1000, 10))
 	}
-	b, marshalErr := json.Marshal(p)
-	if marshalErr != nil {
+	b, err := json.Marshal(p)
+	if err != nil {
 		b = nil
 	}
-	c.Response().WriteHeader(p.Status)
-	_, _ = c.Response().Write(b) // an error means that the caller is gone
+	w.WriteHeader(p.Status)
+	_, _ = w.Write(b) // an error means that the caller is gone
 }
 
 // problemOf converts a router's error.
--- a/daemon/propose.go
+++ b/daemon/propose.go
@@ -79,6 +79,9 @@
 	stamped.At = clock.Now()
 	stamped.Applied = applied
 	stamped.UnixMilli = time.Now().UnixMilli()
+	if err := stampJobs(&stamped, clock); err != nil {
+		return control.Result{}, err
+	}
 	b, err := control.EncodeCommand(&stamped)
 	if err != nil {
 		return control.Result{}, err
--- a/daemon/settings/settings.go
+++ b/daemon/settings/settings.go
@@ -33,6 +33,8 @@
 	FirstVoters []string `json:"first_voters"`
 	// Operators lists who may use the operators' interface.
 	Operators []Operator `json:"operators"`
+	// WorkerKeySHA256 lists SHA-256 hashes, in hexadecimal, of the keys that workers present.
+	WorkerKeySHA256 []string `json:"worker_key_sha256,omitempty"`
 	// Grace bounds the time that a shutdown waits for running requests.
 	Grace api.Duration `json:"grace,omitempty"`
 	// LogLevel is debug, info, warn or error.
--- a/daemon/settings/validate.go
+++ b/daemon/settings/validate.go
@@ -45,6 +45,12 @@
 	}
 }
 
+func (c *checker) hash(path, value string) {
+	if _, err := hex.DecodeString(value); err != nil || len(value) != sha256HexDigits {
+		c.add(path, "is not a SHA-256 hash in hexadecimal")
+	}
+}
+
 func (c *checker) address(path, value string) {
 	if _, err := netip.ParseAddrPort(value); err != nil {
 		c.add(path, "%q is not an \"IP:port\"", value)
@@ -123,9 +129,10 @@
 	for i, o := range s.Operators {
 		path := fmt.Sprintf("operators[%d]", i)
 		c.required(path+".name", o.Name)
-		if _, err := hex.DecodeString(o.KeySHA256); err != nil || len(o.KeySHA256) != sha256HexDigits {
-			c.add(path+".key_sha256", "is not a SHA-256 hash in hexadecimal")
-		}
+		c.hash(path+".key_sha256", o.KeySHA256)
+	}
+	for i, h := range s.WorkerKeySHA256 {
+		c.hash(fmt.Sprintf("worker_key_sha256[%d]", i), h)
 	}
 	if s.PeerTLS != nil {
 		c.required("peer_tls.cert_file", s.PeerTLS.CertFile)
