--- a/planner/bench_test.go
+++ b/planner/bench_test.go
@@ -71,18 +71,22 @@
 	}
 }
 
-// BenchmarkPlan measures one round, with the view of the state, by workers.
+// BenchmarkPlan measures one round, with the view of the state, by workers and
+// by the size of the canary, which bounds the drains of the round.
 func BenchmarkPlan(b *testing.B) {
-	for _, n := range []int{425, 850, 1700} {
-		b.Run(fmt.Sprint(n), func(b *testing.B) {
-			s, snap := largeFleet(b, n)
-			cmds := 0
-			b.ReportAllocs()
-			for b.Loop() {
-				snap.Fleet = s.View()
-				cmds = len(Plan(snap, Kyushu()))
-			}
-			b.ReportMetric(float64(cmds), "commands")
-		})
+	for _, canary := range []int{2, 64} {
+		for _, n := range []int{425, 850, 1700} {
+			b.Run(fmt.Sprintf("canary=%d/workers=%d", canary, n), func(b *testing.B) {
+				s, snap := largeFleet(b, n)
+				snap.Fleet.Config.Waves[0].Canary = canary
+				cmds := 0
+				b.ReportAllocs()
+				for b.Loop() {
+					snap.Fleet = s.View()
+					cmds = len(Plan(snap, Kyushu()))
+				}
+				b.ReportMetric(float64(cmds), "commands")
+			})
+		}
 	}
 }
