--- a/cmd/magnoliastand/cluster_test.go
+++ b/cmd/magnoliastand/cluster_test.go
@@ -37,6 +37,7 @@
 
 const (
 	testOperatorKey = "operator-key-of-the-tests"
+	testWorkerKey   = "worker-key-of-the-tests"
 	// slowOutcome is the latency from which on an outcome is printed.
 	slowOutcome = 16 * time.Second
 	// convergence bounds waits for a state that the system must reach; it is no
@@ -105,6 +106,7 @@
 func (c *cluster) writeSettings(m *member, voters []string) {
 	c.t.Helper()
 	sum := sha256.Sum256([]byte(testOperatorKey))
+	workers := sha256.Sum256([]byte(testWorkerKey))
 	var b strings.Builder
 	fmt.Fprintf(&b, "name: %s\ncluster: test\navailability_zone: %s\n", m.name, m.zone)
 	fmt.Fprintf(&b, "listen: {callers: %q, operators: %q, peers: %q}\npeers:\n", m.callers, m.operators, m.peers)
@@ -115,6 +117,7 @@
 	if m.data != "" {
 		fmt.Fprintf(&b, "data_folder: %q\n", m.data)
 	}
+	fmt.Fprintf(&b, "worker_key_sha256: [%s]\n", hex.EncodeToString(workers[:]))
 	fmt.Fprintf(&b, "operators: [{name: tests, key_sha256: %s}]\ntest_faults: true\nprofiling: true\nlog_level: debug\n", hex.EncodeToString(sum[:]))
 	if err := os.WriteFile(m.settingsFile, []byte(b.String()), 0o600); err != nil {
 		c.t.Fatal(err)
--- a/standin/worker/call.go
+++ b/standin/worker/call.go
@@ -36,6 +36,9 @@
 		return errors.Wrap(err, "build the call")
 	}
 	req.Header.Set("Content-Type", "application/json")
+	if w.cfg.Key != "" {
+		req.Header.Set("Authorization", "Bearer "+w.cfg.Key)
+	}
 	resp, err := w.client.Do(req)
 	if err != nil {
 		return errors.Wrap(err, "call the system")
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -27,7 +27,9 @@
 // Config describes a worker.
 type Config struct {
 	// URL is the base URL of the interface for workers, such as "http://10.0.0.1:8080".
-	URL         string
+	URL string
+	// Key is the worker's key; empty sends none.
+	Key         string
 	ID          string
 	Zone        string
 	Rack        string
