Console of forms for pools, teams, waves and keys

Cause: operators are to drive the system through forms whose output is one validated document. Server-rendered, without scripts; faults stand at their inputs, the difference is shown before it is applied, a conflict overwrites nothing; sessions in memory, CSRF token, strict content policy. Weighed: a front-end framework, for three tables a cost without use.

--- a/daemon/fleetapi.go
+++ b/daemon/fleetapi.go
@@ -247,21 +247,28 @@
 }
 
 func (d *Daemon) actOnWave(c *echo.Context) error {
-	on := &fleet.OnWave{Wave: c.Param("name")}
-	var cmd fleet.Command
-	switch c.Param("action") {
+	cmd, p := waveCommand(c.Param("name"), c.Param("action"))
+	if p != nil {
+		return p
+	}
+	return d.commandFleet(c, fleet.RoleOperator, cmd)
+}
+
+// waveCommand returns the command of an action on a wave.
+func waveCommand(wave, action string) (fleet.Command, *api.Problem) {
+	on := &fleet.OnWave{Wave: wave}
+	switch action {
 	case "start":
-		cmd.StartWave = on
+		return fleet.Command{StartWave: on}, nil
 	case "pause":
-		cmd.PauseWave = on
+		return fleet.Command{PauseWave: on}, nil
 	case "resume":
-		cmd.ResumeWave = on
+		return fleet.Command{ResumeWave: on}, nil
 	case "abort":
-		cmd.AbortWave = on
+		return fleet.Command{AbortWave: on}, nil
 	default:
-		return api.NewProblem(http.StatusNotFound, api.CodeNotFound, "", "an action is start, pause, resume or abort")
+		return fleet.Command{}, api.NewProblem(http.StatusNotFound, api.CodeNotFound, "", "an action is start, pause, resume or abort")
 	}
-	return d.commandFleet(c, fleet.RoleOperator, cmd)
 }
 
 // commandResult is the answer to a call that changed the fleet.
--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -12,6 +12,7 @@
 	"magnoliastand.example/api"
 	"magnoliastand.example/control"
 	"magnoliastand.example/control/httpapi"
+	"magnoliastand.example/daemon/console"
 	"magnoliastand.example/daemon/settings"
 )
 
@@ -22,6 +23,7 @@
 	d.healthRoutes(e)
 	e.GET("/metrics", echo.WrapHandler(d.metrics.handler()))
 	httpapi.Register(e, operatorService{plane: d.control}, d.operators)
+	console.Register(e, consoleService{operatorService{plane: d.control}, d}, d.operators)
 	g := e.Group("/v1", d.requireOperator)
 	g.GET("/status", d.serveStatus)
 	g.GET("/report", d.serveReport)
