--- a/jobs/apply.go
+++ b/jobs/apply.go
@@ -34,7 +34,7 @@
 		c.SetTeams != nil, c.Submit != nil, c.Cancel != nil, c.Assign != nil, c.Preempt != nil,
 		c.Refuse != nil, c.Park != nil, c.Unpark != nil, c.Heartbeat != nil, c.Outcome != nil,
 		c.Lose != nil, c.Quarantine != nil, c.Release != nil, c.Drain != nil, c.Resume != nil,
-		c.Checkpoint != nil,
+		c.Checkpoint != nil, c.Renew != nil,
 	} {
 		if set {
 			n++
@@ -70,6 +70,8 @@
 		return resultOf(s.checkpoint(c.Checkpoint))
 	case c.Heartbeat != nil:
 		return s.heartbeat(c.Heartbeat)
+	case c.Renew != nil:
+		return s.renewLease(c.Renew)
 	}
 	return ChangeResult{}, s.changeWorker(c)
 }
--- a/jobs/assign.go
+++ b/jobs/assign.go
@@ -18,6 +18,7 @@
 	s.epoch++
 	n, err := s.transition(j, EventAssign, c.Reason, func(n *Job) {
 		n.Worker, n.Epoch, n.MayHaveRun, n.RanBefore = c.Worker, s.epoch, true, again
+		n.Reserved = c.reserved(j)
 	})
 	if err != nil {
 		return nil, err
@@ -44,8 +45,8 @@
 	if s.now > w.Until {
 		return refuse(CodeWorker, "the lease of worker %q has lapsed", c.Worker)
 	}
-	if n := len(s.onWorker[c.Worker]); n >= w.Slots {
-		return refuse(CodeWorker, "worker %q has %d tasks", c.Worker, n)
+	if err := s.checkRoom(j, w, c.reserved(j)); err != nil {
+		return err
 	}
 	t, ok := s.team(j.Team)
 	if !s.opts.ignoreLimit && (!ok || s.running[j.Team] >= t.Limit) {
@@ -54,6 +55,28 @@
 	return nil
 }
 
+func (c *Assign) reserved(j *Job) Size {
+	if c.Reserved == (Size{}) {
+		return j.Spec.Size
+	}
+	return c.Reserved
+}
+
+// checkRoom refuses to reserve more of the worker than it has.
+func (s *State) checkRoom(j *Job, w *Worker, size Size) error {
+	if !size.valid() {
+		return invalid("reserved", "amounts of 0 to %d are required", MaxAmount)
+	}
+	tasks := s.onWorker[w.ID]
+	for _, t := range tasks {
+		size = size.Add(t.Reserved)
+	}
+	if len(tasks) >= w.Slots || !size.Fits(w.Capacity) {
+		return refuse(CodeWorker, "worker %q has %d tasks and no room for job %s", w.ID, len(tasks), j.ID)
+	}
+	return nil
+}
+
 // preempt takes an idempotent job to a further stage of its preemption.
 func (s *State) preempt(c *Preempt) (*Job, error) {
 	j, err := s.find(c.ID)
--- a/jobs/command.go
+++ b/jobs/command.go
@@ -29,6 +29,7 @@
 	Drain      *OnWorker   `cbor:"14,keyasint,omitempty"`
 	Resume     *OnWorker   `cbor:"15,keyasint,omitempty"`
 	Checkpoint *Checkpoint `cbor:"16,keyasint,omitempty"`
+	Renew      *Renew      `cbor:"17,keyasint,omitempty"`
 }
 
 // Team is the share and the upper limit of a team.
@@ -67,6 +68,9 @@
 	// IfEpoch must equal the epoch of the job, as the planner saw it.
 	IfEpoch uint64 `cbor:"3,keyasint,omitempty"`
 	Reason  string `cbor:"4,keyasint,omitempty"`
+	// Reserved is the room that the job takes on the worker; empty means its
+	// declared size.
+	Reserved Size `cbor:"5,keyasint"`
 }
 
 // Preempt takes the preemption of an idempotent job to a stage.
@@ -109,6 +113,14 @@
 	Leaving bool `cbor:"10,keyasint,omitempty"`
 }
 
+// Renew renews the lease of a worker whose heartbeat brings nothing else.
+type Renew struct {
+	Worker     string `cbor:"1,keyasint"`
+	LeaseEpoch uint64 `cbor:"2,keyasint"`
+	// Seq is the number of the heartbeat.
+	Seq uint64 `cbor:"3,keyasint"`
+}
+
 // OutcomeKind is how a task ended. The list is closed.
 type OutcomeKind string
 
--- /dev/null
+++ b/jobs/datadriven_test.go
@@ -0,0 +1,170 @@
+package jobs_test
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+
+	"magnoliastand.example/jobs"
+	"magnoliastand.example/jobs/scheduler"
+)
+
+// table is the state that the directives of one file share.
+type table struct {
+	state *jobs.State
+	now   jobs.Millis
+	seq   uint64
+}
+
+// row is one line: words and key=value options.
+type row struct {
+	words []string
+	opts  map[string]string
+}
+
+func rowsOf(input string) []row {
+	var out []row
+	for line := range strings.Lines(input) {
+		r := row{opts: map[string]string{}}
+		for _, w := range strings.Fields(line) {
+			if k, v, ok := strings.Cut(w, "="); ok {
+				r.opts[k] = v
+				continue
+			}
+			r.words = append(r.words, w)
+		}
+		out = append(out, r)
+	}
+	return out
+}
+
+func (r row) num(key string) int {
+	n, _ := strconv.Atoi(r.opts[key])
+	return n
+}
+
+func (r row) has(word string) bool { return slices.Contains(r.words, word) }
+
+func (r row) size() jobs.Size {
+	return jobs.Size{Processors: 1_000 * r.num("cores"), MemoryMB: r.num("mb")}
+}
+
+// TestExamples runs the tables of testdata/examples.
+func TestExamples(t *testing.T) {
+	datadriven.Walk(t, "testdata/examples", func(t *testing.T, path string) {
+		b := &table{state: jobs.New()}
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			for _, a := range d.CmdArgs {
+				if a.Key == "at" {
+					n, _ := strconv.Atoi(a.Vals[0])
+					b.now = jobs.Millis(n)
+				}
+			}
+			return b.run(t, d)
+		})
+	})
+}
+
+func (b *table) run(t *testing.T, d *datadriven.TestData) string {
+	var changes []jobs.Change
+	switch d.Cmd {
+	case "plan":
+		changes = scheduler.Plan(b.state.View().At(b.now))
+		if len(changes) == 0 {
+			return "nothing\n"
+		}
+	case "show":
+		return b.show(d.Input)
+	default:
+		for _, r := range rowsOf(d.Input) {
+			c, ok := b.change(d.Cmd, r)
+			if !ok {
+				t.Fatalf("unknown directive %q", d.Cmd)
+			}
+			changes = append(changes, c)
+		}
+	}
+	var out strings.Builder
+	res := b.state.Apply(jobs.Command{At: b.now, Changes: changes})
+	for n := range changes {
+		b.describe(&out, &changes[n], &res.Changes[n])
+	}
+	if out.Len() == 0 {
+		return "ok\n"
+	}
+	return out.String()
+}
+
+func (b *table) change(cmd string, r row) (jobs.Change, bool) {
+	id := r.words[0]
+	switch cmd {
+	case "teams":
+		return jobs.Change{SetTeams: &jobs.SetTeams{Teams: []jobs.Team{{Name: id, Share: 1, Limit: r.num("limit")}}}}, true
+	case "submit":
+		team, _, _ := strings.Cut(id, ":")
+		return jobs.Change{Submit: &jobs.Submit{ID: id, Team: team, Spec: jobs.Spec{
+			Queue: r.opts["queue"], Pool: "p", Size: r.size(), RunTime: 1_000, Idempotent: r.has("idempotent"), Urgent: r.has("urgent"),
+		}}}, true
+	case "cancel":
+		return jobs.Change{Cancel: &jobs.Cancel{ID: id}}, true
+	case "heartbeat":
+		b.seq++
+		h := &jobs.Heartbeat{
+			Worker: id, Zone: "z", Rack: "r-" + id, Pool: "p", Capacity: r.size(), Slots: 8,
+			Incarnation: r.opts["incarnation"] + "i", Seq: b.seq, Leaving: r.has("leaving"),
+		}
+		if r.opts["seq"] != "" {
+			h.Seq = uint64(r.num("seq"))
+		}
+		for _, held := range strings.FieldsFunc(r.opts["tasks"], func(c rune) bool { return c == ',' }) {
+			h.Tasks = append(h.Tasks, jobs.TaskReport{ID: held, Epoch: b.state.View().Job(held).Epoch})
+		}
+		return jobs.Change{Heartbeat: h}, true
+	case "outcome":
+		o := &jobs.Outcome{ID: id, Kind: jobs.OutcomeKind(r.words[1]), Worker: r.opts["on"], Epoch: uint64(r.num("epoch")), Used: r.size(), Run: 1_000}
+		return jobs.Change{Outcome: o}, true
+	case "assign":
+		return jobs.Change{Assign: &jobs.Assign{ID: id, Worker: r.opts["on"], IfEpoch: uint64(r.num("epoch"))}}, true
+	case "lose":
+		return jobs.Change{Lose: &jobs.OnWorker{Worker: id}}, true
+	}
+	return jobs.Change{}, false
+}
+
+func (b *table) describe(out *strings.Builder, c *jobs.Change, r *jobs.ChangeResult) {
+	switch {
+	case r.Refused != "":
+		fmt.Fprintf(out, "refused %s: %s\n", r.Refused, r.Detail)
+	case c.Lose != nil:
+		fmt.Fprintf(out, "worker %s is lost\n", c.Lose.Worker)
+	case c.Quarantine != nil:
+		fmt.Fprintf(out, "worker %s is quarantined: %s\n", c.Quarantine.Worker, c.Quarantine.Reason)
+	case r.Job != "":
+		j := b.state.View().Job(r.Job)
+		on := ""
+		if j.Worker != "" {
+			on = " on " + j.Worker
+		}
+		fmt.Fprintf(out, "%s %s%s epoch %d\n", j.ID, j.State, on, j.Epoch)
+	}
+}
+
+// show prints where jobs are and why.
+func (b *table) show(input string) string {
+	var out strings.Builder
+	for _, r := range rowsOf(input) {
+		j := b.state.View().Job(r.words[0])
+		if j == nil {
+			fmt.Fprintf(&out, "%s is gone\n", r.words[0])
+			continue
+		}
+		for _, h := range j.History {
+			fmt.Fprintln(&out, strings.Join(strings.Fields(fmt.Sprint(h.At, " ", h.Event, " ", h.State, " ", h.Worker, " ", h.Reason)), " "))
+		}
+	}
+	return out.String()
+}
--- a/jobs/httpapi/service.go
+++ b/jobs/httpapi/service.go
@@ -20,8 +20,9 @@
 )
 
 const (
-	// MaxWait bounds how long a heartbeat waits for commands.
-	MaxWait = 10 * time.Second
+	// MaxWait bounds how long a heartbeat waits for commands. A worker whose lease
+	// is nearly RenewAfter old waits this long before its next heartbeat renews it.
+	MaxWait = 5 * time.Second
 	// maxHeartbeatBytes bounds the body of a heartbeat.
 	maxHeartbeatBytes = 512 << 10
 	// maxBodyBytes bounds other bodies.
--- a/jobs/httpapi/worker.go
+++ b/jobs/httpapi/worker.go
@@ -47,7 +47,8 @@
 	// Tasks lists every task that the worker holds.
 	Tasks   []Task `json:"tasks"`
 	Leaving bool   `json:"leaving,omitempty"`
-	// Wait is how long the call waits for commands, at most MaxWait.
+	// Wait is how long the call waits for commands, at most MaxWait. A call that
+	// renews the lease or brings news is answered at once.
 	Wait api.Duration `json:"wait,omitempty"`
 }
 
@@ -72,7 +73,7 @@
 		return fieldProblem("wait", "0s to %s is required", MaxWait)
 	}
 	hb := body.change(c.Param("worker"))
-	view, err := h.renew(c, hb)
+	view, renewed, err := h.renew(c, hb)
 	if err != nil {
 		return err
 	}
@@ -84,6 +85,11 @@
 		Lease:      api.Duration(time.Duration(w.Until-view.Now-jobs.DriftMargin) * time.Millisecond),
 		LeaseEpoch: w.LeaseEpoch,
 	}
+	if renewed {
+		// The lease must reach the worker before the earlier one ends.
+		reply.Commands = Commands(view, w.ID, body.Tasks)
+		return c.JSON(http.StatusOK, reply)
+	}
 	reply.Commands = h.await(c.Request().Context(), view, w, body.Tasks, body.Wait.Std())
 	return c.JSON(http.StatusOK, reply)
 }
@@ -100,21 +106,22 @@
 }
 
 // renew returns a view whose lease of the worker was granted after the call
-// began. A heartbeat that brings nothing new enters the log only once the lease
-// is RenewAfter old.
-func (h *handlers) renew(c *echo.Context, hb *jobs.Heartbeat) (*jobs.View, error) {
+// began, and whether the heartbeat entered the log. A heartbeat that brings
+// nothing new does so only once the lease is RenewAfter old.
+func (h *handlers) renew(c *echo.Context, hb *jobs.Heartbeat) (*jobs.View, bool, error) {
 	view, err := h.read(c)
-	if err != nil || !view.NeedsHeartbeat(hb) {
-		return view, err
+	if err != nil {
+		return nil, false, err
 	}
-	if _, err := h.propose(c, jobs.Change{Heartbeat: hb}); err != nil {
-		return nil, err
+	change, needed := view.HeartbeatChange(hb)
+	if !needed {
+		return view, false, nil
 	}
-	newer, err := h.read(c)
-	if err != nil {
-		return nil, err
+	if _, err := h.propose(c, change); err != nil {
+		return nil, false, err
 	}
-	return newer, nil
+	view, err = h.read(c)
+	return view, true, err
 }
 
 // await returns the commands for the worker once there are any, or what there
--- /dev/null
+++ b/jobs/httpapi/worker_test.go
@@ -0,0 +1,70 @@
+package httpapi
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/labstack/echo/v5"
+
+	"magnoliastand.example/jobs"
+)
+
+// fake is a Service on a state whose clock the test sets.
+type fake struct {
+	Service
+	now     jobs.Millis
+	state   *jobs.State
+	entries int
+	waits   int
+}
+
+func (f *fake) Propose(_ context.Context, changes ...jobs.Change) (jobs.Result, error) {
+	f.entries++
+	return f.state.Apply(jobs.Command{At: f.now, Changes: changes}), nil
+}
+
+func (f *fake) Read(context.Context) (*jobs.View, error) { return f.state.View().At(f.now), nil }
+
+func (f *fake) Watch() (*jobs.View, <-chan struct{}) {
+	f.waits++
+	return f.state.View(), make(chan struct{})
+}
+
+// TestLeaseReachesWorkerInTime checks that a heartbeat that renews the lease is
+// answered without a wait, since the earlier lease could end meanwhile, and
+// that the others neither enter the log nor are answered early.
+func TestLeaseReachesWorkerInTime(t *testing.T) {
+	f := &fake{now: 1_000, state: jobs.New()}
+	e := echo.New()
+	RegisterWorkers(e, f)
+	beat := func(seq, wait string) string {
+		body := `{"zone":"z","rack":"r","pool":"p","capacity":{"processors":1},"slots":1,"incarnation":"1","seq":` + seq + `,"wait":"` + wait + `"}`
+		w := httptest.NewRecorder()
+		e.ServeHTTP(w, httptest.NewRequest(http.MethodPut, "/v1/workers/w1", strings.NewReader(body)))
+		return w.Body.String()
+	}
+	for _, c := range []struct {
+		after          jobs.Millis
+		seq, wait      string
+		entries, waits int
+		lease          string
+	}{
+		{0, "1", "5s", 1, 0, `"lease":"19.8s"`},
+		{jobs.RenewAfter, "2", "1ms", 1, 1, `"lease":"10.8s"`},
+		{1, "3", "5s", 2, 1, `"lease":"19.8s"`},
+		{1, "3", "1ms", 2, 2, `"lease":"19.799s"`},
+	} {
+		f.now += c.after
+		answer := beat(c.seq, c.wait)
+		if f.entries != c.entries || f.waits != c.waits || !strings.Contains(answer, c.lease) {
+			t.Fatalf("heartbeat %s: %d entries, %d waits, answer %s", c.seq, f.entries, f.waits, answer)
+		}
+	}
+	left := jobs.LeaseTime - jobs.DriftMargin - jobs.RenewAfter - jobs.Millis(MaxWait.Milliseconds())
+	if left < 5_000 {
+		t.Fatalf("a worker has %d ms for the call that renews its lease", left)
+	}
+}
--- a/jobs/job.go
+++ b/jobs/job.go
@@ -26,6 +26,19 @@
 	return true
 }
 
+// Add returns s plus o.
+func (s Size) Add(o Size) Size {
+	return Size{s.Processors + o.Processors, s.MemoryMB + o.MemoryMB, s.Accelerators + o.Accelerators}
+}
+
+// Fits reports whether s fits into free.
+func (s Size) Fits(free Size) bool {
+	return s.Processors <= free.Processors && s.MemoryMB <= free.MemoryMB && s.Accelerators <= free.Accelerators
+}
+
+// SizeOf returns a size of package placement without its slots.
+func SizeOf(s placement.Size) Size { return Size{s.Processors, s.MemoryMB, s.Accelerators} }
+
 // Placement returns s with a number of slots, as package placement needs it.
 func (s Size) Placement(slots int) placement.Size {
 	return placement.Size{Slots: slots, Processors: s.Processors, MemoryMB: s.MemoryMB, Accelerators: s.Accelerators}
@@ -106,6 +119,8 @@
 	Started Millis `cbor:"18,keyasint,omitempty"`
 	// RanBefore is MayHaveRun as it was before the last assignment.
 	RanBefore bool `cbor:"19,keyasint,omitempty"`
+	// Reserved is the room that the last assignment reserved.
+	Reserved Size `cbor:"21,keyasint"`
 	// Result is an opaque reference from the worker that ended the job.
 	Result []byte `cbor:"20,keyasint,omitempty"`
 }
--- a/jobs/limits.go
+++ b/jobs/limits.go
@@ -7,10 +7,10 @@
 
 // Timing of leases, in milliseconds.
 const (
-	// LeaseTime is how long the lease of a worker stands after a heartbeat.
-	LeaseTime Millis = 15_000
+	// LeaseTime is how long the lease of a worker stands after it was renewed.
+	LeaseTime Millis = 20_000
 	// RenewAfter is how old a lease is before a heartbeat renews it in the log.
-	RenewAfter Millis = 5_000
+	RenewAfter Millis = 9_000
 	// DriftPerMille bounds the relative drift of a worker's clock against the
 	// control clock, in thousandths.
 	DriftPerMille Millis = 10
--- a/jobs/scheduler/plan.go
+++ b/jobs/scheduler/plan.go
@@ -91,17 +91,15 @@
 	return q
 }
 
-// addWorkers adds the workers with what their tasks take.
+// addWorkers adds the workers with what their tasks take. Lost ones count for
+// what may fit, since they may return.
 func (p *planner) addWorkers() {
 	for _, w := range p.view.Workers {
-		if w.State == jobs.Lost {
-			continue
-		}
 		q := p.poolOf(w.Pool)
 		pw := w.Placement()
 		pw.Open = pw.Open && p.view.Now <= w.Until
 		for _, j := range p.view.TasksOf(w.ID) {
-			size := p.sizeOf(j)
+			size := sizeOf(j)
 			pw.Used = pw.Used.Add(size)
 			q.running = append(q.running, placement.Running{
 				Task: j.Task(), Worker: w.ID, Size: size, Started: j.Since, Stage: stageOf(j), StageSince: j.StageSince,
@@ -123,11 +121,10 @@
 	return j.Stage
 }
 
-// sizeOf returns the room that a job takes: the corrected size, or its report
-// where that is larger.
-func (p *planner) sizeOf(j *jobs.Job) placement.Size {
-	t := j.Task()
-	s := p.est.Size(&t)
+// sizeOf returns the room that a job on a worker takes: what is reserved, or
+// its report where that is larger.
+func sizeOf(j *jobs.Job) placement.Size {
+	s := j.Reserved.Placement(1)
 	s.Processors = max(s.Processors, j.Used.Processors)
 	s.MemoryMB = max(s.MemoryMB, j.Used.MemoryMB)
 	return s
--- a/jobs/scheduler/pool.go
+++ b/jobs/scheduler/pool.go
@@ -86,7 +86,7 @@
 		p.starts[s.Task.Team]++
 		started[s.Task.ID] = struct{}{}
 		p.out = append(p.out, jobs.Change{Assign: &jobs.Assign{
-			ID: s.Task.ID, Worker: s.Worker, IfEpoch: p.view.Job(s.Task.ID).Epoch,
+			ID: s.Task.ID, Worker: s.Worker, IfEpoch: p.view.Job(s.Task.ID).Epoch, Reserved: jobs.SizeOf(s.Size),
 		}})
 		q.take(s.Worker, s.Size)
 	}
--- a/jobs/snapshot.go
+++ b/jobs/snapshot.go
@@ -106,13 +106,7 @@
 // Snapshot returns the canonical CBOR form of the state. Equal states have
 // equal snapshots.
 func (s *State) Snapshot() ([]byte, error) {
-	img := image{Version: s.version, Now: s.now, Seq: s.seq, Epoch: s.epoch, Samples: s.samples, Finished: s.finished}
-	for _, id := range slices.Sorted(maps.Keys(s.jobs)) {
-		img.Jobs = append(img.Jobs, s.jobs[id])
-	}
-	for _, id := range slices.Sorted(maps.Keys(s.workers)) {
-		img.Workers = append(img.Workers, s.workers[id])
-	}
+	img := image{Version: s.version, Now: s.now, Seq: s.seq, Epoch: s.epoch, Samples: s.samples, Finished: s.finished, Jobs: s.jobList, Workers: s.workerList}
 	for _, name := range slices.Sorted(maps.Keys(s.teams)) {
 		img.Teams = append(img.Teams, s.teams[name])
 	}
@@ -143,7 +137,7 @@
 		if w == nil || n.workers[w.ID] != nil {
 			return errors.New("jobs snapshot holds a worker twice or an empty one")
 		}
-		n.workers[w.ID] = w
+		n.putWorker(w)
 	}
 	for _, t := range img.Teams {
 		n.teams[t.Name] = t
--- a/jobs/state.go
+++ b/jobs/state.go
@@ -36,9 +36,14 @@
 	// finished lists the ids of finished jobs in the order in which they finished.
 	finished []string
 
-	// The indexes below are derived from jobs.
-	onWorker map[string]map[string]struct{}
-	running  map[string]int
+	// The indexes below are derived from jobs and workers. jobList and
+	// workerList are in ascending order of id. The lists in onWorker are in order
+	// of submission; they are replaced and never modified, so that views may
+	// share them.
+	jobList    []*Job
+	workerList []*Worker
+	onWorker   map[string][]*Job
+	running    map[string]int
 
 	view *View
 	opts options
@@ -51,7 +56,7 @@
 		workers:  map[string]*Worker{},
 		past:     map[string][]string{},
 		teams:    map[string]Team{},
-		onWorker: map[string]map[string]struct{}{},
+		onWorker: map[string][]*Job{},
 		running:  map[string]int{},
 	}
 }
@@ -62,8 +67,12 @@
 // put stores j in place of the job with the same id and updates the indexes.
 func (s *State) put(j *Job) {
 	old := s.jobs[j.ID]
+	at, _ := slices.BinarySearchFunc(s.jobList, j.ID, compareJob)
 	if old != nil {
 		s.index(old, -1)
+		s.jobList[at] = j
+	} else {
+		s.jobList = slices.Insert(s.jobList, at, j)
 	}
 	s.jobs[j.ID] = j
 	s.index(j, 1)
@@ -72,6 +81,31 @@
 	}
 }
 
+// forget removes a finished job.
+func (s *State) forget(id string) {
+	delete(s.jobs, id)
+	if at, ok := slices.BinarySearchFunc(s.jobList, id, compareJob); ok {
+		s.jobList = slices.Delete(s.jobList, at, at+1)
+	}
+}
+
+// putWorker stores w in place of the worker with the same id.
+func (s *State) putWorker(w *Worker) {
+	at, known := slices.BinarySearchFunc(s.workerList, w.ID, compareWorker)
+	if known {
+		s.workerList[at] = w
+	} else {
+		s.workerList = slices.Insert(s.workerList, at, w)
+	}
+	s.workers[w.ID] = w
+}
+
+func compareJob(j *Job, id string) int { return cmp.Compare(j.ID, id) }
+
+func compareWorker(w *Worker, id string) int { return cmp.Compare(w.ID, id) }
+
+func compareSeq(a, b *Job) int { return cmp.Compare(a.Seq, b.Seq) }
+
 // index adds sign times the contribution of j to every index.
 func (s *State) index(j *Job, sign int) {
 	if !j.State.OnWorker() {
@@ -81,14 +115,19 @@
 	if s.running[j.Team] == 0 {
 		delete(s.running, j.Team)
 	}
-	if sign < 0 {
-		delete(s.onWorker[j.Worker], j.ID)
+	old := s.onWorker[j.Worker]
+	at, _ := slices.BinarySearchFunc(old, j, compareSeq)
+	list := make([]*Job, 0, len(old)+1)
+	list = append(list, old[:at]...)
+	if sign > 0 {
+		list = append(list, j)
+		s.onWorker[j.Worker] = append(list, old[at:]...)
 		return
 	}
-	if s.onWorker[j.Worker] == nil {
-		s.onWorker[j.Worker] = map[string]struct{}{}
+	s.onWorker[j.Worker] = append(list, old[at+1:]...)
+	if len(old) == 1 {
+		delete(s.onWorker, j.Worker)
 	}
-	s.onWorker[j.Worker][j.ID] = struct{}{}
 }
 
 // transition applies e to a copy of j, lets change edit the copy, and stores it.
@@ -115,16 +154,6 @@
 
 func cut(reason string) string { return reason[:min(len(reason), MaxReasonLen)] }
 
-// tasksOf returns the jobs of the worker in order of submission.
-func (s *State) tasksOf(worker string) []*Job {
-	out := make([]*Job, 0, len(s.onWorker[worker]))
-	for id := range s.onWorker[worker] {
-		out = append(out, s.jobs[id])
-	}
-	slices.SortFunc(out, func(a, b *Job) int { return cmp.Compare(a.Seq, b.Seq) })
-	return out
-}
-
 // prune forgets jobs that finished long ago.
 func (s *State) prune() {
 	n := 0
@@ -134,7 +163,7 @@
 		if age <= KeepFinished && !crowded {
 			break
 		}
-		delete(s.jobs, s.finished[n])
+		s.forget(s.finished[n])
 	}
 	s.finished = slices.Delete(s.finished, 0, n)
 }
--- a/jobs/view.go
+++ b/jobs/view.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"strings"
 )
@@ -31,17 +32,13 @@
 	if s.view != nil {
 		return s.view
 	}
-	v := &View{version: s.version, Now: s.now, Samples: slices.Clone(s.samples), running: maps.Clone(s.running), onWorker: map[string][]*Job{}}
-	v.Jobs = slices.SortedFunc(maps.Values(s.jobs), func(a, b *Job) int { return strings.Compare(a.ID, b.ID) })
-	v.Workers = slices.SortedFunc(maps.Values(s.workers), func(a, b *Worker) int { return strings.Compare(a.ID, b.ID) })
+	v := &View{
+		version: s.version, Now: s.now, Jobs: slices.Clone(s.jobList), Workers: slices.Clone(s.workerList),
+		Samples: slices.Clone(s.samples), running: maps.Clone(s.running), onWorker: maps.Clone(s.onWorker),
+	}
 	for _, name := range slices.Sorted(maps.Keys(s.teams)) {
 		v.Teams = append(v.Teams, s.teams[name])
 	}
-	for id := range s.onWorker {
-		if len(s.onWorker[id]) > 0 {
-			v.onWorker[id] = s.tasksOf(id)
-		}
-	}
 	s.view = v
 	return v
 }
@@ -59,7 +56,7 @@
 
 // Job returns the job with the id, or nil.
 func (v *View) Job(id string) *Job {
-	at, ok := slices.BinarySearchFunc(v.Jobs, id, func(j *Job, id string) int { return cmp.Compare(j.ID, id) })
+	at, ok := slices.BinarySearchFunc(v.Jobs, id, compareJob)
 	if !ok {
 		return nil
 	}
@@ -68,7 +65,7 @@
 
 // Worker returns the worker with the id, or nil.
 func (v *View) Worker(id string) *Worker {
-	at, ok := slices.BinarySearchFunc(v.Workers, id, func(w *Worker, id string) int { return cmp.Compare(w.ID, id) })
+	at, ok := slices.BinarySearchFunc(v.Workers, id, compareWorker)
 	if !ok {
 		return nil
 	}
@@ -95,7 +92,7 @@
 // is empty, in ascending order of id after the operation id.
 func (v *View) JobsOf(team string, state JobState, after string, limit int) []*Job {
 	prefix := JobID(team, "")
-	at, found := slices.BinarySearchFunc(v.Jobs, prefix+after, func(j *Job, id string) int { return cmp.Compare(j.ID, id) })
+	at, found := slices.BinarySearchFunc(v.Jobs, prefix+after, compareJob)
 	if found {
 		at++
 	}
@@ -108,24 +105,47 @@
 	return out
 }
 
-// NeedsHeartbeat reports whether a heartbeat must enter the log: the lease is
-// RenewAfter old, or the worker holds other tasks or describes itself otherwise
-// than the view has it. Usage alone is recorded with the next renewal.
-func (v *View) NeedsHeartbeat(h *Heartbeat) bool {
+// usageChange is the relative change of a use that is recorded.
+const usageChange = 0.25
+
+// HeartbeatChange returns the change by which a heartbeat enters the log. It
+// returns false if the heartbeat brings nothing new and the lease is younger
+// than RenewAfter.
+func (v *View) HeartbeatChange(h *Heartbeat) (Change, bool) {
 	w := v.Worker(h.Worker)
-	if w == nil || w.State == Lost || w.Incarnation != h.Incarnation || h.Leaving && w.State == Ready {
-		return true
+	if w == nil || !w.matches(h) || v.tasksDiffer(w, h) {
+		return Change{Heartbeat: h}, true
 	}
-	same := w.Zone == h.Zone && w.Rack == h.Rack && w.Pool == h.Pool && w.Capacity == h.Capacity && w.Slots == h.Slots
-	if !same || w.Until-v.Now < LeaseTime-RenewAfter {
-		return true
+	if w.Until-v.Now >= LeaseTime-RenewAfter {
+		return Change{}, false
 	}
-	epochs := make(map[string]uint64, len(h.Tasks))
+	return Change{Renew: &Renew{Worker: w.ID, LeaseEpoch: w.LeaseEpoch, Seq: h.Seq}}, true
+}
+
+// matches reports whether the worker is as the heartbeat describes it.
+func (w *Worker) matches(h *Heartbeat) bool {
+	drains := h.Leaving && w.State == Ready
+	same := w.Zone == h.Zone && w.Rack == h.Rack && w.Pool == h.Pool && w.Capacity == h.Capacity && w.Slots == h.Slots
+	return same && !drains && w.State != Lost && w.Incarnation == h.Incarnation
+}
+
+// tasksDiffer reports whether the worker holds other tasks than the view has,
+// or the use of one changed much.
+func (v *View) tasksDiffer(w *Worker, h *Heartbeat) bool {
+	reports := make(map[string]*TaskReport, len(h.Tasks))
 	for n := range h.Tasks {
-		epochs[h.Tasks[n].ID] = h.Tasks[n].Epoch
+		reports[h.Tasks[n].ID] = &h.Tasks[n]
 	}
 	return slices.ContainsFunc(v.TasksOf(w.ID), func(j *Job) bool {
-		held := epochs[j.ID] == j.Epoch
-		return held != (j.Started > 0)
+		r := reports[j.ID]
+		held := r != nil && r.Epoch == j.Epoch
+		if held != (j.Started > 0) {
+			return true
+		}
+		return held && (differ(r.Used.Processors, j.Used.Processors) || differ(r.Used.MemoryMB, j.Used.MemoryMB))
 	})
 }
+
+func differ(a, b int) bool {
+	return math.Abs(float64(a-b)) > usageChange*float64(max(a, b))
+}
--- a/jobs/worker.go
+++ b/jobs/worker.go
@@ -1,7 +1,6 @@
 package jobs
 
 import (
-	"maps"
 	"slices"
 
 	"magnoliastand.example/api"
@@ -55,11 +54,23 @@
 		*w = *old
 	}
 	s.renew(w, old, c)
-	s.workers[w.ID] = w
+	s.putWorker(w)
 	s.settle(c)
 	return ChangeResult{Lease: LeaseTime, LeaseEpoch: w.LeaseEpoch}, nil
 }
 
+// renewLease renews the lease of a worker and changes nothing else.
+func (s *State) renewLease(c *Renew) (ChangeResult, error) {
+	old, ok := s.workers[c.Worker]
+	if !ok || old.State == Lost || old.LeaseEpoch != c.LeaseEpoch || c.Seq <= old.Seq {
+		return ChangeResult{}, refuse(CodeStaleSeq, "worker %q holds no lease %d, or sent a later heartbeat than %d", c.Worker, c.LeaseEpoch, c.Seq)
+	}
+	w := *old
+	w.Seq, w.Until = c.Seq, s.now+LeaseTime
+	s.putWorker(&w)
+	return ChangeResult{Lease: LeaseTime, LeaseEpoch: w.LeaseEpoch}, nil
+}
+
 // checkHeartbeat refuses heartbeats that arrive late.
 func (s *State) checkHeartbeat(old *Worker, c *Heartbeat) error {
 	if old == nil {
@@ -108,7 +119,7 @@
 	for n := range c.Tasks {
 		reports[c.Tasks[n].ID] = &c.Tasks[n]
 	}
-	for _, j := range s.tasksOf(c.Worker) {
+	for _, j := range s.onWorker[c.Worker] {
 		r := reports[j.ID]
 		switch {
 		case r != nil && r.Epoch == j.Epoch:
@@ -139,7 +150,7 @@
 
 // forgetTasks settles the jobs of a worker that no longer runs them.
 func (s *State) forgetTasks(worker, reason string) {
-	for _, j := range s.tasksOf(worker) {
+	for _, j := range s.onWorker[worker] {
 		s.vanish(j, reason)
 	}
 }
@@ -174,7 +185,7 @@
 	if !s.setWorkerState(&w, e, c.Reason) {
 		return refuse(CodeWrongState, "worker %q is %s: %s is not allowed", w.ID, w.State, e)
 	}
-	s.workers[w.ID] = &w
+	s.putWorker(&w)
 	return nil
 }
 
@@ -193,11 +204,13 @@
 	if len(s.workers) < MaxWorkers {
 		return true
 	}
-	for _, id := range slices.Sorted(maps.Keys(s.workers)) {
-		if w := s.workers[id]; w.State == Lost && s.now-w.Since > keepLost {
-			delete(s.workers, id)
-			delete(s.past, id)
+	s.workerList = slices.DeleteFunc(s.workerList, func(w *Worker) bool {
+		old := w.State == Lost && s.now-w.Since > keepLost
+		if old {
+			delete(s.workers, w.ID)
+			delete(s.past, w.ID)
 		}
-	}
+		return old
+	})
 	return len(s.workers) < MaxWorkers
 }
