--- a/jobs/httpapi/service.go
+++ b/jobs/httpapi/service.go
@@ -33,6 +33,10 @@
 	retryAfter = time.Second
 	// maxListed bounds the jobs of one page of a list.
 	maxListed = 500
+	// maxCancelled bounds the jobs of one call that cancels several.
+	maxCancelled = 1_000
+	// maxCancelBytes bounds the body of that call.
+	maxCancelBytes = 128 << 10
 )
 
 // ErrNotProposed is wrapped by errors of Service.Propose when the changes have
@@ -79,6 +83,7 @@
 func RegisterSubmitters(e *echo.Echo, s Service) {
 	h := &handlers{service: s}
 	e.POST("/v1/jobs", problems(h.submit))
+	e.POST("/v1/jobs/cancel", problems(h.cancelMany))
 	e.GET("/v1/jobs", problems(h.list))
 	e.GET("/v1/jobs/:job", problems(h.get))
 	e.DELETE("/v1/jobs/:job", problems(h.cancel))
@@ -88,11 +93,7 @@
 func (h *handlers) propose(c *echo.Context, change jobs.Change) (jobs.ChangeResult, error) {
 	r, err := h.service.Propose(c.Request().Context(), change)
 	if err != nil {
-		run := api.RunUnknown
-		if errors.Is(err, ErrNotProposed) {
-			run = api.RunNot
-		}
-		return jobs.ChangeResult{}, unavailable(run, err)
+		return jobs.ChangeResult{}, proposalProblem(err)
 	}
 	if len(r.Changes) != 1 {
 		return jobs.ChangeResult{}, errors.Errorf("one change had %d results", len(r.Changes))
--- a/jobs/httpapi/submitter.go
+++ b/jobs/httpapi/submitter.go
@@ -141,18 +141,6 @@
 	return h.answer(c, http.StatusOK, jobs.JobID(team, c.Param("job")))
 }
 
-func (h *handlers) cancel(c *echo.Context) error {
-	team, err := h.authorize(c, "")
-	if err != nil {
-		return err
-	}
-	id := jobs.JobID(team, c.Param("job"))
-	if _, err := h.propose(c, jobs.Change{Cancel: &jobs.Cancel{ID: id, Reason: "cancelled by the submitter"}}); err != nil {
-		return err
-	}
-	return h.answer(c, http.StatusOK, id)
-}
-
 // list answers the jobs of the team, by id, without their histories.
 func (h *handlers) list(c *echo.Context) error {
 	team, err := h.authorize(c, "")
--- a/jobs/scheduler/pool.go
+++ b/jobs/scheduler/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"magnoliastand.example/jobs"
@@ -12,11 +13,8 @@
 func (p *planner) planPool(q *pool) {
 	p.judge(q)
 	teams := p.teams(q)
-	uses := make([]placement.TeamUse, 0, len(teams))
-	for n := range teams {
-		uses = append(uses, teams[n].TeamUse)
-	}
 	started := p.start(q, teams)
+	uses := usesOf(q, teams, started)
 	stopped := p.preemptUrgent(q, started)
 	for _, c := range placement.Preempt(uses, q.running, q.total, p.view.Now) {
 		if _, ok := stopped[c.TaskID]; !ok {
@@ -76,15 +74,32 @@
 	*list = append(*list, task)
 }
 
-// start assigns jobs and returns the ids of those.
-func (p *planner) start(q *pool, teams []placement.TeamQueue) map[string]struct{} {
-	started := map[string]struct{}{}
+// usesOf returns the use of each team with the jobs that start now.
+func usesOf(q *pool, teams []placement.TeamQueue, started map[string]placement.Start) []placement.TeamUse {
+	added := map[string]float64{}
+	for _, id := range slices.Sorted(maps.Keys(started)) {
+		s := started[id]
+		added[s.Task.Team] += s.Size.Dominant(q.total)
+	}
+	uses := make([]placement.TeamUse, 0, len(teams))
+	for n := range teams {
+		u := teams[n].TeamUse
+		u.Use += added[u.Team]
+		u.Demand = max(u.Demand, u.Use)
+		uses = append(uses, u)
+	}
+	return uses
+}
+
+// start assigns jobs and returns the starts by job id.
+func (p *planner) start(q *pool, teams []placement.TeamQueue) map[string]placement.Start {
+	started := map[string]placement.Start{}
 	for _, s := range placement.Place(placement.Input{
 		Workers: q.workers, Teams: teams, Classes: q.classes(),
 		Order: placement.LowestUse{}, Estimator: p.est, Attempts: maxTries,
 	}) {
 		p.starts[s.Task.Team]++
-		started[s.Task.ID] = struct{}{}
+		started[s.Task.ID] = s
 		p.out = append(p.out, jobs.Change{Assign: &jobs.Assign{
 			ID: s.Task.ID, Worker: s.Worker, IfEpoch: p.view.Job(s.Task.ID).Epoch, Reserved: jobs.SizeOf(s.Size),
 		}})
--- a/jobs/scheduler/urgent.go
+++ b/jobs/scheduler/urgent.go
@@ -15,7 +15,7 @@
 // preemptUrgent stops idempotent jobs where an urgent job found no room, and
 // returns the ids of the stopped jobs. They are stopped at once, without
 // earlier stages, since an urgent job starts within seconds.
-func (p *planner) preemptUrgent(q *pool, started map[string]struct{}) map[string]struct{} {
+func (p *planner) preemptUrgent(q *pool, started map[string]placement.Start) map[string]struct{} {
 	stopped := map[string]struct{}{}
 	u := urgent{pool: q, byWorker: map[string][]*placement.Running{}, free: map[string]placement.Size{}}
 	tried := 0
