A new arbiter pulls its zone's endpoints at once

Ruled out: the order of arbiters by itself. The loop now looks at each short interval whether it became arbiter.

--- a/cmd/magnoliastand/measure_test.go
+++ b/cmd/magnoliastand/measure_test.go
@@ -134,6 +134,13 @@
 	c.kill(target)
 	r := wait()
 	sum := standin.Summarize(r.Outcomes)
+	codes := map[string]int{}
+	for _, o := range r.Outcomes {
+		if o.Kind == standin.OutcomeRefused {
+			codes[o.Queue+" "+string(o.Code)+" "+o.Detail]++
+		}
+	}
+	b.Logf("refusals: %v", codes)
 	b.ReportMetric(float64(r.Latency.Max())/1000, "longest-ms")
 	b.ReportMetric(float64(r.Latency.ValueAtQuantile(99))/1000, "p99-ms")
 	b.ReportMetric(float64(sum.Refused), "refused")
--- a/daemon/hostrpc.go
+++ b/daemon/hostrpc.go
@@ -91,16 +91,20 @@
 // pullFeed keeps the registry up to date with what endpoints announced to one
 // zone peer, until ctx ends.
 func (h *arbiterHost) pullFeed(ctx context.Context, peer string) {
+	ticker := time.NewTicker(feedInterval)
+	defer ticker.Stop()
 	var since uint64
+	var pulled time.Time
 	for {
-		interval := restInterval
-		if h.isArbiter() {
-			interval = feedInterval
-		}
-		sleepCtx(ctx, interval)
-		if ctx.Err() != nil {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
 			return
 		}
+		if !h.isArbiter() && time.Since(pulled) < restInterval {
+			continue
+		}
+		pulled = time.Now()
 		callCtx, cancel := context.WithTimeout(ctx, releaseTimeout)
 		var feed endpoint.Feed
 		err := h.link.Call(callCtx, peer, methodFeed, feedRequest{Since: since}, &feed)
