--- a/control/codec.go
+++ b/control/codec.go
@@ -1,42 +1,23 @@
 package control
 
 import (
-	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
 	"magnoliastand.example/api"
+	"magnoliastand.example/codec"
 )
 
 // maxListItems bounds every list of a decoded message.
 const maxListItems = 1 << 17
 
+// maxDepth bounds the nesting of a decoded message.
+const maxDepth = 32
+
 // encMode encodes canonically: equal values give equal bytes.
-var encMode = mustEncMode()
+var encMode = codec.Encoder()
 
 // decMode refuses repeated map keys and oversized lists.
-var decMode = mustDecMode()
-
-func mustEncMode() cbor.EncMode {
-	m, err := cbor.CoreDetEncOptions().EncMode()
-	if err != nil {
-		panic(err)
-	}
-	return m
-}
-
-func mustDecMode() cbor.DecMode {
-	m, err := cbor.DecOptions{
-		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
-		MaxArrayElements: maxListItems,
-		MaxMapPairs:      maxListItems,
-		MaxNestedLevels:  32,
-		IndefLength:      cbor.IndefLengthForbidden,
-	}.DecMode()
-	if err != nil {
-		panic(err)
-	}
-	return m
-}
+var decMode = codec.Decoder(codec.Limits{Items: maxListItems, Depth: maxDepth})
 
 // EncodeCommand returns the log entry of a command. It refuses a command that
 // DecodeCommand would not read back, such as text that is not UTF-8, since an
--- a/fleet/snapshot.go
+++ b/fleet/snapshot.go
@@ -4,8 +4,9 @@
 	"maps"
 	"slices"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
+
+	"magnoliastand.example/codec"
 )
 
 // Bounds of decoded input.
@@ -15,33 +16,10 @@
 )
 
 var (
-	encMode = mustEncMode()
-	decMode = mustDecMode()
+	encMode = codec.Encoder()
+	decMode = codec.Decoder(codec.Limits{Items: maxArray, Depth: maxDepth, Strict: true})
 )
 
-func mustEncMode() cbor.EncMode {
-	m, err := cbor.CoreDetEncOptions().EncMode()
-	if err != nil {
-		panic(err)
-	}
-	return m
-}
-
-func mustDecMode() cbor.DecMode {
-	m, err := cbor.DecOptions{
-		DupMapKey:         cbor.DupMapKeyEnforcedAPF,
-		ExtraReturnErrors: cbor.ExtraDecErrorUnknownField,
-		IndefLength:       cbor.IndefLengthForbidden,
-		TagsMd:            cbor.TagsForbidden,
-		MaxArrayElements:  maxArray,
-		MaxNestedLevels:   maxDepth,
-	}.DecMode()
-	if err != nil {
-		panic(err)
-	}
-	return m
-}
-
 // image is the encoded form of a state.
 type image struct {
 	Version   uint64      `cbor:"1,keyasint"`
