Concurrent changes of jobs share an entry

Cause: each heartbeat and submission made an entry of its own. The batcher of module jobs groups what arrives while an entry is being committed.

--- a/daemon/controlplane.go
+++ b/daemon/controlplane.go
@@ -16,6 +16,7 @@
 	"magnoliastand.example/dispatch"
 	"magnoliastand.example/dispatch/endpoint"
 	"magnoliastand.example/dispatch/origin"
+	"magnoliastand.example/jobs/batch"
 	"magnoliastand.example/peerlink"
 )
 
@@ -33,6 +34,7 @@
 	start    time.Time
 	leader   *leaderDuties
 	planner  *fleetPlanner
+	jobBatch *batch.Batcher
 	// zoneArbiter returns the arbiter of this daemon's zone.
 	zoneArbiter func() arbiterRef
 	// ping asks a daemon whether it is alive and may stay arbiter.
@@ -72,6 +74,7 @@
 	c.follower.register()
 	c.leader = newLeaderDuties(c)
 	c.planner = newFleetPlanner(c)
+	c.jobBatch = batch.New(c.commitJobs)
 	link.Handle(methodPropose, c.handlePropose)
 	link.Handle(methodClaim, c.handleClaim)
 	link.Handle(methodDemand, c.leader.handleDemand)
@@ -110,6 +113,7 @@
 	wg.Go(func() { c.leader.run(ctx) })
 	wg.Go(func() { c.planner.run(ctx) })
 	wg.Go(func() { c.scheduleJobs(ctx) })
+	wg.Go(func() { c.jobBatch.Run(ctx) })
 	var err error
 	if c.node != nil {
 		err = c.node.run(ctx)
--- a/daemon/jobs.go
+++ b/daemon/jobs.go
@@ -8,6 +8,7 @@
 
 	"magnoliastand.example/control"
 	"magnoliastand.example/jobs"
+	"magnoliastand.example/jobs/batch"
 	"magnoliastand.example/jobs/httpapi"
 	"magnoliastand.example/jobs/scheduler"
 )
@@ -51,15 +52,24 @@
 	plane *controlPlane
 }
 
-// Propose implements httpapi.Service.
+// Propose implements httpapi.Service. Concurrent proposals share an entry.
 func (s jobService) Propose(ctx context.Context, changes ...jobs.Change) (jobs.Result, error) {
+	r, err := s.plane.jobBatch.Propose(ctx, changes...)
+	if errors.Is(err, batch.ErrFull) {
+		return r, errors.Wrap(httpapi.ErrNotProposed, err.Error())
+	}
+	return r, err
+}
+
+// commitJobs commits changes as one entry of the log.
+func (c *controlPlane) commitJobs(ctx context.Context, changes []jobs.Change) (jobs.Result, error) {
 	b, err := encodeJobs(jobs.Command{Changes: changes})
 	if err != nil {
 		return jobs.Result{}, errors.Wrap(httpapi.ErrNotProposed, err.Error())
 	}
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	r, err := s.plane.propose(ctx, &control.Command{Fleet: b})
+	r, err := c.propose(ctx, &control.Command{Fleet: b})
 	switch {
 	case err != nil && notSent(err):
 		return jobs.Result{}, errors.Wrap(httpapi.ErrNotProposed, err.Error())
