--- a/api/validate_upkeep.go
+++ b/api/validate_upkeep.go
@@ -1,5 +1,7 @@
 package api
 
+import "strings"
+
 func (v *validator) budgets() {
 	if !v.count("budgets", len(v.doc.Budgets), MaxBudgets) {
 		return
@@ -28,13 +30,26 @@
 		}
 	case ScopeRack:
 		if b.Name != "" {
-			v.name(path+".name", b.Name)
+			v.rackName(path+".name", b.Name)
 		}
 	default:
 		v.addf(path+".scope", "%s is not a scope: use %q, %q or %q", quote(string(b.Scope)), ScopePool, ScopeRack, ScopeZone)
 	}
 }
 
+// rackName checks the form "zone/rack" and that the zone exists.
+func (v *validator) rackName(path, name string) {
+	zone, rack, ok := strings.Cut(name, "/")
+	if !ok {
+		v.addf(path, "%s is not of the form \"zone/rack\"", quote(name))
+		return
+	}
+	if _, known := v.zoneNames[zone]; !known {
+		v.addf(path, "there is no availability zone %s", quote(zone))
+	}
+	v.name(path, rack)
+}
+
 func (v *validator) waves() {
 	if !v.count("waves", len(v.doc.Waves), MaxWaves) {
 		return
--- a/cmd/magnoliastand/cluster_test.go
+++ b/cmd/magnoliastand/cluster_test.go
@@ -63,9 +63,19 @@
 	meter     *standin.TeamMeter
 }
 
-// newCluster writes settings for daemons "<zone>-<n>", of which the first of
-// each zone has a disk, and starts them.
+// newCluster prepares a cluster and starts its daemons.
 func newCluster(t testing.TB, zones []string, perZone int) *cluster {
+	t.Helper()
+	c := prepareCluster(t, zones, perZone)
+	for _, m := range c.members {
+		c.start(m)
+	}
+	return c
+}
+
+// prepareCluster writes settings for daemons "<zone>-<n>", of which the first
+// of each zone has a disk.
+func prepareCluster(t testing.TB, zones []string, perZone int) *cluster {
 	t.Helper()
 	c := &cluster{t: t, dir: t.TempDir(), meter: standin.NewTeamMeter()}
 	number := clusters.Add(1)
@@ -88,7 +98,6 @@
 	}
 	for _, m := range c.members {
 		c.writeSettings(m, voters)
-		c.start(m)
 	}
 	t.Cleanup(c.stopAll)
 	return c
