--- a/cmd/magnoliastand/tls_test.go
+++ b/cmd/magnoliastand/tls_test.go
@@ -142,13 +142,13 @@
 	}
 	c.kill(stranger)
 	own.issue(stranger)
-	c.addOwnAuthority(stranger)
+	c.addOwnAuthority()
 	c.start(stranger)
 	c.awaitReady(1)
 }
 
-// addOwnAuthority makes a member trust the authority of the others.
-func (c *cluster) addOwnAuthority(m *member) {
+// addOwnAuthority puts the authority of the others in the place of the foreign one.
+func (c *cluster) addOwnAuthority() {
 	c.t.Helper()
 	b, err := os.ReadFile(filepath.Join(c.dir, "own.pem"))
 	if err != nil {
