Slow bodies hold no connection for ever; write_timeout takes effect

Cause: reading an announcement or a job had no time limit, and after a refusal the server went on to read the rest of the body without one. The setting limits.write_timeout was checked and never used. Ruled out: the server's own ReadTimeout, which would cut requests that wait long for a slot.

--- a/cmd/magnoliastand/tls_test.go
+++ b/cmd/magnoliastand/tls_test.go
@@ -90,13 +90,20 @@
 // addTLS appends TLS settings to a member's settings file.
 func (c *cluster) addTLS(m *member, ca string) {
 	c.t.Helper()
-	f, err := os.OpenFile(m.settingsFile, os.O_APPEND|os.O_WRONLY, 0o600)
+	file := func(name string) string { return filepath.Join(c.dir, name) }
+	c.appendSettings(m, fmt.Sprintf("peer_tls: {cert_file: %q, key_file: %q, ca_file: %q}\n", file(m.name+".pem"), file(m.name+".key"), file(ca+".pem")))
+}
+
+// appendSettings adds text to a member's settings file.
+func (c *cluster) appendSettings(m *member, text string) {
+	c.t.Helper()
+	b, err := os.ReadFile(m.settingsFile)
 	if err != nil {
 		c.t.Fatal(err)
 	}
-	defer f.Close()
-	file := func(name string) string { return filepath.Join(c.dir, name) }
-	fmt.Fprintf(f, "peer_tls: {cert_file: %q, key_file: %q, ca_file: %q}\n", file(m.name+".pem"), file(m.name+".key"), file(ca+".pem"))
+	if err := os.WriteFile(m.settingsFile, append(b, text...), 0o600); err != nil {
+		c.t.Fatal(err)
+	}
 }
 
 // TestPeerTLS runs a cluster whose peer links use TLS with an authority of its
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -170,6 +170,7 @@
 		Limits: origin.Limits{
 			MaxInFlight:          d.set.Limits.Requests,
 			BodyTimeout:          d.set.Limits.BodyTimeout.Std(),
+			WriteTimeout:         d.set.Limits.WriteTimeout.Std(),
 			IdleConnsPerEndpoint: max(1, spareConnections/len(d.set.Peers)),
 		},
 	})
--- a/daemon/jobroutes.go
+++ b/daemon/jobroutes.go
@@ -84,6 +84,7 @@
 }
 
 func (d *Daemon) serveJobs(w http.ResponseWriter, r *http.Request) {
+	lift := boundRead(w)
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxForwardBytes))
 	if err != nil {
 		p := api.NewProblem(http.StatusRequestEntityTooLarge, api.CodeBodyTooLarge, api.RunNot,
@@ -91,6 +92,7 @@
 		writeProblem(w, p)
 		return
 	}
+	lift()
 	if d.control.leads() {
 		r.Body = io.NopCloser(bytes.NewReader(body))
 		d.jobs.ServeHTTP(w, r)
--- a/daemon/problem.go
+++ b/daemon/problem.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/labstack/echo/v5"
 	"github.com/pkg/errors"
@@ -12,8 +13,30 @@
 	"magnoliastand.example/api"
 )
 
+// bodyReadTimeout bounds reading the body of a call that is not a request.
+const bodyReadTimeout = 10 * time.Second
+
+// boundRead bounds the reading of a body, so that a slow peer holds no
+// connection for ever, and returns what lifts the bound.
+func boundRead(w http.ResponseWriter) (lift func()) {
+	rc := http.NewResponseController(w)
+	// An error means that the writer has no deadlines, as in a forwarded call.
+	_ = rc.SetReadDeadline(time.Now().Add(bodyReadTimeout))
+	return func() { _ = rc.SetReadDeadline(time.Time{}) }
+}
+
 // decodeBody decodes a bounded JSON body strictly.
 func decodeBody(c *echo.Context, limit int64, v any) *api.Problem {
+	lift := boundRead(c.Response())
+	if p := decodeBounded(c, limit, v); p != nil {
+		// The bound stays: the server still reads what is left of the body.
+		return p
+	}
+	lift()
+	return nil
+}
+
+func decodeBounded(c *echo.Context, limit int64, v any) *api.Problem {
 	body := http.MaxBytesReader(c.Response(), c.Request().Body, limit)
 	dec := json.NewDecoder(body)
 	dec.DisallowUnknownFields()
--- a/daemon/settings/settings.go
+++ b/daemon/settings/settings.go
@@ -90,7 +90,7 @@
 	HeaderTimeout api.Duration `json:"header_timeout,omitempty"`
 	// BodyTimeout bounds reading a request with its body.
 	BodyTimeout api.Duration `json:"body_timeout,omitempty"`
-	// WriteTimeout bounds handling a request, waiting for a slot and writing its answer.
+	// WriteTimeout bounds writing an answer to a caller.
 	WriteTimeout api.Duration `json:"write_timeout,omitempty"`
 	// Requests bounds requests held at once.
 	Requests int `json:"requests,omitempty"`
@@ -103,7 +103,7 @@
 	DefaultHeaderBytes   = 16 << 10
 	DefaultHeaderTimeout = 5 * time.Second
 	DefaultBodyTimeout   = 30 * time.Second
-	DefaultWriteTimeout  = 15 * time.Minute
+	DefaultWriteTimeout  = 30 * time.Second
 	DefaultRequests      = 20000
 )
 
--- a/dispatch/origin/httpapi.go
+++ b/dispatch/origin/httpapi.go
@@ -63,6 +63,8 @@
 		result = o.Handle(req.Context(), r)
 	}
 	_ = rc.SetWriteDeadline(time.Now().Add(o.cfg.Limits.WriteTimeout))
+	// The server reads what is left of a refused body after the answer.
+	_ = rc.SetReadDeadline(time.Now().Add(o.cfg.Limits.BodyTimeout))
 	WriteResult(w, result)
 	// The deadline must not outlive this answer: the connection serves others.
 	_ = rc.Flush()
