One call to the leader for claims, proposals and job calls

Ruled out: joining the loops of reports, renewals and fleet reads too, since they may try again after any error. Behaviour as before: TestJobsOverFaults, TestZoneCut and TestOperatorsRace green under -race, lint clean.

--- a/daemon/claim.go
+++ b/daemon/claim.go
@@ -44,15 +44,7 @@
 		return c.decideClaim(ctx, r)
 	}
 	var reply claimReply
-	err := error(errNotLeader)
-	for _, peer := range c.leaderCandidates() {
-		if err = c.link.Call(ctx, peer, methodClaim, r, &reply); err == nil {
-			return reply, nil
-		}
-		if !notSent(err) {
-			return reply, err
-		}
-	}
+	err := c.callLeader(ctx, methodClaim, r, &reply)
 	return reply, err
 }
 
--- a/daemon/jobroutes.go
+++ b/daemon/jobroutes.go
@@ -100,13 +100,14 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), forwardTimeout)
 	defer cancel()
-	reply, err := d.forwardJobs(ctx, forwardedCall{
+	var reply forwardedReply
+	err = d.control.callLeader(ctx, methodJobs, forwardedCall{
 		Method:      r.Method,
 		Target:      r.URL.RequestURI(),
 		Key:         r.Header.Get(echo.HeaderAuthorization),
 		OperationID: r.Header.Get(httpapi.HeaderOperationID),
 		Body:        body,
-	})
+	}, &reply)
 	if err != nil {
 		writeProblem(w, jobsUnavailable(err))
 		return
@@ -128,18 +129,6 @@
 	return api.NewProblem(http.StatusServiceUnavailable, api.CodeUnavailable, run, "the leader of the control log can't be reached from here")
 }
 
-// forwardJobs passes a call on to the leader.
-func (d *Daemon) forwardJobs(ctx context.Context, call forwardedCall) (forwardedReply, error) {
-	var reply forwardedReply
-	err := error(errNotLeader)
-	for _, peer := range d.control.leaderCandidates() {
-		if err = d.link.Call(ctx, peer, methodJobs, call, &reply); err == nil || !notSent(err) {
-			return reply, err
-		}
-	}
-	return reply, err
-}
-
 // handleJobs serves a call that another daemon passed on.
 func (d *Daemon) handleJobs(ctx context.Context, _ peerlink.Identity, payload []byte) (any, error) {
 	var call forwardedCall
--- a/daemon/lognode.go
+++ b/daemon/lognode.go
@@ -9,7 +9,6 @@
 	"sync"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
@@ -190,7 +189,7 @@
 func (n *logNode) handleLog(from peerlink.Identity, payload []byte) {
 	var m consensus.Message
 	started := n.running()
-	if started == nil || cbor.Unmarshal(payload, &m) != nil {
+	if started == nil || decodeMessage(payload, &m) != nil {
 		return
 	}
 	if !n.belongs(started, m.From, from.Name) {
@@ -226,7 +225,7 @@
 	n.mu.Lock()
 	former := n.former
 	n.mu.Unlock()
-	if former == nil || cbor.Unmarshal(payload, &m) != nil || m.From != from.Name {
+	if former == nil || decodeMessage(payload, &m) != nil || m.From != from.Name {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), logTick)
--- a/daemon/propose.go
+++ b/daemon/propose.go
@@ -44,18 +44,20 @@
 // proposeAway sends a command to the leader, or to voters that may know it.
 func (c *controlPlane) proposeAway(ctx context.Context, r proposeRequest) (control.Result, error) {
 	var result control.Result
+	err := c.callLeader(ctx, methodPropose, r, &result)
+	return result, err
+}
+
+// callLeader sends a call with an effect to the leader, or to daemons that may
+// know it. Another daemon is tried only when the call surely had no effect.
+func (c *controlPlane) callLeader(ctx context.Context, method string, req, resp any) error {
 	err := error(errNotLeader)
 	for _, peer := range c.leaderCandidates() {
-		callErr := c.link.Call(ctx, peer, methodPropose, r, &result)
-		if callErr == nil {
-			return result, nil
+		if err = c.link.Call(ctx, peer, method, req, resp); err == nil || !notSent(err) {
+			return err
 		}
-		if !notSent(callErr) {
-			return result, callErr
-		}
-		err = callErr
 	}
-	return result, err
+	return err
 }
 
 // notSent reports whether a failed call surely had no effect.
--- a/daemon/zone.go
+++ b/daemon/zone.go
@@ -5,7 +5,6 @@
 	"sync"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/rs/zerolog"
 
 	"magnoliastand.example/dispatch"
@@ -149,7 +148,7 @@
 
 func (m *zoneMonitor) handleHeartbeat(_ context.Context, from peerlink.Identity, payload []byte) (any, error) {
 	var hb heartbeat
-	if err := cbor.Unmarshal(payload, &hb); err != nil {
+	if err := decodeMessage(payload, &hb); err != nil {
 		return nil, err
 	}
 	m.heard(from.Name, hb)
