--- /dev/null
+++ b/cluster/member.go
@@ -0,0 +1,376 @@
+package cluster
+
+import (
+	"context"
+	crand "crypto/rand"
+	"encoding/binary"
+	"math/rand/v2"
+	"path/filepath"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"magnoliastand.example/consensus"
+	"magnoliastand.example/consensus/bootstrap"
+	"magnoliastand.example/consensus/node"
+	"magnoliastand.example/consensus/storage"
+	"magnoliastand.example/peerlink"
+)
+
+const (
+	// logFolder is the folder of the replicated log under the data folder.
+	logFolder = "log"
+	// logTick is the log's logical clock; an election timeout is 10 to 19 ticks.
+	logTick = 50 * time.Millisecond
+	// formRetryTicks is the time between two attempts to find or form a cluster:
+	// twice the slowest round trip in a region, rounded up to ticks.
+	formRetryTicks = 4
+	// joinInterval is the time between two requests to become a member.
+	joinInterval = 500 * time.Millisecond
+	// callTimeout bounds one call to another member.
+	callTimeout = time.Second
+	// supersededTicks is how long the voter of a replaced disk is silent before
+	// the new disk takes its place: one election timeout.
+	supersededTicks = 20
+	// LeaseTime is how old the last word of a quorum may be for the leader to act
+	// alone: below the shortest election timeout of 500 ms.
+	LeaseTime = 400 * time.Millisecond
+)
+
+// Config holds the settings of a member.
+type Config[R any] struct {
+	// Self is the address of the daemon's peer links.
+	Self string
+	Zone string
+	// DataFolder holds the log in a folder of its own.
+	DataFolder string
+	// Seeds are the addresses of some members.
+	Seeds []string
+	// Form lets the seeds form a new cluster; without it, an empty disk only joins.
+	Form bool
+	// Voters is the wanted number of voters.
+	Voters int
+	// Silence is how long a voter is silent before a spare replaces it.
+	Silence time.Duration
+	Machine node.StateMachine[R]
+	Link    *peerlink.Node
+	Log     zerolog.Logger
+}
+
+// Member is this daemon's part in the replicated log.
+type Member[R any] struct {
+	cfg  Config[R]
+	disk *storage.Disk
+
+	mu     sync.Mutex
+	former *node.Former
+	node   *node.Node[R]
+	names  map[consensus.NodeID]string
+}
+
+// Open opens the log under the data folder and registers the handlers of the
+// peer links. Errors are those of storage.Open.
+func Open[R any](cfg Config[R]) (*Member[R], error) {
+	disk, err := storage.Open(filepath.Join(cfg.DataFolder, logFolder))
+	if err != nil {
+		return nil, errors.Wrap(err, "data_folder")
+	}
+	m := &Member[R]{cfg: cfg, disk: disk, names: map[consensus.NodeID]string{}}
+	cfg.Link.HandleNotify(methodLog, m.handleLog)
+	cfg.Link.HandleNotify(methodForm, m.handleForm)
+	cfg.Link.Handle(methodJoin, m.handleJoin)
+	cfg.Link.Handle(methodLead, m.handleLead)
+	return m, nil
+}
+
+// Run binds the disk to the cluster, then runs the log until ctx ends or the
+// log fails.
+func (m *Member[R]) Run(ctx context.Context) error {
+	defer func() {
+		if err := m.disk.Close(); err != nil {
+			m.cfg.Log.Error().Err(err).Msg("log not closed")
+		}
+	}()
+	former, err := m.startFormer()
+	if err != nil {
+		return err
+	}
+	defer former.Stop()
+	select {
+	case <-former.Bound():
+	case <-former.Done():
+		return errors.Wrap(former.Err(), "form the cluster")
+	case <-ctx.Done():
+		return nil
+	}
+	started, err := m.startNode()
+	if err != nil {
+		return err
+	}
+	defer started.Stop()
+	joined := make(chan struct{})
+	go func() {
+		defer close(joined)
+		m.joinUntilDone(ctx)
+	}()
+	defer func() { <-joined }()
+	select {
+	case <-started.Done():
+		return errors.Wrap(started.Err(), "log")
+	case <-ctx.Done():
+		return nil
+	}
+}
+
+func newRandSource() rand.Source {
+	var seed [16]byte
+	_, _ = crand.Read(seed[:]) // crypto/rand.Read never returns an error
+	return rand.NewPCG(binary.LittleEndian.Uint64(seed[:8]), binary.LittleEndian.Uint64(seed[8:]))
+}
+
+// startFormer starts the search for a cluster. A daemon that may not form one
+// names no first voters.
+func (m *Member[R]) startFormer() (*node.Former, error) {
+	var first []string
+	if m.cfg.Form && slices.Contains(m.cfg.Seeds, m.cfg.Self) {
+		first = m.cfg.Seeds
+	}
+	former, err := node.StartFormer(node.FormConfig{
+		Machine: bootstrap.Config{
+			Self:        consensus.Member{Name: m.cfg.Self, Zone: m.cfg.Zone},
+			FirstVoters: first,
+			Peers:       m.cfg.Seeds,
+			Rand:        newRandSource(),
+			RetryTicks:  formRetryTicks,
+		},
+		Storage:    m.disk,
+		Send:       func(to string, msg bootstrap.Message) { m.cfg.Link.Notify(to, methodForm, msg) },
+		TickPeriod: logTick,
+	})
+	if err != nil {
+		return nil, errors.Wrap(err, "seeds")
+	}
+	m.mu.Lock()
+	m.former = former
+	m.mu.Unlock()
+	return former, nil
+}
+
+func (m *Member[R]) startNode() (*node.Node[R], error) {
+	silent := uint64(m.cfg.Silence / logTick)
+	started, err := node.Start(node.Config[R]{
+		Storage:    m.disk,
+		Transport:  m,
+		Machine:    m.cfg.Machine,
+		TickPeriod: logTick,
+		Rand:       newRandSource(),
+		Repair: &node.RepairPolicy{
+			Voters: m.cfg.Voters, SilentTicks: silent, LearnerSilentTicks: silent, SupersededTicks: supersededTicks,
+		},
+	})
+	if err != nil {
+		return nil, errors.Wrap(err, "log")
+	}
+	m.mu.Lock()
+	m.node = started
+	m.mu.Unlock()
+	return started, nil
+}
+
+// Node returns the node once it has started, or nil.
+func (m *Member[R]) Node() *node.Node[R] {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.node
+}
+
+// Send implements node.Transport.
+func (m *Member[R]) Send(to consensus.NodeID, msg consensus.Message) {
+	if name := m.nameOf(to); name != "" {
+		m.cfg.Link.Notify(name, methodLog, msg)
+	}
+}
+
+// nameOf returns the daemon that has a node id, by the messages received or by
+// the membership.
+func (m *Member[R]) nameOf(id consensus.NodeID) string {
+	m.mu.Lock()
+	started, name := m.node, m.names[id]
+	m.mu.Unlock()
+	if name != "" || started == nil {
+		return name
+	}
+	for _, member := range started.Status().Members {
+		if member.ID == id {
+			return member.Name
+		}
+	}
+	return ""
+}
+
+func (m *Member[R]) handleLog(from peerlink.Identity, payload []byte) {
+	var msg consensus.Message
+	started := m.Node()
+	if started == nil {
+		return
+	}
+	if err := decodeMessage(payload, &msg); err != nil {
+		m.cfg.Log.Warn().Err(err).Str("peer", from.Name).Msg("log message refused")
+		return
+	}
+	m.mu.Lock()
+	m.names[msg.From] = from.Name
+	m.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), logTick)
+	defer cancel()
+	if err := started.Step(ctx, msg); err != nil {
+		m.cfg.Log.Debug().Err(err).Str("peer", from.Name).Msg("log message not taken")
+	}
+}
+
+func (m *Member[R]) handleForm(from peerlink.Identity, payload []byte) {
+	var msg bootstrap.Message
+	m.mu.Lock()
+	former := m.former
+	m.mu.Unlock()
+	if former == nil {
+		return
+	}
+	if err := decodeMessage(payload, &msg); err != nil || msg.From != from.Name {
+		m.cfg.Log.Warn().Err(err).Str("peer", from.Name).Msg("bootstrap message refused")
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), logTick)
+	defer cancel()
+	if err := former.Step(ctx, msg); err != nil {
+		m.cfg.Log.Debug().Err(err).Str("peer", from.Name).Msg("bootstrap message not taken")
+	}
+}
+
+// handleJoin adds the caller as a member, on the leader.
+func (m *Member[R]) handleJoin(ctx context.Context, from peerlink.Identity, payload []byte) (any, error) {
+	var member consensus.Member
+	if err := decodeMessage(payload, &member); err != nil {
+		return nil, err
+	}
+	if member.Name != from.Name {
+		return nil, errors.Errorf("cluster: %s asks to join as %s", from.Name, member.Name)
+	}
+	if !m.Leads() {
+		return nil, &peerlink.RemoteError{Code: codeNotLeader, Detail: m.Leader()}
+	}
+	err := m.Node().AddLearner(ctx, member)
+	m.cfg.Log.Info().Err(err).Str("peer", member.Name).Uint64("node", uint64(member.ID)).Msg("member asked to join")
+	return leadReply{}, err
+}
+
+func (m *Member[R]) handleLead(context.Context, peerlink.Identity, []byte) (any, error) {
+	reply := leadReply{Leader: m.Leader(), Members: m.Members()}
+	if started := m.Node(); started != nil {
+		reply.Term = started.Status().Term
+	}
+	return reply, nil
+}
+
+// Members returns the names of the members that this daemon knows.
+func (m *Member[R]) Members() []string {
+	started := m.Node()
+	if started == nil {
+		return nil
+	}
+	var names []string
+	for _, member := range started.Status().Members {
+		if member.Name != "" && !slices.Contains(names, member.Name) {
+			names = append(names, member.Name)
+		}
+	}
+	return names
+}
+
+// isMember reports whether the disk's identity is in the membership.
+func (m *Member[R]) isMember() bool {
+	status := m.Node().Status()
+	return slices.ContainsFunc(status.Members, func(o consensus.Member) bool { return o.ID == status.ID })
+}
+
+// joinUntilDone asks the leader to add this daemon whenever it is no member. A
+// daemon that was removed while it was cut off learns so from the others, since
+// its own log still lists it.
+func (m *Member[R]) joinUntilDone(ctx context.Context) {
+	for ctx.Err() == nil {
+		removed := m.Node().Status().Removed && m.Leader() == ""
+		if removed || !m.isMember() {
+			m.askToJoin(ctx)
+		}
+		select {
+		case <-time.After(joinInterval):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// askToJoin asks every daemon that may lead.
+func (m *Member[R]) askToJoin(ctx context.Context) {
+	self := consensus.Member{ID: m.disk.Node(), Name: m.cfg.Self, Zone: m.cfg.Zone}
+	asked := map[string]bool{m.cfg.Self: true}
+	for _, peer := range append(append([]string{m.Leader()}, m.cfg.Seeds...), m.Members()...) {
+		if peer == "" || asked[peer] {
+			continue
+		}
+		asked[peer] = true
+		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+		err := m.cfg.Link.Call(callCtx, peer, methodJoin, self, nil)
+		cancel()
+		if err == nil {
+			return
+		}
+		m.cfg.Log.Debug().Err(err).Str("peer", peer).Msg("not joined")
+	}
+}
+
+// HandOver passes the lead on, so that a planned stop costs no election timeout.
+func (m *Member[R]) HandOver(ctx context.Context) {
+	const pause = 10 * time.Millisecond // below one round trip between zones
+	if !m.Leads() {
+		return
+	}
+	if err := m.Node().Handover(ctx); err != nil {
+		m.cfg.Log.Warn().Err(err).Msg("lead not handed over")
+		return
+	}
+	for m.Leads() && ctx.Err() == nil {
+		time.Sleep(pause)
+	}
+}
+
+// Leads reports whether this daemon leads the log.
+func (m *Member[R]) Leads() bool {
+	started := m.Node()
+	return started != nil && started.Status().Role == consensus.Leader
+}
+
+// Lease returns the term in which this daemon leads and a quorum has confirmed
+// it within LeaseTime. No other daemon leads a later term before that time is over.
+func (m *Member[R]) Lease() (term uint64, ok bool) {
+	started := m.Node()
+	if started == nil {
+		return 0, false
+	}
+	s := started.Status()
+	return s.Term, s.Role == consensus.Leader && s.QuorumKnown && s.QuorumAge < LeaseTime
+}
+
+// Leader returns the daemon that leads, as far as this one knows, or "".
+func (m *Member[R]) Leader() string {
+	started := m.Node()
+	if started == nil {
+		return ""
+	}
+	if leader := started.Status().Leader; leader != consensus.None {
+		return m.nameOf(leader)
+	}
+	return ""
+}
--- /dev/null
+++ b/cmd/magnoliastand/roles.go
@@ -0,0 +1,96 @@
+package main
+
+import (
+	"context"
+	"io"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+	"github.com/rs/zerolog"
+	"github.com/rs/zerolog/diode"
+
+	"magnoliastand.example/invariant"
+	"magnoliastand.example/system"
+)
+
+const (
+	// settingsVariable names the settings file on the users' platform.
+	settingsVariable = envPrefix + "_CONFIG"
+	// logBuffer bounds the lines that wait for the standard output; more are
+	// dropped and counted.
+	logBuffer = 4096
+	// memoryShare is the part of the process's memory, in percent, that the
+	// runtime aims to stay below.
+	memoryShare = 70
+)
+
+// runRole runs a role until ctx ends.
+type runRole func(ctx context.Context, set system.Settings, log zerolog.Logger, reload <-chan system.Settings) error
+
+func coreCommand(s streams) *ffcli.Command {
+	return roleCommand(s, "core", "Runs a daemon with a disk: a member of the log that serves workers and operators.",
+		func(ctx context.Context, set system.Settings, log zerolog.Logger, _ <-chan system.Settings) error {
+			return system.RunCore(ctx, set, log)
+		})
+}
+
+func edgeCommand(s streams) *ffcli.Command {
+	return roleCommand(s, "edge", "Runs a daemon without state that serves callers.", system.RunEdge)
+}
+
+func roleCommand(s streams, name, help string, run runRole) *ffcli.Command {
+	fs := newFlags(name, s)
+	file := fs.String("settings", os.Getenv(settingsVariable), "YAML settings file of the daemon")
+	return &ffcli.Command{
+		Name:       name,
+		ShortUsage: "magnoliastand " + name + " --settings FILE",
+		ShortHelp:  help,
+		FlagSet:    fs,
+		// No options of ff: its environment prefix would take the variable of the
+		// settings file for a file of flags.
+		Exec: func(ctx context.Context, _ []string) error {
+			if *file == "" {
+				return usageError("--settings is required, or the variable %s", settingsVariable)
+			}
+			return startRole(ctx, s, name, *file, run)
+		},
+	}
+}
+
+func startRole(ctx context.Context, s streams, name, file string, run runRole) error {
+	set, err := system.LoadSettings(file)
+	if err != nil {
+		return &exitError{code: exitUsage, err: err}
+	}
+	log, closeLog := boundedLogger(s.out, set.LogLevel, set.Name)
+	defer closeLog()
+	invariant.SetSink(func(b invariant.Breach) {
+		log.Error().Str("invariant", string(b.Invariant)).Str("detail", b.Detail).Msg("invariant broken")
+	})
+	if set.MemoryMB > 0 {
+		debug.SetMemoryLimit(set.MemoryMB << 20 / 100 * memoryShare)
+	}
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	return run(ctx, set, log, system.WatchSettings(ctx, file, hup, log))
+}
+
+// boundedLogger returns a logger that never blocks: lines that the output does
+// not take in time are dropped and counted.
+func boundedLogger(w io.Writer, level, name string) (zerolog.Logger, func()) {
+	writer := diode.NewWriter(w, logBuffer, 0, func(missed int) {
+		_, _ = io.WriteString(w, zerolog.TimestampFieldName+": log lines dropped\n")
+		_ = missed
+	})
+	log := newLogger(writer, level).With().Str("daemon", name).Logger()
+	return log, func() {
+		const flushTime = 50 * time.Millisecond // for the lines of the stop
+		time.Sleep(flushTime)
+		_ = writer.Close()
+	}
+}
--- a/cmd/magnoliastand/root.go
+++ b/cmd/magnoliastand/root.go
@@ -36,7 +36,7 @@
 		FlagSet: flag.NewFlagSet("magnoliastand", flag.ContinueOnError),
 		Exec:    func(context.Context, []string) error { return errHelp },
 		Subcommands: []*ffcli.Command{
-			serveCommand(s), checkCommand(s), applyCommand(s), getCommand(s), keyCommand(s),
+			serveCommand(s), coreCommand(s), edgeCommand(s), checkCommand(s), applyCommand(s), getCommand(s), keyCommand(s),
 			waveCommand(s), drainCommand(s), statusCommand(s), reportCommand(s),
 			endpointCommand(s), loadCommand(s), versionCommand(s),
 		},
--- a/consensus/node/repair.go
+++ b/consensus/node/repair.go
@@ -11,6 +11,10 @@
 	// LearnerSilentTicks is how long a learner must be silent to be removed,
 	// in ticks; zero keeps silent learners.
 	LearnerSilentTicks uint64
+	// SupersededTicks is how long a voter must be silent, in ticks, when another
+	// member of the same name answers: its disk was lost and replaced. Zero is
+	// off.
+	SupersededTicks uint64
 }
 
 // PlanRepair returns the next change that a repair needs, if any. It plans one
@@ -22,6 +26,9 @@
 		return consensus.Change{}, false
 	}
 	silent := longestSilent(s.Peers, true, p.SilentTicks)
+	if silent == nil && p.SupersededTicks > 0 {
+		silent = superseded(s.Peers, p.SupersededTicks)
+	}
 	voters := countVoters(s.Peers)
 	switch {
 	case silent != nil && voters > p.Voters:
@@ -69,6 +76,23 @@
 	return worst
 }
 
+// superseded returns a silent voter whose name belongs to another member that
+// answers, if there is one.
+func superseded(peers []consensus.PeerStatus, ticks uint64) *consensus.PeerStatus {
+	for i := range peers {
+		p := &peers[i]
+		if !p.Member.Voter || p.SilentTicks < ticks || p.Member.Name == "" {
+			continue
+		}
+		for k := range peers {
+			if o := &peers[k]; o.Member.ID != p.Member.ID && o.Member.Name == p.Member.Name && o.SilentTicks < ticks {
+				return p
+			}
+		}
+	}
+	return nil
+}
+
 // bestSpare returns the learner that has caught up in the zone with the fewest
 // answering voters. The zone of the silent voter comes first among equals, then
 // the lowest ID.
--- /dev/null
+++ b/driver/advice.go
@@ -0,0 +1,95 @@
+package driver
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"magnoliastand.example/workload"
+)
+
+const (
+	// adviceTimeout bounds a call to the advice service, which answers after a
+	// fixed time and one for each worker.
+	adviceTimeout = 5 * time.Second
+	// adviceWorkers is the most workers that one call may name.
+	adviceWorkers = 100
+	// adviceRetry is the pause after a failed call.
+	adviceRetry = 300 // milliseconds
+	// ticketMargin is kept before the end of a ticket's validity.
+	ticketMargin = 200 // milliseconds
+)
+
+// advice is what the advice service said of one step.
+type advice struct {
+	asked   bool
+	tickets map[string]string
+	until   workload.Millis
+	retryAt workload.Millis
+}
+
+// tickets implements plan.Input.Tickets.
+func (d *Driver) tickets(step workload.TaskRef) (map[string]string, bool) {
+	a := d.advice[step]
+	if a == nil || a.tickets == nil || nowMillis() >= a.until {
+		return nil, false
+	}
+	return a.tickets, true
+}
+
+// ticketOf returns the ticket that a start needs, or "".
+func (d *Driver) ticketOf(r *run) string {
+	tickets, _ := d.tickets(stepOf(r.ref))
+	return tickets[r.worker]
+}
+
+func stepOf(r workload.TaskRef) workload.TaskRef {
+	r.Index = 0
+	return r
+}
+
+// dropAdvice forgets tickets that a worker refused.
+func (d *Driver) dropAdvice(r *run) { delete(d.advice, stepOf(r.ref)) }
+
+// askAdvice asks which workers may run a step.
+func (d *Driver) askAdvice(step workload.TaskRef) {
+	step = stepOf(step)
+	a := d.advice[step]
+	if a == nil {
+		a = &advice{}
+		d.advice[step] = a
+	}
+	if a.asked || nowMillis() < a.retryAt || d.cfg.AdviceAddress == "" {
+		d.wake = max(nowMillis(), a.retryAt) + adviceRetry
+		return
+	}
+	j, _ := d.state.TaskOf(step)
+	q, ok := d.state.Queue(j.Queue)
+	if !ok || q.Advice == nil {
+		return
+	}
+	var workers []string
+	for id, w := range d.state.Workers() {
+		if w.Pool == q.Pool && !w.Draining && !w.Gone {
+			workers = append(workers, id)
+		}
+	}
+	slices.Sort(workers)
+	workers = workers[:min(len(workers), adviceWorkers)]
+	validFor := q.Advice.ValidFor
+	a.asked = true
+	d.async(func() {
+		ctx, cancel := context.WithTimeout(d.ctx, adviceTimeout)
+		defer cancel()
+		tickets, err := d.cfg.Advisor.Advise(ctx, d.cfg.AdviceAddress, step, workers)
+		d.reply(func() {
+			a.asked, d.dirty = false, true
+			if err != nil {
+				a.retryAt = nowMillis() + adviceRetry
+				d.cfg.Logger.Warn().Err(err).Str("step", step.String()).Msg("advice not given")
+				return
+			}
+			a.tickets, a.until = tickets, nowMillis()+validFor-ticketMargin
+		})
+	})
+}
--- /dev/null
+++ b/driver/metrics.go
@@ -0,0 +1,38 @@
+package driver
+
+import "github.com/prometheus/client_golang/prometheus"
+
+// Metrics counts what drivers of a process do.
+type Metrics struct {
+	// Orders counts orders to workers by kind and outcome.
+	Orders *prometheus.CounterVec
+	// Ends counts ends of runs by outcome.
+	Ends *prometheus.CounterVec
+	// Decisions counts other decisions by kind and reason.
+	Decisions *prometheus.CounterVec
+	// CommitSeconds measures the time from a proposal to its commit.
+	CommitSeconds prometheus.Histogram
+	// StartDelaySeconds measures the time from a job's submission to the order
+	// of its first run.
+	StartDelaySeconds prometheus.Histogram
+}
+
+// NewMetrics registers the metrics.
+func NewMetrics(r prometheus.Registerer) *Metrics {
+	m := &Metrics{
+		Orders: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "magnoliastand_orders_total", Help: "Orders to workers."}, []string{"kind", "outcome"}),
+		Ends: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "magnoliastand_run_ends_total", Help: "Ends of runs."}, []string{"outcome"}),
+		Decisions: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "magnoliastand_decisions_total", Help: "Decisions of the leader."}, []string{"kind", "reason"}),
+		CommitSeconds: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "magnoliastand_commit_seconds", Help: "Time from a proposal to its commit.",
+			Buckets: prometheus.ExponentialBuckets(0.002, 2, 12)}),
+		StartDelaySeconds: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "magnoliastand_start_delay_seconds", Help: "Time from a submission to the first order.",
+			Buckets: prometheus.ExponentialBuckets(0.005, 2, 12)}),
+	}
+	r.MustRegister(m.Orders, m.Ends, m.Decisions, m.CommitSeconds, m.StartDelaySeconds)
+	return m
+}
--- a/peerlink/node.go
+++ b/peerlink/node.go
@@ -29,8 +29,8 @@
 	sendQueueFrames = 4096
 	// writeTimeout bounds the writing of one frame.
 	writeTimeout = 3 * time.Second
-	// pingInterval is the time between liveness checks of a link, and the bound on their answer.
-	pingInterval = 5 * time.Second
+	// DefaultPingInterval suits links whose loss is also seen by lost calls.
+	DefaultPingInterval = 5 * time.Second
 	// minSecretBytes bounds the length of the cluster secret from below.
 	minSecretBytes = 16
 )
@@ -48,6 +48,12 @@
 	Secret []byte
 	// Addresses maps peer names to "IP:port".
 	Addresses map[string]string
+	// NamesAreAddresses lets a peer that is not in Addresses be dialled at its
+	// name, for deployments whose daemons learn of each other as they run.
+	NamesAreAddresses bool
+	// PingInterval is the time between liveness checks of a link, and the bound
+	// on their answer; zero is DefaultPingInterval.
+	PingInterval time.Duration
 	// TLS is used for dialling when not nil; the listener's TLS belongs to the HTTP server.
 	TLS *tls.Config
 	Log zerolog.Logger
@@ -78,6 +84,9 @@
 	if len(cfg.Secret) < minSecretBytes {
 		return nil, errors.Errorf("peer secret has %d bytes, needs %d", len(cfg.Secret), minSecretBytes)
 	}
+	if cfg.PingInterval == 0 {
+		cfg.PingInterval = DefaultPingInterval
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Node{
 		cfg:       cfg,
@@ -203,7 +212,7 @@
 	}
 	l := n.links[peer]
 	if l == nil || l.failed() {
-		addr, ok := n.cfg.Addresses[peer]
+		addr, ok := n.addressOf(peer)
 		if !ok {
 			n.mu.Unlock()
 			return nil, errors.Wrap(ErrUnknownPeer, peer)
@@ -226,6 +235,15 @@
 	return l, nil
 }
 
+// addressOf returns where a peer is dialled.
+func (n *Node) addressOf(peer string) (string, bool) {
+	addr, ok := n.cfg.Addresses[peer]
+	if !ok && n.cfg.NamesAreAddresses {
+		return peer, true
+	}
+	return addr, ok
+}
+
 // Handler returns the HTTP handler that accepts links from peers.
 func (n *Node) Handler() http.Handler { return http.HandlerFunc(n.accept) }
 
--- a/peerlink/outlink.go
+++ b/peerlink/outlink.go
@@ -191,7 +191,7 @@
 // ping closes the link when the peer stops answering, so that a peer that
 // vanished without closing its connection is dialled again.
 func (l *outLink) ping() {
-	ticker := time.NewTicker(pingInterval)
+	ticker := time.NewTicker(l.node.cfg.PingInterval)
 	defer ticker.Stop()
 	for {
 		select {
@@ -199,7 +199,7 @@
 		case <-l.down:
 			return
 		}
-		ctx, cancel := context.WithTimeout(l.node.ctx, pingInterval)
+		ctx, cancel := context.WithTimeout(l.node.ctx, l.node.cfg.PingInterval)
 		err := l.ws.Ping(ctx)
 		cancel()
 		if err != nil {
--- /dev/null
+++ b/system/settings.go
@@ -0,0 +1,131 @@
+package system
+
+import (
+	"net"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/goccy/go-yaml"
+	"github.com/pkg/errors"
+
+	"magnoliastand.example/driver"
+	"magnoliastand.example/workload"
+)
+
+// ErrSettings tells that the settings can't be used; it names every faulty field.
+var ErrSettings = errors.New("settings")
+
+// Settings are the settings of one daemon. Durations carry their unit in the name.
+type Settings struct {
+	Name string `yaml:"name"`
+	// IP is the daemon's own address.
+	IP   string `yaml:"ip"`
+	Zone string `yaml:"availability_zone"`
+	// CallersListen, ReadyListen and OperatorsListen are "IP:port"; empty where
+	// the daemon doesn't serve them.
+	CallersListen   string `yaml:"callers_listen"`
+	ReadyListen     string `yaml:"ready_listen"`
+	OperatorsListen string `yaml:"operators_listen"`
+	PeerPort        int    `yaml:"peer_port"`
+	MetricsPort     int    `yaml:"metrics_port"`
+	// PeerSecret authenticates the daemons to each other.
+	PeerSecret string `yaml:"peer_secret"`
+	// Seeds are operators' addresses of some core daemons.
+	Seeds []string `yaml:"seeds"`
+	// FormCluster lets the seeds form a new cluster.
+	FormCluster bool   `yaml:"form_cluster"`
+	DataFolder  string `yaml:"data_folder"`
+	// LostDisks is how many disks may be lost at the same time.
+	LostDisks         int     `yaml:"lost_disks"`
+	MemoryMB          int64   `yaml:"memory_mb"`
+	AnnounceMS        int64   `yaml:"announce_ms"`
+	CatchUpS          float64 `yaml:"catch_up_s"`
+	GraceS            float64 `yaml:"grace_s"`
+	MaxLeaseMS        int64   `yaml:"max_lease_ms"`
+	KeepFinishedS     float64 `yaml:"keep_finished_s"`
+	MigrateS          float64 `yaml:"migrate_s"`
+	MaintainS         float64 `yaml:"maintain_s"`
+	PaceMS            int64   `yaml:"pace_ms"`
+	CheckpointS       float64 `yaml:"checkpoint_s"`
+	AdviceAddress     string  `yaml:"advice_address"`
+	InstancesAddress  string  `yaml:"instances_address"`
+	RetryAfterSeconds int     `yaml:"retry_after_s"`
+	LogLevel          string  `yaml:"log_level"`
+}
+
+// LoadSettings reads and validates a settings file. Unknown fields are ignored.
+func LoadSettings(file string) (Settings, error) {
+	var s Settings
+	raw, err := os.ReadFile(file)
+	if err != nil {
+		return s, errors.Wrap(ErrSettings, err.Error())
+	}
+	if err := yaml.Unmarshal(raw, &s); err != nil {
+		return s, errors.Wrapf(ErrSettings, "%s: %v", file, err)
+	}
+	if err := s.validate().Err(); err != nil {
+		return s, errors.Wrapf(ErrSettings, "%s: %v", file, err)
+	}
+	return s, nil
+}
+
+func (s *Settings) validate() workload.Faults {
+	var f workload.Faults
+	if net.ParseIP(s.IP) == nil {
+		f.Add("ip", "%q is no IP address", s.IP)
+	}
+	if s.PeerPort < 1 || s.PeerPort > 65535 {
+		f.Add("peer_port", "%d is no port", s.PeerPort)
+	}
+	if len(s.Seeds) == 0 {
+		f.Add("seeds", "is empty")
+	}
+	for i, seed := range s.Seeds {
+		if _, _, err := net.SplitHostPort(seed); err != nil {
+			f.Add("seeds["+strconv.Itoa(i)+"]", "%q is no address with a port", seed)
+		}
+	}
+	for name, address := range map[string]string{
+		"callers_listen": s.CallersListen, "ready_listen": s.ReadyListen, "operators_listen": s.OperatorsListen,
+	} {
+		if _, _, err := net.SplitHostPort(address); address != "" && err != nil {
+			f.Add(name, "%q is no address with a port", address)
+		}
+	}
+	if s.AnnounceMS < 1 || s.MaxLeaseMS < 1 || s.GraceS <= 0 || s.CatchUpS <= 0 {
+		f.Add("announce_ms", "and max_lease_ms, grace_s and catch_up_s must be above 0")
+	}
+	return f
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+func millis(ms int64) time.Duration { return time.Duration(ms) * time.Millisecond }
+
+// self is the daemon's name and the address of its peer links.
+func (s *Settings) self() string { return net.JoinHostPort(s.IP, strconv.Itoa(s.PeerPort)) }
+
+// seedPeers returns the peer addresses of the seeds: the port of the peer links
+// is the same on all daemons.
+func (s *Settings) seedPeers() []string {
+	peers := make([]string, 0, len(s.Seeds))
+	for _, seed := range s.Seeds {
+		if host, _, err := net.SplitHostPort(seed); err == nil {
+			peers = append(peers, net.JoinHostPort(host, strconv.Itoa(s.PeerPort)))
+		}
+	}
+	return peers
+}
+
+// timing returns the bounds that the driver works with.
+func (s *Settings) timing() driver.Timing {
+	return driver.Timing{
+		MaxLease: millis(s.MaxLeaseMS), Announce: millis(s.AnnounceMS), KeepFinished: seconds(s.KeepFinishedS) + keepMargin,
+		Migrate: seconds(s.MigrateS), Maintain: seconds(s.MaintainS), Pace: millis(s.PaceMS), Checkpoint: seconds(s.CheckpointS),
+	}
+}
+
+// keepMargin keeps finished jobs a little longer than asked, for late repeats of
+// their submission.
+const keepMargin = 30 * time.Second
--- /dev/null
+++ b/workload/apply.go
@@ -0,0 +1,354 @@
+package workload
+
+import (
+	"slices"
+
+	"github.com/pkg/errors"
+
+	"magnoliastand.example/invariant"
+)
+
+// Apply carries out the commands of a batch in order and returns the error of
+// each; a command with an error changed nothing.
+func (s *State) Apply(b *Batch) []error {
+	errs := make([]error, len(b.Commands))
+	for i := range b.Commands {
+		errs[i] = s.ApplyOne(&b.Commands[i], b.Now)
+	}
+	return errs
+}
+
+// ApplyOne carries out one command at the leader's time now.
+func (s *State) ApplyOne(c *Command, now Millis) error {
+	switch {
+	case c.PutDocument != nil:
+		return s.putDocument(c.PutDocument)
+	case c.Submit != nil:
+		return s.submit(c.Submit, now)
+	case c.Cancel != nil:
+		return s.cancel(c.Cancel, now)
+	case c.Register != nil:
+		return s.register(c.Register, now)
+	case c.Lose != nil:
+		return s.lose(c.Lose, now)
+	case c.Assign != nil:
+		return s.assign(c.Assign)
+	case c.End != nil:
+		return s.end(c.End, now)
+	case c.StartWave != nil:
+		return s.startWave(c.StartWave)
+	case c.Upkeep != nil:
+		return s.upkeep(c.Upkeep)
+	case c.Forget != nil:
+		return s.forget(c.Forget)
+	}
+	return errors.Wrap(ErrMalformed, "empty command")
+}
+
+func (s *State) putDocument(c *PutDocument) error {
+	doc, err := s.decode(c.Raw)
+	if err != nil {
+		return errors.Wrap(ErrInvalidDocument, err.Error())
+	}
+	if doc.Version > s.doc.Version {
+		s.setDocument(c.Raw, doc)
+	}
+	return nil
+}
+
+func (s *State) submit(c *Submit, now Millis) error {
+	if old := s.jobs[c.ID]; old != nil {
+		if old.Queue != c.Queue || old.Team != c.Team {
+			return errors.Wrap(ErrConflict, c.ID)
+		}
+		return nil
+	}
+	q := s.queues[c.Queue]
+	if q == nil {
+		return errors.Wrap(ErrNoQueue, c.Queue)
+	}
+	j := &Job{ID: c.ID, Queue: c.Queue, Pool: q.Pool, Team: c.Team, Spec: c.Spec, Submitted: now}
+	j.Tasks = make([][][]Task, c.Spec.Repeat)
+	for k := range j.Tasks {
+		j.Tasks[k] = make([][]Task, len(c.Spec.Steps))
+		for st := range c.Spec.Steps {
+			j.Tasks[k][st] = make([]Task, c.Spec.Steps[st].Count)
+		}
+	}
+	s.jobs[j.ID] = j
+	s.index(j)
+	return nil
+}
+
+func (s *State) cancel(c *Cancel, now Millis) error {
+	j := s.jobs[c.ID]
+	if j == nil {
+		return errors.Wrap(ErrNoJob, c.ID)
+	}
+	if !j.State.Finished() {
+		s.finish(j, JobCancelled, now)
+	}
+	return nil
+}
+
+// finish moves a job to a final state. Its runs stay assigned until they end.
+func (s *State) finish(j *Job, to JobState, now Millis) {
+	if j.State == JobPending {
+		s.pending[j.Queue]--
+	}
+	j.State, j.Ended, j.open = to, now, 0
+	delete(s.active, j.ID)
+}
+
+// register stores an announcement of a worker. A new incarnation ends the runs
+// of the old one; an older incarnation changes nothing.
+func (s *State) register(c *Worker, now Millis) error {
+	old := s.workers[c.ID]
+	if old != nil && c.Incarnation < old.Incarnation {
+		return nil
+	}
+	w := *c
+	if old != nil && old.Incarnation == c.Incarnation {
+		w.Acked = old.Acked
+		w.Gone = old.Gone
+		w.Draining = old.Draining || c.Draining
+	}
+	if old != nil && old.Incarnation < c.Incarnation {
+		s.endRuns(c.ID, old.Incarnation, now)
+	}
+	s.workers[c.ID] = &w
+	return nil
+}
+
+func (s *State) lose(c *Lose, now Millis) error {
+	w := s.workers[c.Worker]
+	if w == nil || w.Incarnation != c.Incarnation {
+		return nil
+	}
+	w.Gone = true
+	s.endRuns(c.Worker, c.Incarnation, now)
+	if len(s.runs[c.Worker]) == 0 {
+		delete(s.workers, c.Worker)
+		delete(s.runs, c.Worker)
+		delete(s.reserved, c.Worker)
+	}
+	return nil
+}
+
+// endRuns ends all runs of an incarnation as lost.
+func (s *State) endRuns(worker string, incarnation Millis, now Millis) {
+	refs := make([]TaskRef, 0, len(s.runs[worker]))
+	for r := range s.runs[worker] {
+		refs = append(refs, r)
+	}
+	slices.SortFunc(refs, compareRefs)
+	for _, r := range refs {
+		j, t := s.TaskOf(r)
+		if t.Incarnation == incarnation {
+			s.endRun(r, j, t, OutcomeLost, "", now)
+		}
+	}
+}
+
+// assign checks an assignment against every rule of the state and makes it.
+func (s *State) assign(c *Assign) error {
+	j, t := s.TaskOf(c.Task)
+	if t == nil {
+		return errors.Wrap(ErrNoJob, c.Task.String())
+	}
+	if err := s.checkTask(c, j, t); err != nil {
+		return err
+	}
+	if err := s.checkWorker(c, j); err != nil {
+		return err
+	}
+	if j.State == JobPending {
+		j.State = JobRunning
+		s.pending[j.Queue]--
+	}
+	t.State, t.Run, t.Worker, t.Incarnation = TaskAssigned, c.Run, c.Worker, c.Incarnation
+	s.addRun(c.Task, j, t)
+	j.open--
+	return nil
+}
+
+func (s *State) checkTask(c *Assign, j *Job, t *Task) error {
+	switch {
+	case j.State.Finished():
+		return errors.Wrapf(ErrNotAssignable, "job %s is %s", j.ID, j.State)
+	case t.State != TaskWaiting:
+		return errors.Wrapf(ErrNotAssignable, "task %s is not waiting", c.Task)
+	case c.Run <= t.Run:
+		return errors.Wrapf(ErrNotAssignable, "task %s had run %d already", c.Task, t.Run)
+	case !j.Unblocked(c.Task.Occurrence, c.Task.Step):
+		return errors.Wrapf(ErrNotAssignable, "an earlier step of task %s is not done", c.Task)
+	case !j.Spec.Steps[c.Task.Step].LongRunning && t.Failures >= s.MaxAttempts(j):
+		return errors.Wrapf(ErrNotAssignable, "task %s failed %d times", c.Task, t.Failures)
+	}
+	return nil
+}
+
+func (s *State) checkWorker(c *Assign, j *Job) error {
+	w, step := s.workers[c.Worker], &j.Spec.Steps[c.Task.Step]
+	switch {
+	case w == nil || w.Incarnation != c.Incarnation || w.Gone:
+		return errors.Wrapf(ErrNotAssignable, "worker %s is not there", c.Worker)
+	case w.Draining:
+		return errors.Wrapf(ErrNotAssignable, "worker %s is draining", c.Worker)
+	case w.Pool != s.PoolOf(j):
+		return errors.Wrapf(ErrNotAssignable, "worker %s is in pool %s", c.Worker, w.Pool)
+	case step.Requires != "" && !slices.Contains(w.Labels, step.Requires):
+		return errors.Wrapf(ErrNotAssignable, "worker %s lacks label %s", c.Worker, step.Requires)
+	case !s.reserved[c.Worker].Add(step.Reserved()).Fits(w.Capacity):
+		return errors.Wrapf(ErrNotAssignable, "worker %s has no room", c.Worker)
+	case step.AntiAffinity > 0 && s.sameStep(c.Worker, c.Task) >= step.AntiAffinity:
+		return errors.Wrapf(ErrNotAssignable, "worker %s runs enough tasks of the step", c.Worker)
+	}
+	if team := s.teams[j.Team]; team != nil && !s.teamUse[j.Team].Add(step.Need).WithinLimit(team.Limit) {
+		return errors.Wrapf(ErrNotAssignable, "team %s is at its limit", j.Team)
+	}
+	return nil
+}
+
+// sameStep counts the runs on a worker that are of the same occurrence and step.
+func (s *State) sameStep(worker string, r TaskRef) int {
+	n := 0
+	for o := range s.runs[worker] {
+		if o.Job == r.Job && o.Occurrence == r.Occurrence && o.Step == r.Step {
+			n++
+		}
+	}
+	return n
+}
+
+func (s *State) end(c *End, now Millis) error {
+	if w := s.workers[c.Worker]; w != nil && w.Incarnation == c.Incarnation && c.Number > w.Acked {
+		w.Acked = c.Number
+	}
+	j, t := s.TaskOf(c.Task)
+	if t == nil || t.State != TaskAssigned || t.Run != c.Run || t.Worker != c.Worker || t.Incarnation != c.Incarnation {
+		return nil
+	}
+	s.endRun(c.Task, j, t, c.Outcome, c.Checkpoint, now)
+	return nil
+}
+
+// endRun is the transition of a task whose run has ended.
+func (s *State) endRun(r TaskRef, j *Job, t *Task, o Outcome, checkpoint string, now Millis) {
+	invariant.Check(t.State == TaskAssigned, invariant.AtMostOnce, "task %s ended %s and was not assigned", r, o)
+	s.removeRun(r, j, t)
+	step := &j.Spec.Steps[r.Step]
+	t.State, t.Worker, t.Incarnation = TaskWaiting, "", 0
+	if checkpoint != "" {
+		t.Checkpoint = checkpoint
+	}
+	if j.State.Finished() {
+		return
+	}
+	switch {
+	case o == OutcomeDone && !step.LongRunning:
+		t.State = TaskDone
+		s.finishTask(r, j, step, now)
+	case o == OutcomeFailed && !step.LongRunning:
+		s.failTask(r, j, t, step, now)
+	default:
+		j.open++
+	}
+}
+
+// finishTask counts a task that is done. One end of a gang stands for all members.
+func (s *State) finishTask(r TaskRef, j *Job, step *Step, now Millis) {
+	j.left[r.Occurrence][r.Step]--
+	if step.Gang {
+		s.finishGang(r, j)
+	}
+	if j.left[r.Occurrence][r.Step] > 0 {
+		return
+	}
+	s.countOpen(j)
+	for k := range j.left {
+		for _, n := range j.left[k] {
+			if n > 0 {
+				return
+			}
+		}
+	}
+	s.finish(j, JobCompleted, now)
+}
+
+// finishGang marks all members of a gang as done.
+func (s *State) finishGang(r TaskRef, j *Job) {
+	tasks := j.Tasks[r.Occurrence][r.Step]
+	for i := range tasks {
+		t := &tasks[i]
+		if t.State == TaskAssigned {
+			s.removeRun(TaskRef{Job: r.Job, Occurrence: r.Occurrence, Step: r.Step, Index: i}, j, t)
+		}
+		t.State, t.Worker, t.Incarnation = TaskDone, "", 0
+	}
+	j.left[r.Occurrence][r.Step] = 0
+}
+
+// failTask counts a failed run and fails the job after too many. A failure of a
+// gang counts once for all members.
+func (s *State) failTask(r TaskRef, j *Job, t *Task, step *Step, now Millis) {
+	t.Failures++
+	if step.Gang {
+		tasks := j.Tasks[r.Occurrence][r.Step]
+		for i := range tasks {
+			tasks[i].Failures = t.Failures
+		}
+	}
+	if t.Failures >= s.MaxAttempts(j) {
+		s.finish(j, JobFailed, now)
+		return
+	}
+	j.open++
+}
+
+func (s *State) startWave(c *Wave) error {
+	if s.waves[c.ID] != nil {
+		return nil
+	}
+	w := *c
+	w.Begun, w.Dropped = map[string]bool{}, map[string]bool{}
+	s.waves[c.ID] = &w
+	return nil
+}
+
+func (s *State) upkeep(c *Upkeep) error {
+	w := s.waves[c.Wave]
+	switch {
+	case w == nil:
+		return nil
+	case c.Left:
+		w.Dropped[c.Instance] = true
+	default:
+		w.Begun[c.Instance] = true
+	}
+	return nil
+}
+
+func (s *State) forget(c *Forget) error {
+	for _, id := range c.Jobs {
+		if j := s.jobs[id]; j != nil && j.State.Finished() && j.assigned == 0 {
+			delete(s.jobs, id)
+		}
+	}
+	return nil
+}
+
+func compareRefs(a, b TaskRef) int {
+	switch {
+	case a.Job != b.Job:
+		if a.Job < b.Job {
+			return -1
+		}
+		return 1
+	case a.Occurrence != b.Occurrence:
+		return a.Occurrence - b.Occurrence
+	case a.Step != b.Step:
+		return a.Step - b.Step
+	}
+	return a.Index - b.Index
+}
--- /dev/null
+++ b/workload/plan/plan.go
@@ -0,0 +1,356 @@
+// Package plan decides which waiting task starts on which worker. It is a pure
+// function of the state and of what the leader has seen of the workers; the
+// state checks every assignment again.
+package plan
+
+import (
+	"cmp"
+	"slices"
+
+	"magnoliastand.example/workload"
+)
+
+// Weights of the score by which a worker is chosen; the lowest score wins. Load
+// is the unit: a weight of 1 is worth one whole worker of free processors.
+const (
+	// offRackWeight keeps tasks near their data, which makes them half as long again elsewhere.
+	offRackWeight = 1.5
+	// disturbWeight keeps filling and serving tasks apart while there is a choice.
+	disturbWeight = 1.0
+	// hopelessFactor is the multiple of its objective after which a job earns nothing.
+	hopelessFactor = 3
+)
+
+// Condition is what the leader has seen of a worker.
+type Condition struct {
+	// Usable workers may get work now.
+	Usable bool
+	// Penalty is added to the score of the worker.
+	Penalty float64
+}
+
+// Input is a snapshot to plan from.
+type Input struct {
+	State *workload.State
+	Now   workload.Millis
+	// Conditions holds the usable workers by id.
+	Conditions map[string]Condition
+	// Tickets returns the tickets of the advice service for a step, by worker,
+	// and whether the service has answered.
+	Tickets func(step workload.TaskRef) (map[string]string, bool)
+	// NotBefore returns when a task may be tried again; 0 is at once.
+	NotBefore func(task workload.TaskRef) workload.Millis
+}
+
+// Plan is the outcome.
+type Plan struct {
+	Assign []workload.Assign
+	// Advice lists steps that wait for the advice service.
+	Advice []workload.TaskRef
+	// Wake is when a task that is due later can start; 0 is never.
+	Wake workload.Millis
+	// Unplaced counts tasks that found no room, by pool.
+	Unplaced map[string]int
+}
+
+// host is a worker with what the plan leaves of it.
+type host struct {
+	worker  *workload.Worker
+	free    workload.Size
+	penalty float64
+	serving int
+	filling int
+}
+
+func (h *host) rack() string {
+	if len(h.worker.Labels) == 0 {
+		return ""
+	}
+	return h.worker.Labels[len(h.worker.Labels)-1]
+}
+
+// planner holds the progress of one plan.
+type planner struct {
+	in    *Input
+	hosts map[string][]*host
+	use   map[string]workload.Size
+	plan  Plan
+	// planned counts the assignments of this plan by worker and step.
+	planned map[stepOnWorker]int
+}
+
+// stepOnWorker is the key of planned.
+type stepOnWorker struct {
+	worker     string
+	job        string
+	occurrence int
+	step       int
+}
+
+// Tasks plans the starts of waiting tasks.
+func Tasks(in *Input) Plan {
+	p := &planner{
+		in: in, hosts: map[string][]*host{}, use: map[string]workload.Size{},
+		planned: map[stepOnWorker]int{}, plan: Plan{Unplaced: map[string]int{}},
+	}
+	jobs := p.runnable()
+	if len(jobs) == 0 {
+		return p.plan
+	}
+	p.collectHosts()
+	for _, c := range jobs {
+		p.planJob(c.job)
+	}
+	return p.plan
+}
+
+// candidate is a job with the place of its turn.
+type candidate struct {
+	job      *workload.Job
+	priority int
+	hopeless bool
+	due      workload.Millis
+}
+
+// runnable returns the jobs with open tasks in the order of their turns:
+// priority, then the time at which their objective passes.
+func (p *planner) runnable() []candidate {
+	var out []candidate
+	for _, j := range p.in.State.Active() {
+		if j.Open() == 0 {
+			continue
+		}
+		c := candidate{job: j, due: j.Submitted + j.Chain()}
+		if q, ok := p.in.State.Queue(j.Queue); ok {
+			objective := workload.Millis(q.Stretch*float64(j.Chain())) + q.Target
+			c.priority = q.Priority
+			c.due = j.Submitted + objective
+			c.hopeless = j.Spec.StartAt == 0 && !j.Spec.LongRunning() && p.in.Now > j.Submitted+hopelessFactor*objective
+		}
+		out = append(out, c)
+	}
+	slices.SortFunc(out, func(a, b candidate) int {
+		return cmp.Or(compareBool(a.hopeless, b.hopeless), cmp.Compare(a.priority, b.priority),
+			cmp.Compare(a.due, b.due), cmp.Compare(a.job.ID, b.job.ID))
+	})
+	return out
+}
+
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
+}
+
+// collectHosts lists the usable workers of each pool in the order of their ids.
+func (p *planner) collectHosts() {
+	for id, w := range p.in.State.Workers() {
+		c, known := p.in.Conditions[id]
+		if !known || !c.Usable || w.Draining || w.Gone {
+			continue
+		}
+		h := &host{worker: w, free: w.Capacity.Sub(p.in.State.Reserved(id)), penalty: c.Penalty}
+		for r, j := range p.in.State.Runs(id) {
+			h.count(&j.Spec.Steps[r.Step])
+		}
+		p.hosts[w.Pool] = append(p.hosts[w.Pool], h)
+	}
+	for _, hosts := range p.hosts {
+		slices.SortFunc(hosts, func(a, b *host) int { return cmp.Compare(a.worker.ID, b.worker.ID) })
+	}
+}
+
+func (h *host) count(s *workload.Step) {
+	if s.Fills {
+		h.filling++
+	}
+	if s.TailTarget > 0 {
+		h.serving++
+	}
+}
+
+func (p *planner) planJob(j *workload.Job) {
+	for k := range j.Tasks {
+		if due := j.Spec.Due(k); due > p.in.Now {
+			p.wakeAt(due)
+			continue
+		}
+		for st := range j.Tasks[k] {
+			if j.Unblocked(k, st) {
+				p.planStep(j, k, st)
+			}
+		}
+	}
+}
+
+func (p *planner) wakeAt(t workload.Millis) {
+	if p.plan.Wake == 0 || t < p.plan.Wake {
+		p.plan.Wake = t
+	}
+}
+
+// planStep plans the waiting tasks of one step of one occurrence.
+func (p *planner) planStep(j *workload.Job, k, st int) {
+	ref := workload.TaskRef{Job: j.ID, Occurrence: k, Step: st}
+	var waiting []int
+	for i := range j.Tasks[k][st] {
+		if j.Tasks[k][st][i].State == workload.TaskWaiting {
+			waiting = append(waiting, i)
+		}
+	}
+	if len(waiting) == 0 {
+		return
+	}
+	var tickets map[string]string
+	if q, ok := p.in.State.Queue(j.Queue); ok && q.Advice != nil {
+		var answered bool
+		if tickets, answered = p.in.Tickets(ref); !answered {
+			p.plan.Advice = append(p.plan.Advice, ref)
+			return
+		}
+	}
+	if j.Spec.Steps[st].Gang {
+		p.planGang(j, ref, waiting, tickets)
+		return
+	}
+	for _, i := range waiting {
+		ref.Index = i
+		if at := p.in.NotBefore(ref); at > p.in.Now {
+			p.wakeAt(at)
+			continue
+		}
+		if !p.place(j, ref, j.Tasks[k][st][i].Run+1, tickets, "") {
+			p.plan.Unplaced[p.in.State.PoolOf(j)]++
+		}
+	}
+}
+
+// planGang places all members of a gang or none.
+func (p *planner) planGang(j *workload.Job, ref workload.TaskRef, waiting []int, tickets map[string]string) {
+	tasks := j.Tasks[ref.Occurrence][ref.Step]
+	if len(waiting) < len(tasks) {
+		return
+	}
+	var run int64
+	for i := range tasks {
+		run = max(run, tasks[i].Run)
+	}
+	before := len(p.plan.Assign)
+	rack := ""
+	if j.Spec.Steps[ref.Step].SameRack {
+		rack = p.roomiestRack(p.in.State.PoolOf(j))
+	}
+	for _, i := range waiting {
+		ref.Index = i
+		if !p.place(j, ref, run+1, tickets, rack) {
+			p.undo(before)
+			p.plan.Unplaced[p.in.State.PoolOf(j)]++
+			return
+		}
+	}
+}
+
+// roomiestRack returns the rack with the most free processors in a pool.
+func (p *planner) roomiestRack(pool string) string {
+	free := map[string]int64{}
+	best := ""
+	for _, h := range p.hosts[pool] {
+		free[h.rack()] += h.free.Processors
+		if best == "" || free[h.rack()] > free[best] {
+			best = h.rack()
+		}
+	}
+	return best
+}
+
+// undo takes back the assignments from a position on.
+func (p *planner) undo(from int) {
+	for _, a := range p.plan.Assign[from:] {
+		j, _ := p.in.State.TaskOf(a.Task)
+		step := &j.Spec.Steps[a.Task.Step]
+		for _, h := range p.hosts[p.in.State.PoolOf(j)] {
+			if h.worker.ID == a.Worker {
+				h.free = h.free.Add(step.Reserved())
+			}
+		}
+		p.use[j.Team] = p.use[j.Team].Sub(step.Need)
+		p.planned[stepOnWorker{a.Worker, a.Task.Job, a.Task.Occurrence, a.Task.Step}]--
+	}
+	p.plan.Assign = p.plan.Assign[:from]
+}
+
+// place assigns one task to the best worker and reports whether there is one.
+func (p *planner) place(j *workload.Job, ref workload.TaskRef, run int64, tickets map[string]string, rack string) bool {
+	step := &j.Spec.Steps[ref.Step]
+	if !p.withinTeam(j, step) {
+		return false
+	}
+	if rack == "" {
+		rack = step.DataRack
+	}
+	var best *host
+	var bestScore float64
+	for _, h := range p.hosts[p.in.State.PoolOf(j)] {
+		if tickets != nil && tickets[h.worker.ID] == "" || !p.suits(h, step, ref) {
+			continue
+		}
+		if score := h.score(step, rack); best == nil || score < bestScore {
+			best, bestScore = h, score
+		}
+	}
+	if best == nil {
+		return false
+	}
+	best.free = best.free.Sub(step.Reserved())
+	best.count(step)
+	p.use[j.Team] = p.use[j.Team].Add(step.Need)
+	p.planned[stepOnWorker{best.worker.ID, ref.Job, ref.Occurrence, ref.Step}]++
+	p.plan.Assign = append(p.plan.Assign, workload.Assign{
+		Task: ref, Run: run, Worker: best.worker.ID, Incarnation: best.worker.Incarnation,
+	})
+	return true
+}
+
+func (p *planner) withinTeam(j *workload.Job, step *workload.Step) bool {
+	team, ok := p.in.State.Team(j.Team)
+	return !ok || p.in.State.TeamUse(j.Team).Add(p.use[j.Team]).Add(step.Need).WithinLimit(team.Limit)
+}
+
+// suits reports whether a worker may run one more task of the step.
+func (p *planner) suits(h *host, step *workload.Step, ref workload.TaskRef) bool {
+	if !step.Reserved().Fits(h.free) {
+		return false
+	}
+	if step.Requires != "" && !slices.Contains(h.worker.Labels, step.Requires) {
+		return false
+	}
+	if step.AntiAffinity == 0 {
+		return true
+	}
+	n := p.planned[stepOnWorker{h.worker.ID, ref.Job, ref.Occurrence, ref.Step}]
+	for o := range p.in.State.Runs(h.worker.ID) {
+		if o.Job == ref.Job && o.Occurrence == ref.Occurrence && o.Step == ref.Step {
+			n++
+		}
+	}
+	return n < step.AntiAffinity
+}
+
+// score is low for a worker that suits well.
+func (h *host) score(step *workload.Step, rack string) float64 {
+	score := h.penalty
+	if c := h.worker.Capacity.Processors; c > 0 {
+		score += 1 - float64(h.free.Processors)/float64(c)
+	}
+	if rack != "" && rack != h.rack() {
+		score += offRackWeight
+	}
+	if step.Fills && h.serving > 0 || step.TailTarget > 0 && h.filling > 0 {
+		score += disturbWeight
+	}
+	return score
+}
--- /dev/null
+++ b/workload/request.go
@@ -0,0 +1,134 @@
+package workload
+
+import "strings"
+
+// Verb is what a caller asks for.
+type Verb uint8
+
+// Verbs of a request.
+const (
+	VerbSubmit Verb = iota + 1
+	VerbState
+	VerbCancel
+	// VerbPending asks how many jobs of a queue have not begun.
+	VerbPending
+)
+
+// String returns the name of the verb.
+func (v Verb) String() string {
+	return [...]string{"none", "submit", "state", "cancel", "pending"}[v]
+}
+
+// Request is one request of a caller.
+type Request struct {
+	Verb Verb   `cbor:"1,keyasint"`
+	Host string `cbor:"2,keyasint"`
+	Path string `cbor:"3,keyasint"`
+	Key  string `cbor:"4,keyasint,omitempty"`
+	// Spec is set for VerbSubmit.
+	Spec *Spec `cbor:"5,keyasint,omitempty"`
+	// Fault tells what is wrong with the body, when it could not be decoded.
+	Fault string `cbor:"6,keyasint,omitempty"`
+}
+
+// Answer is the kind of a response.
+type Answer uint8
+
+// Answers to a request.
+const (
+	AnswerOK Answer = iota + 1
+	AnswerNoQueue
+	AnswerUnknownKey
+	AnswerNoJob
+	AnswerMalformed
+	// AnswerNotRun says that the request has not run and never will.
+	AnswerNotRun
+	// AnswerUnknown says that the request may have run.
+	AnswerUnknown
+)
+
+// String returns the name of the answer.
+func (a Answer) String() string {
+	names := [...]string{"none", "ok", "no-queue", "unknown-key", "no-job", "malformed", "not-run", "unknown"}
+	return names[a]
+}
+
+// Response answers a request.
+type Response struct {
+	Answer Answer `cbor:"1,keyasint"`
+	// Verb is what was answered.
+	Verb Verb `cbor:"6,keyasint,omitempty"`
+	// Reason explains every answer but AnswerOK.
+	Reason string `cbor:"2,keyasint,omitempty"`
+	// State answers VerbState.
+	State JobState `cbor:"3,keyasint,omitempty"`
+	// Pending answers VerbPending.
+	Pending int `cbor:"4,keyasint,omitempty"`
+	// Version is the version of the document that decided.
+	Version int64 `cbor:"5,keyasint,omitempty"`
+}
+
+// Target is what a request is about, once resolved against the document.
+type Target struct {
+	Queue *Queue
+	Team  string
+	// Job is the id of the job; empty for VerbPending.
+	Job string
+}
+
+// jobIDLen is the length of a job's id in hexadecimal digits.
+const jobIDLen = 16
+
+// Resolve finds the queue, team and job of a request. A non-nil response says
+// why there is none.
+func (s *State) Resolve(r *Request) (Target, *Response) {
+	refuse := func(a Answer, reason string) (Target, *Response) {
+		return Target{}, &Response{Answer: a, Reason: reason, Version: s.doc.Version}
+	}
+	if s.doc.Version == 0 {
+		return refuse(AnswerNotRun, "no document yet")
+	}
+	q := s.queueAt(r.Host, r.Path)
+	if q == nil {
+		return refuse(AnswerNoQueue, "no queue at this host and path")
+	}
+	team, known := s.keys[r.Key]
+	if !known && !q.Open {
+		return refuse(AnswerUnknownKey, "key not in the document")
+	}
+	id := strings.Trim(strings.TrimPrefix(r.Path, q.Prefix), "/")
+	if r.Verb == VerbState && id == "" {
+		r.Verb = VerbPending
+	}
+	if r.Verb != VerbPending && !isJobID(id) {
+		return refuse(AnswerMalformed, "path: the id of a job is 16 hexadecimal digits")
+	}
+	return Target{Queue: q, Team: team, Job: id}, nil
+}
+
+// queueAt returns the queue of a host with the longest prefix of a path.
+func (s *State) queueAt(host, path string) *Queue {
+	var best *Queue
+	for i := range s.doc.Queues {
+		q := &s.doc.Queues[i]
+		if q.Host != host || !strings.HasPrefix(path, q.Prefix) {
+			continue
+		}
+		if best == nil || len(q.Prefix) > len(best.Prefix) {
+			best = q
+		}
+	}
+	return best
+}
+
+func isJobID(id string) bool {
+	if len(id) != jobIDLen {
+		return false
+	}
+	for _, c := range id {
+		if !strings.ContainsRune("0123456789abcdefABCDEF", c) {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/workload/state.go
@@ -0,0 +1,346 @@
+package workload
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"magnoliastand.example/codec"
+	"magnoliastand.example/invariant"
+)
+
+// Limits of decoding.
+const (
+	maxItems = 1 << 20
+	maxDepth = 32
+)
+
+var (
+	encMode = codec.Encoder()
+	decMode = codec.Decoder(codec.Limits{Items: maxItems, Depth: maxDepth})
+)
+
+// DecodeDocument turns the stored form of a document into its types.
+type DecodeDocument func(raw []byte) (Document, error)
+
+// State is the replicated state. It is not safe for concurrent use.
+type State struct {
+	decode  DecodeDocument
+	raw     []byte
+	doc     Document
+	queues  map[string]*Queue
+	pools   map[string]*Pool
+	teams   map[string]*Team
+	keys    map[string]string
+	jobs    map[string]*Job
+	workers map[string]*Worker
+	waves   map[int64]*Wave
+
+	// The rest is derived.
+	runs     map[string]map[TaskRef]*Job
+	reserved map[string]Size
+	teamUse  map[string]Size
+	pending  map[string]int
+	active   map[string]*Job
+}
+
+// New returns an empty state.
+func New(decode DecodeDocument) *State {
+	s := &State{decode: decode}
+	s.reset()
+	return s
+}
+
+func (s *State) reset() {
+	s.raw, s.doc = nil, Document{}
+	s.queues, s.pools, s.teams, s.keys = map[string]*Queue{}, map[string]*Pool{}, map[string]*Team{}, map[string]string{}
+	s.jobs, s.workers, s.waves = map[string]*Job{}, map[string]*Worker{}, map[int64]*Wave{}
+	s.runs, s.reserved, s.teamUse = map[string]map[TaskRef]*Job{}, map[string]Size{}, map[string]Size{}
+	s.pending, s.active = map[string]int{}, map[string]*Job{}
+}
+
+// Version returns the version of the document; 0 before the first.
+func (s *State) Version() int64 { return s.doc.Version }
+
+// Raw returns the document as it was sent. It must not be modified.
+func (s *State) Raw() []byte { return s.raw }
+
+// Document returns the document. It must not be modified.
+func (s *State) Document() *Document { return &s.doc }
+
+// Queue returns a queue of the document.
+func (s *State) Queue(name string) (*Queue, bool) { q, ok := s.queues[name]; return q, ok }
+
+// Pool returns a pool of the document.
+func (s *State) Pool(name string) (*Pool, bool) { p, ok := s.pools[name]; return p, ok }
+
+// Team returns a team of the document.
+func (s *State) Team(name string) (*Team, bool) { t, ok := s.teams[name]; return t, ok }
+
+// KeyTeam returns the team that holds a key.
+func (s *State) KeyTeam(key string) (string, bool) { t, ok := s.keys[key]; return t, ok }
+
+// Job returns a job, which must not be modified.
+func (s *State) Job(id string) (*Job, bool) { j, ok := s.jobs[id]; return j, ok }
+
+// Jobs returns all jobs by id. The map must not be modified.
+func (s *State) Jobs() map[string]*Job { return s.jobs }
+
+// Active returns the jobs that are not finished. The map must not be modified.
+func (s *State) Active() map[string]*Job { return s.active }
+
+// Pending returns how many jobs of a queue have not begun.
+func (s *State) Pending(queue string) int { return s.pending[queue] }
+
+// Workers returns all workers by id. The map must not be modified.
+func (s *State) Workers() map[string]*Worker { return s.workers }
+
+// Waves returns all waves by id. The map must not be modified.
+func (s *State) Waves() map[int64]*Wave { return s.waves }
+
+// Runs returns the runs on a worker with their jobs. The map must not be modified.
+func (s *State) Runs(worker string) map[TaskRef]*Job { return s.runs[worker] }
+
+// Reserved returns what the runs on a worker occupy.
+func (s *State) Reserved(worker string) Size { return s.reserved[worker] }
+
+// TeamUse returns what a team has running.
+func (s *State) TeamUse(team string) Size { return s.teamUse[team] }
+
+// TaskOf returns a task and its job.
+func (s *State) TaskOf(r TaskRef) (*Job, *Task) {
+	j := s.jobs[r.Job]
+	if j == nil || r.Occurrence < 0 || r.Occurrence >= len(j.Tasks) || r.Step < 0 || r.Step >= len(j.Tasks[r.Occurrence]) {
+		return nil, nil
+	}
+	tasks := j.Tasks[r.Occurrence][r.Step]
+	if r.Index < 0 || r.Index >= len(tasks) {
+		return nil, nil
+	}
+	return j, &tasks[r.Index]
+}
+
+// MaxAttempts returns how often tasks of a job may fail.
+func (s *State) MaxAttempts(j *Job) int {
+	if q := s.queues[j.Queue]; q != nil && q.MaxAttempts > 0 {
+		return q.MaxAttempts
+	}
+	return 1
+}
+
+// PoolOf returns the pool whose workers run a job: that of its queue, or the
+// last known one when the queue was removed.
+func (s *State) PoolOf(j *Job) string {
+	if q := s.queues[j.Queue]; q != nil {
+		return q.Pool
+	}
+	return j.Pool
+}
+
+// snapshot is the encoded form of a state.
+type snapshot struct {
+	Raw     []byte    `cbor:"1,keyasint,omitempty"`
+	Jobs    []*Job    `cbor:"2,keyasint,omitempty"`
+	Workers []*Worker `cbor:"3,keyasint,omitempty"`
+	Waves   []*Wave   `cbor:"4,keyasint,omitempty"`
+}
+
+// Snapshot encodes the whole state.
+func (s *State) Snapshot() ([]byte, error) {
+	snap := snapshot{Raw: s.raw}
+	for _, id := range slices.Sorted(maps.Keys(s.jobs)) {
+		snap.Jobs = append(snap.Jobs, s.jobs[id])
+	}
+	for _, id := range slices.Sorted(maps.Keys(s.workers)) {
+		snap.Workers = append(snap.Workers, s.workers[id])
+	}
+	for _, id := range slices.Sorted(maps.Keys(s.waves)) {
+		snap.Waves = append(snap.Waves, s.waves[id])
+	}
+	b, err := encMode.Marshal(snap)
+	return b, errors.Wrap(err, "encode snapshot")
+}
+
+// Restore replaces the state. Empty data is the initial state. Errors wrap ErrMalformed.
+func (s *State) Restore(data []byte) error {
+	var snap snapshot
+	if len(data) > 0 {
+		if err := decMode.Unmarshal(data, &snap); err != nil {
+			return errors.Wrap(ErrMalformed, err.Error())
+		}
+	}
+	s.reset()
+	if len(snap.Raw) > 0 {
+		doc, err := s.decode(snap.Raw)
+		if err != nil {
+			return errors.Wrap(ErrMalformed, err.Error())
+		}
+		s.setDocument(snap.Raw, doc)
+	}
+	for _, w := range snap.Workers {
+		s.workers[w.ID] = w
+	}
+	for _, w := range snap.Waves {
+		s.waves[w.ID] = w
+	}
+	for _, j := range snap.Jobs {
+		s.jobs[j.ID] = j
+		s.index(j)
+	}
+	return nil
+}
+
+// setDocument puts a document in force.
+func (s *State) setDocument(raw []byte, doc Document) {
+	s.raw, s.doc = raw, doc
+	s.queues, s.pools, s.teams, s.keys = map[string]*Queue{}, map[string]*Pool{}, map[string]*Team{}, map[string]string{}
+	for i := range doc.Queues {
+		s.queues[doc.Queues[i].Name] = &doc.Queues[i]
+	}
+	for i := range doc.Pools {
+		s.pools[doc.Pools[i].Name] = &doc.Pools[i]
+	}
+	for i := range doc.Teams {
+		t := &doc.Teams[i]
+		s.teams[t.Name] = t
+		for _, k := range t.Keys {
+			s.keys[k] = t.Name
+		}
+	}
+}
+
+// index derives the counts of a job and adds it to the indexes.
+func (s *State) index(j *Job) {
+	j.chain = longestChain(j.Spec.Steps)
+	j.left = make([][]int, len(j.Tasks))
+	for k := range j.Tasks {
+		j.left[k] = make([]int, len(j.Tasks[k]))
+		for st := range j.Tasks[k] {
+			for i := range j.Tasks[k][st] {
+				if j.Tasks[k][st][i].State != TaskDone {
+					j.left[k][st]++
+				}
+			}
+		}
+	}
+	j.assigned = 0
+	for k := range j.Tasks {
+		for st := range j.Tasks[k] {
+			for i := range j.Tasks[k][st] {
+				if t := &j.Tasks[k][st][i]; t.State == TaskAssigned {
+					s.addRun(TaskRef{Job: j.ID, Occurrence: k, Step: st, Index: i}, j, t)
+				}
+			}
+		}
+	}
+	s.countOpen(j)
+	if !j.State.Finished() {
+		s.active[j.ID] = j
+	}
+	if j.State == JobPending {
+		s.pending[j.Queue]++
+	}
+}
+
+// countOpen derives how many tasks of a job may be assigned.
+func (s *State) countOpen(j *Job) {
+	j.open = 0
+	if j.State.Finished() {
+		return
+	}
+	for k := range j.Tasks {
+		for st := range j.Tasks[k] {
+			if j.left[k][st] == 0 || !j.Unblocked(k, st) {
+				continue
+			}
+			for i := range j.Tasks[k][st] {
+				if j.Tasks[k][st][i].State == TaskWaiting {
+					j.open++
+				}
+			}
+		}
+	}
+}
+
+// Open returns the number of waiting tasks whose earlier steps are done.
+func (j *Job) Open() int { return j.open }
+
+func longestChain(steps []Step) Millis {
+	ends := make([]Millis, len(steps))
+	var longest Millis
+	for i := range steps {
+		for _, a := range steps[i].After {
+			ends[i] = max(ends[i], ends[a])
+		}
+		ends[i] += steps[i].Estimate
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
+
+func (s *State) addRun(r TaskRef, j *Job, t *Task) {
+	runs := s.runs[t.Worker]
+	if runs == nil {
+		runs = map[TaskRef]*Job{}
+		s.runs[t.Worker] = runs
+	}
+	runs[r] = j
+	step := &j.Spec.Steps[r.Step]
+	s.reserved[t.Worker] = s.reserved[t.Worker].Add(step.Reserved())
+	s.teamUse[j.Team] = s.teamUse[j.Team].Add(step.Need)
+	j.assigned++
+}
+
+func (s *State) removeRun(r TaskRef, j *Job, t *Task) {
+	delete(s.runs[t.Worker], r)
+	step := &j.Spec.Steps[r.Step]
+	s.reserved[t.Worker] = s.reserved[t.Worker].Sub(step.Reserved())
+	s.teamUse[j.Team] = s.teamUse[j.Team].Sub(step.Need)
+	j.assigned--
+}
+
+// CheckAll compares the derived indexes with the jobs. It costs time in
+// proportion to the state and returns whether all hold.
+func (s *State) CheckAll() bool {
+	reserved, use := map[string]Size{}, map[string]Size{}
+	good := true
+	for _, j := range s.jobs {
+		for k := range j.Tasks {
+			for st := range j.Tasks[k] {
+				for i := range j.Tasks[k][st] {
+					t := &j.Tasks[k][st][i]
+					if t.State != TaskAssigned {
+						continue
+					}
+					reserved[t.Worker] = reserved[t.Worker].Add(j.Spec.Steps[st].Reserved())
+					use[j.Team] = use[j.Team].Add(j.Spec.Steps[st].Need)
+				}
+			}
+		}
+	}
+	for id, want := range reserved {
+		good = invariant.Check(s.reserved[id] == want, invariant.SlotBound, "worker %s reserves %v, counted %v", id, want, s.reserved[id]) && good
+	}
+	for team, want := range use {
+		good = invariant.Check(s.teamUse[team] == want, invariant.TeamLimit, "team %s uses %v, counted %v", team, want, s.teamUse[team]) && good
+	}
+	return good
+}
+
+// EncodeBatch encodes a batch for the log.
+func EncodeBatch(b *Batch) ([]byte, error) {
+	data, err := encMode.Marshal(b)
+	return data, errors.Wrap(err, "encode batch")
+}
+
+// DecodeBatch decodes a batch. Errors wrap ErrMalformed.
+func DecodeBatch(data []byte) (*Batch, error) {
+	var b Batch
+	dec := cbor.DecMode(decMode)
+	if err := dec.Unmarshal(data, &b); err != nil {
+		return nil, errors.Wrap(ErrMalformed, err.Error())
+	}
+	return &b, nil
+}
