Lost orders and holds cost less; a silent worker's lease ends

Cause 2: a lost order or hold blocked its worker for 0.8 to 1.8 s. Changes: no lease for a worker that does not answer; starts are repeated after 250 ms, holds wait 500 ms and are repeated at once; a new leader reads all workers. Ruled out: the takeover itself, which takes 0.5 s from the loss to the lead.

--- a/driver/run.go
+++ b/driver/run.go
@@ -13,7 +13,10 @@
 const (
 	// startAttempts is how often a start without an answer is sent again; the
 	// order is idempotent for its run.
-	startAttempts = 2
+	startAttempts = 3
+	// startTimeout bounds one attempt: an answer takes a few milliseconds, and a
+	// process of ours may stand still for a tenth of a second.
+	startTimeout = 250 * time.Millisecond
 	// stopRetry is the time between two stop orders for one run.
 	stopRetry = 300 * time.Millisecond
 	// listRetry is how long the leader waits for a list that settles a run.
@@ -130,7 +133,7 @@
 	var clock workload.Millis
 	var err error
 	for range startAttempts {
-		ctx, cancel := context.WithTimeout(d.ctx, callTimeout)
+		ctx, cancel := context.WithTimeout(d.ctx, startTimeout)
 		clock, err = d.cfg.Workers.Start(ctx, endpoint, o)
 		cancel()
 		if isAnswer(err) {
--- a/driver/session.go
+++ b/driver/session.go
@@ -21,8 +21,13 @@
 	// which a lease is surely over, for delays of calls and timers.
 	leaseMargin = 300 * time.Millisecond
 	// holdWait is how long a worker with runs may wait for an end before it
-	// answers: a quarter of the wanted lease.
-	holdWait = time.Second
+	// answers. A hold that is lost hides ends for so long.
+	holdWait = 500 * time.Millisecond
+	// holdTimeout bounds a hold beyond its wait; see startTimeout.
+	holdTimeout = 250 * time.Millisecond
+	// unusableFailures is the number of failed holds in a row after which a worker
+	// gets no work.
+	unusableFailures = 2
 	// holdGap is the least time between two holds of a worker, so that ends that
 	// come together are read together.
 	holdGap = 25 * time.Millisecond
@@ -248,7 +253,7 @@
 	now := time.Now()
 	out := make(map[string]plan.Condition, len(d.sessions))
 	for id, s := range d.sessions {
-		usable := !s.cordoned && s.failures == 0 && now.Sub(s.heardAt) < d.silence() && s.clock > 0 && !d.fleet.reserved(id)
+		usable := !s.cordoned && s.failures < unusableFailures && now.Sub(s.heardAt) < d.silence() && s.clock > 0 && !d.fleet.reserved(id)
 		out[id] = plan.Condition{Usable: usable, Penalty: s.blameAt(now) * failurePenalty}
 	}
 	return out
@@ -291,16 +296,22 @@
 // maybeHold starts a hold that is due.
 func (d *Driver) maybeHold(s *session, now time.Time, runs int) {
 	ack := s.acked < s.ackable && now.After(s.ackDue)
-	if s.holding || now.Before(s.nextHold) || runs == 0 && !ack || !d.cfg.Log.Leads(d.cfg.Term) {
+	unread := s.clock == 0 // nothing starts on a worker before its clock and lists are read
+	if s.holding || now.Before(s.nextHold) || runs == 0 && !ack && !unread || !d.cfg.Log.Leads(d.cfg.Term) {
 		return
 	}
 	s.holding = true
 	s.nextHold = now.Add(holdGap)
 	order := &platform.HoldOrder{Fence: d.cfg.Term, Acked: s.ackable}
-	timeout := callTimeout
-	if runs > 0 {
+	timeout := holdTimeout
+	if s.failures > 0 {
+		timeout = callTimeout // the path may be slow
+	}
+	// A worker that does not answer gets no longer lease, or its lease would never
+	// be known to be over.
+	if runs > 0 && s.failures == 0 {
 		order.Until = d.leaseUntil(s, now)
-		if s.clock > 0 && s.failures == 0 && !d.awaitsList(s) {
+		if s.clock > 0 && !d.awaitsList(s) {
 			order.Wait = holdWait.Milliseconds()
 			timeout += holdWait
 		}
@@ -329,7 +340,7 @@
 		d.otherIncarnation(s, lists.Incarnation)
 		return
 	}
-	if s.failures > 0 {
+	if s.failures >= unusableFailures {
 		d.cfg.Logger.Info().Str("worker", s.worker.ID).Int("failures", s.failures).Msg("worker answers again")
 		d.dirty = true
 	}
@@ -345,9 +356,11 @@
 		return
 	}
 	s.failures++
-	s.nextHold = now.Add(min(failBackoff<<min(s.failures-1, 10), maxBackoff))
+	if s.failures > 1 {
+		s.nextHold = now.Add(min(failBackoff<<min(s.failures-2, 10), maxBackoff))
+	}
 	d.cfg.Metrics.Orders.WithLabelValues("hold", "failed").Inc()
-	if s.failures == 1 {
+	if s.failures == unusableFailures {
 		d.cfg.Logger.Warn().Err(err).Str("worker", s.worker.ID).Dur("silent", now.Sub(s.heardAt)).
 			Int("runs", len(d.state.Runs(s.worker.ID))).Msg("worker does not answer")
 	}
