A failed log ends its process; only a standing lease names a leader

Cause: with a full disk the log ended, but the member waited for its own join loop and the process lived on. Ruled out: the quorum, which was whole and led by another daemon 0.8 s later. Test: TestFailedLogEndsTheMemberAndItsLead fails without the change.

--- a/cluster/member.go
+++ b/cluster/member.go
@@ -111,12 +111,16 @@
 		return err
 	}
 	defer started.Stop()
+	joinCtx, stopJoining := context.WithCancel(ctx)
 	joined := make(chan struct{})
 	go func() {
 		defer close(joined)
-		m.joinUntilDone(ctx)
+		m.joinUntilDone(joinCtx)
+	}()
+	defer func() {
+		stopJoining()
+		<-joined
 	}()
-	defer func() { <-joined }()
 	select {
 	case <-started.Done():
 		return errors.Wrap(started.Err(), "log")
@@ -267,11 +271,17 @@
 	return leadReply{}, err
 }
 
+// handleLead tells who leads. This daemon names itself only while its lease
+// stands: a leader that was frozen, cut off or whose log has failed would
+// otherwise keep its followers.
 func (m *Member[R]) handleLead(context.Context, peerlink.Identity, []byte) (any, error) {
 	reply := leadReply{Leader: m.Leader(), Members: m.Members()}
 	if started := m.Node(); started != nil {
 		reply.Term = started.Status().Term
 	}
+	if _, leads := m.Lease(); reply.Leader == m.cfg.Self && !leads {
+		reply.Leader = ""
+	}
 	return reply, nil
 }
 
