Plans stop at the first task of a step without room; finished jobs drop their tasks

Cause: on the grown deployment a backlog made every plan look at each waiting task and each worker of its pool, and the state kept all tasks of finished jobs. Ruled out as the only cause: the planner.

--- a/driver/fleet.go
+++ b/driver/fleet.go
@@ -14,6 +14,8 @@
 	// listInterval is the time between two readings of the instances while a
 	// wave or a move is under way.
 	listInterval = 700 * time.Millisecond
+	// movesInterval is the time between two plans of moves, well below the time of a move.
+	movesInterval = 100 * time.Millisecond
 	// machineTimeout bounds a call to the machine service.
 	machineTimeout = 2 * time.Second
 	// machineRetry is the pause after a call to it that failed.
@@ -49,6 +51,7 @@
 	instances map[string]*instance
 	byWorker  map[string]*instance
 	listedAt  time.Time
+	plannedAt time.Time
 	listing   bool
 	listOK    bool
 }
@@ -83,7 +86,10 @@
 			}
 		}
 	}
-	f.movePools(now)
+	if now.Sub(f.plannedAt) >= movesInterval {
+		f.plannedAt = now
+		f.movePools(now)
+	}
 }
 
 // nextWave returns the wave with the earliest deadline that is not completed.
--- a/workload/apply.go
+++ b/workload/apply.go
@@ -98,6 +98,15 @@
 	}
 	j.State, j.Ended, j.open = to, now, 0
 	delete(s.active, j.ID)
+	j.compact()
+}
+
+// compact drops the tasks of a finished job once none is assigned; only its
+// state is still asked for.
+func (j *Job) compact() {
+	if j.State.Finished() && j.assigned == 0 {
+		j.Tasks, j.left, j.Spec = nil, nil, Spec{}
+	}
 }
 
 // register stores an announcement of a worker. A new incarnation ends the runs
@@ -152,6 +161,9 @@
 
 // assign checks an assignment against every rule of the state and makes it.
 func (s *State) assign(c *Assign) error {
+	if j := s.jobs[c.Task.Job]; j != nil && j.State.Finished() {
+		return errors.Wrapf(ErrNotAssignable, "job %s is %s", j.ID, j.State)
+	}
 	j, t := s.TaskOf(c.Task)
 	if t == nil {
 		return errors.Wrap(ErrNoJob, c.Task.String())
@@ -174,8 +186,6 @@
 
 func (s *State) checkTask(c *Assign, j *Job, t *Task) error {
 	switch {
-	case j.State.Finished():
-		return errors.Wrapf(ErrNotAssignable, "job %s is %s", j.ID, j.State)
 	case t.State != TaskWaiting:
 		return errors.Wrapf(ErrNotAssignable, "task %s is not waiting", c.Task)
 	case c.Run <= t.Run:
@@ -243,6 +253,7 @@
 		t.Checkpoint = checkpoint
 	}
 	if j.State.Finished() {
+		j.compact()
 		return
 	}
 	switch {
--- a/workload/plan/plan.go
+++ b/workload/plan/plan.go
@@ -77,6 +77,8 @@
 	plan  Plan
 	// planned counts the assignments of this plan by worker and step.
 	planned map[stepOnWorker]int
+	// tooBig holds, by pool, a size that fits into no host any more.
+	tooBig map[string]workload.Size
 }
 
 // stepOnWorker is the key of planned.
@@ -91,7 +93,7 @@
 func Tasks(in *Input) Plan {
 	p := &planner{
 		in: in, hosts: map[string][]*host{}, use: map[string]workload.Size{},
-		planned: map[stepOnWorker]int{}, plan: Plan{Waiting: map[string]workload.Size{}},
+		planned: map[stepOnWorker]int{}, tooBig: map[string]workload.Size{}, plan: Plan{Waiting: map[string]workload.Size{}},
 	}
 	jobs := p.runnable()
 	if len(jobs) == 0 {
@@ -231,17 +233,18 @@
 		p.planGang(j, ref, waiting, tickets)
 		return
 	}
-	for _, i := range waiting {
+	for n, i := range waiting {
 		ref.Index = i
 		if at := p.in.NotBefore(ref); at > p.in.Now {
 			p.wakeAt(at)
 			continue
 		}
 		if !p.withinTeam(j, &j.Spec.Steps[st]) {
-			continue
+			return
 		}
 		if !p.place(j, ref, j.Tasks[k][st][i].Run+1, tickets, "") {
-			p.wait(j, ref)
+			p.wait(j, ref, len(waiting)-n)
+			return
 		}
 	}
 }
@@ -269,19 +272,24 @@
 		}
 		if !p.place(j, ref, run+1, tickets, rack) {
 			p.undo(before)
-			p.wait(j, ref)
+			p.wait(j, ref, len(waiting))
 			return
 		}
 	}
 }
 
-// wait counts a task that found no room. The team's limit counts it as running,
+// wait counts tasks that found no room. The team's limit counts them as running,
 // so that the wait of one team does not call for more than the team may use.
-func (p *planner) wait(j *workload.Job, ref workload.TaskRef) {
+func (p *planner) wait(j *workload.Job, ref workload.TaskRef, tasks int) {
 	step := &j.Spec.Steps[ref.Step]
 	pool := p.in.State.PoolOf(j)
-	p.plan.Waiting[pool] = p.plan.Waiting[pool].Add(step.Reserved())
-	p.use[j.Team] = p.use[j.Team].Add(step.Need)
+	for range tasks {
+		if !p.withinTeam(j, step) {
+			return
+		}
+		p.plan.Waiting[pool] = p.plan.Waiting[pool].Add(step.Reserved())
+		p.use[j.Team] = p.use[j.Team].Add(step.Need)
+	}
 }
 
 // roomiestRack returns the rack with the most free processors in a pool.
@@ -308,6 +316,7 @@
 			}
 		}
 		p.use[j.Team] = p.use[j.Team].Sub(step.Need)
+		delete(p.tooBig, p.in.State.PoolOf(j))
 		p.planned[stepOnWorker{a.Worker, a.Task.Job, a.Task.Occurrence, a.Task.Step}]--
 	}
 	p.plan.Assign = p.plan.Assign[:from]
@@ -320,9 +329,15 @@
 	if rack == "" {
 		rack = step.DataRack
 	}
+	pool := p.in.State.PoolOf(j)
+	if big, known := p.tooBig[pool]; known && big.Fits(step.Reserved()) {
+		return false
+	}
 	var best *host
 	var bestScore float64
-	for _, h := range p.hosts[p.in.State.PoolOf(j)] {
+	fits := false
+	for _, h := range p.hosts[pool] {
+		fits = fits || step.Reserved().Fits(h.free)
 		if tickets != nil && tickets[h.worker.ID] == "" || !p.suits(h, step, ref) {
 			continue
 		}
@@ -331,6 +346,9 @@
 		}
 	}
 	if best == nil {
+		if !fits {
+			p.tooBig[pool] = step.Reserved()
+		}
 		return false
 	}
 	best.free = best.free.Sub(step.Reserved())
