A job waits until one of its runs has begun

Cause: a job counted as begun with its first assignment. Change: the state moves on with the first confirmed run, or the end of one that ran. Ruled out: a stale read, since the leader answered from its committed state.

--- a/driver/run.go
+++ b/driver/run.go
@@ -165,6 +165,7 @@
 		if r.phase == phaseOrdered {
 			r.phase = phaseStarted
 		}
+		d.noteBegin(r)
 		s.readClock(clock, now)
 		s.heardAt = now
 	case errors.Is(err, platform.ErrOtherIncarnation):
@@ -188,6 +189,16 @@
 	}
 }
 
+// noteBegin records the first confirmed run of a job.
+func (d *Driver) noteBegin(r *run) {
+	if r.job.State != workload.JobPending {
+		return
+	}
+	if err := d.do(workload.Command{Begin: &workload.Begin{Job: r.job.ID}}, nil); err != nil {
+		d.cfg.Logger.Error().Err(err).Str("job", r.job.ID).Msg("beginning refused by the state")
+	}
+}
+
 func (d *Driver) startRefused(r *run, s *session, refusal *platform.Refusal, now time.Time) {
 	if refusal.Reason == platform.ReasonFence {
 		d.fenced(s)
@@ -322,6 +333,7 @@
 	}
 	if r.phase != phaseStarted && r.phase != phaseCommitting {
 		r.phase, r.confirmedAt = phaseStarted, now
+		d.noteBegin(r)
 	}
 	r.seen, r.percent, r.tail = now, t.Percent, t.Tail
 	if r.stopping {
--- a/workload/apply.go
+++ b/workload/apply.go
@@ -39,6 +39,8 @@
 		return s.startWave(c.StartWave)
 	case c.Upkeep != nil:
 		return s.upkeep(c.Upkeep)
+	case c.Begin != nil:
+		return s.begin(c.Begin)
 	case c.Forget != nil:
 		return s.forget(c.Forget)
 	}
@@ -159,6 +161,22 @@
 	}
 }
 
+func (s *State) begin(c *Begin) error {
+	if j := s.jobs[c.Job]; j != nil {
+		s.begun(j)
+	}
+	return nil
+}
+
+// begun moves a job on whose first run has begun. An assignment alone is no
+// beginning: its order may never be carried out.
+func (s *State) begun(j *Job) {
+	if j.State == JobPending {
+		j.State = JobRunning
+		s.pending[j.Queue]--
+	}
+}
+
 // assign checks an assignment against every rule of the state and makes it.
 func (s *State) assign(c *Assign) error {
 	if j := s.jobs[c.Task.Job]; j != nil && j.State.Finished() {
@@ -174,10 +192,6 @@
 	if err := s.checkWorker(c, j); err != nil {
 		return err
 	}
-	if j.State == JobPending {
-		j.State = JobRunning
-		s.pending[j.Queue]--
-	}
 	t.State, t.Run, t.Worker, t.Incarnation = TaskAssigned, c.Run, c.Worker, c.Incarnation
 	s.addRun(c.Task, j, t)
 	j.open--
@@ -247,6 +261,9 @@
 func (s *State) endRun(r TaskRef, j *Job, t *Task, o Outcome, checkpoint string, now Millis) {
 	invariant.Check(t.State == TaskAssigned, invariant.AtMostOnce, "task %s ended %s and was not assigned", r, o)
 	s.removeRun(r, j, t)
+	if o != OutcomeNotRun && o != OutcomeLost {
+		s.begun(j)
+	}
 	step := &j.Spec.Steps[r.Step]
 	t.State, t.Worker, t.Incarnation = TaskWaiting, "", 0
 	if checkpoint != "" {
--- a/workload/command.go
+++ b/workload/command.go
@@ -37,6 +37,7 @@
 	StartWave   *Wave        `cbor:"8,keyasint,omitempty"`
 	Upkeep      *Upkeep      `cbor:"9,keyasint,omitempty"`
 	Forget      *Forget      `cbor:"10,keyasint,omitempty"`
+	Begin       *Begin       `cbor:"11,keyasint,omitempty"`
 }
 
 // PutDocument stores a document; an older version than the stored changes nothing.
@@ -71,6 +72,11 @@
 	Incarnation Millis  `cbor:"4,keyasint"`
 }
 
+// Begin records that a worker has begun the first run of a job.
+type Begin struct {
+	Job string `cbor:"1,keyasint"`
+}
+
 // End ends a run. An end of another run than the current one changes nothing
 // but the acknowledged number.
 type End struct {
