A task avoids the worker on which it failed; one log line for each assigned step

The log had no line between a job's submission and its ends. Ruled out: the blame of the worker alone, which outweighs a half-empty neighbour only. Test: TestTaskAvoidsTheWorkerOnWhichItFailed fails without the change.

--- a/driver/driver.go
+++ b/driver/driver.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -54,6 +56,7 @@
 	sessions   map[string]*session
 	runs       map[workload.TaskRef]*run
 	notBefore  map[workload.TaskRef]workload.Millis
+	failedOn   map[workload.TaskRef]string
 	advice     map[workload.TaskRef]*advice
 	fleet      *fleet
 	lastPrune  time.Time
@@ -69,7 +72,8 @@
 		inbox: make(chan event, inboxSize), done: make(chan struct{}), orders: make(chan struct{}, maxOrders), started: time.Now(),
 		sessions: map[string]*session{}, runs: map[workload.TaskRef]*run{},
 		notBefore: map[workload.TaskRef]workload.Millis{}, advice: map[workload.TaskRef]*advice{},
-		dirty: true, lastPrune: time.Now(),
+		failedOn: map[workload.TaskRef]string{},
+		dirty:    true, lastPrune: time.Now(),
 	}
 	d.fleet = newFleet(d)
 	for id, w := range d.state.Workers() {
@@ -231,6 +235,7 @@
 	p := plan.Tasks(&plan.Input{
 		State: d.state, Now: now, Conditions: d.conditions(), Tickets: d.tickets,
 		NotBefore: func(t workload.TaskRef) workload.Millis { return d.notBefore[t] },
+		FailedOn:  func(t workload.TaskRef) string { return d.failedOn[t] },
 	})
 	d.wake, d.waiting = p.Wake, p.Waiting
 	for _, step := range p.Advice {
@@ -239,6 +244,25 @@
 	for i := range p.Assign {
 		d.assign(&p.Assign[i])
 	}
+	d.logAssigned(p.Assign)
+}
+
+// logAssigned writes one line for the tasks of each step that were assigned.
+func (d *Driver) logAssigned(list []workload.Assign) {
+	for from := 0; from < len(list); {
+		first := &list[from].Task
+		to := from
+		workers := []string(nil)
+		for ; to < len(list) && stepOf(list[to].Task) == stepOf(*first); to++ {
+			if w := list[to].Worker; !slices.Contains(workers, w) {
+				workers = append(workers, w)
+			}
+		}
+		d.cfg.Logger.Info().Str("job", first.Job).Int("occurrence", first.Occurrence).Int("step", first.Step).
+			Int("tasks", to-from).Strs("workers", workers).Uint64("term", d.cfg.Term).
+			Int64("version", d.state.Version()).Msg("tasks assigned")
+		from = to
+	}
 }
 
 func (d *Driver) assign(a *workload.Assign) {
@@ -250,6 +274,7 @@
 	}
 	j, _ := d.state.TaskOf(c.Task)
 	delete(d.notBefore, c.Task)
+	delete(d.failedOn, c.Task)
 	d.runs[c.Task] = &run{
 		ref: c.Task, number: c.Run, worker: c.Worker, incarnation: c.Incarnation, job: j, phase: phaseCommitting,
 	}
@@ -269,8 +294,12 @@
 	}
 }
 
-// prune forgets jobs that finished long ago.
+// prune forgets jobs that finished long ago, and what was noted of their tasks.
 func (d *Driver) prune() {
+	inactive := func(t workload.TaskRef) bool { return d.state.Active()[t.Job] == nil }
+	maps.DeleteFunc(d.notBefore, func(t workload.TaskRef, _ workload.Millis) bool { return inactive(t) })
+	maps.DeleteFunc(d.failedOn, func(t workload.TaskRef, _ string) bool { return inactive(t) })
+	maps.DeleteFunc(d.advice, func(t workload.TaskRef, _ *advice) bool { return inactive(t) })
 	var old []string
 	limit := nowMillis() - d.cfg.Timing.KeepFinished.Milliseconds()
 	for id, j := range d.state.Jobs() {
--- a/driver/run.go
+++ b/driver/run.go
@@ -263,6 +263,9 @@
 	}
 	if o == workload.OutcomeFailed && s != nil {
 		s.blameFor(failureBlame, time.Now())
+		if !job.State.Finished() {
+			d.failedOn[r.ref] = r.worker
+		}
 	}
 	if job.State != before && job.State.Finished() {
 		d.cfg.Logger.Info().Str("job", job.ID).Stringer("state", job.State).Msg("job finished")
--- a/workload/plan/plan.go
+++ b/workload/plan/plan.go
@@ -17,6 +17,9 @@
 	offRackWeight = 1.5
 	// disturbWeight keeps filling and serving tasks apart while there is a choice.
 	disturbWeight = 1.0
+	// failedWeight keeps a task from the worker on which it failed last, while
+	// there is another one.
+	failedWeight = 2
 	// hopelessFactor is the multiple of its objective after which a job earns nothing.
 	hopelessFactor = 3
 )
@@ -40,6 +43,8 @@
 	Tickets func(step workload.TaskRef) (map[string]string, bool)
 	// NotBefore returns when a task may be tried again; 0 is at once.
 	NotBefore func(task workload.TaskRef) workload.Millis
+	// FailedOn returns the worker on which a task failed last, or "".
+	FailedOn func(task workload.TaskRef) string
 }
 
 // Plan is the outcome.
@@ -336,12 +341,17 @@
 	var best *host
 	var bestScore float64
 	fits := false
+	failedOn := p.in.FailedOn(ref)
 	for _, h := range p.hosts[pool] {
 		fits = fits || step.Reserved().Fits(h.free)
 		if tickets != nil && tickets[h.worker.ID] == "" || !p.suits(h, step, ref) {
 			continue
 		}
-		if score := h.score(step, rack); best == nil || score < bestScore {
+		score := h.score(step, rack)
+		if h.worker.ID == failedOn {
+			score += failedWeight
+		}
+		if best == nil || score < bestScore {
 			best, bestScore = h, score
 		}
 	}
--- a/workload/plan/plan_test.go
+++ b/workload/plan/plan_test.go
@@ -14,6 +14,8 @@
 	t     *testing.T
 	state *workload.State
 	conds map[string]plan.Condition
+	// failedOn is the worker on which every task failed last.
+	failedOn string
 }
 
 func decode(raw []byte) (workload.Document, error) {
@@ -68,6 +70,7 @@
 		State: w.state, Now: now, Conditions: w.conds,
 		Tickets:   func(workload.TaskRef) (map[string]string, bool) { return nil, false },
 		NotBefore: func(workload.TaskRef) workload.Millis { return 0 },
+		FailedOn:  func(workload.TaskRef) string { return w.failedOn },
 	})
 }
 
@@ -106,6 +109,34 @@
 	}
 }
 
+func TestTaskAvoidsTheWorkerOnWhichItFailed(t *testing.T) {
+	w := newWorld(t, workload.Size{})
+	w.worker("w1", 8)
+	w.worker("w2", 8)
+	w.failedOn = w.plan1(step(1, 1))
+	if again := w.plan1(step(1, 1)); again == w.failedOn {
+		t.Errorf("the task goes to %s again", again)
+	}
+	delete(w.conds, "w1")
+	w.failedOn = "w2"
+	if again := w.plan1(step(1, 1)); again != "w2" {
+		t.Errorf("the task goes to %q, only w2 is there", again)
+	}
+}
+
+// plan1 returns the worker that a job of one task would go to.
+func (w *world) plan1(s workload.Step) string {
+	w.t.Helper()
+	if _, known := w.state.Job("one"); !known {
+		w.job("one", "q", 0, s)
+	}
+	p := w.plan(0)
+	if len(p.Assign) != 1 {
+		return ""
+	}
+	return p.Assign[0].Worker
+}
+
 func TestWhatCanBeInTimeStartsFirst(t *testing.T) {
 	w := newWorld(t, workload.Size{})
 	w.worker("w1", 1)
