One implementation of log membership; the replica lives with the roles

Change: daemon uses cluster.Member; the check of identities moved there. The replica moved to system, so that workload needs no log. Ruled out: keeping the two apart for their names, which the links resolve.

--- a/cluster/member.go
+++ b/cluster/member.go
@@ -42,13 +42,15 @@
 
 // Config holds the settings of a member.
 type Config[R any] struct {
-	// Self is the address of the daemon's peer links.
+	// Self is the daemon's name on the peer links.
 	Self string
 	Zone string
 	// DataFolder holds the log in a folder of its own.
 	DataFolder string
-	// Seeds are the addresses of some members.
+	// Seeds are the names of some members; with Form, the first voters.
 	Seeds []string
+	// Peers are further daemons that may know of a cluster.
+	Peers []string
 	// Form lets the seeds form a new cluster; without it, an empty disk only joins.
 	Form bool
 	// Voters is the wanted number of voters.
@@ -146,7 +148,7 @@
 		Machine: bootstrap.Config{
 			Self:        consensus.Member{Name: m.cfg.Self, Zone: m.cfg.Zone},
 			FirstVoters: first,
-			Peers:       m.cfg.Seeds,
+			Peers:       slices.Concat(m.cfg.Seeds, m.cfg.Peers),
 			Rand:        newRandSource(),
 			RetryTicks:  formRetryTicks,
 		},
@@ -225,9 +227,10 @@
 		m.cfg.Log.Warn().Err(err).Str("peer", from.Name).Msg("log message refused")
 		return
 	}
-	m.mu.Lock()
-	m.names[msg.From] = from.Name
-	m.mu.Unlock()
+	if !m.belongs(started, msg.From, from.Name) {
+		m.cfg.Log.Warn().Str("peer", from.Name).Msg("log message under another node's identity refused")
+		return
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), logTick)
 	defer cancel()
 	if err := started.Step(ctx, msg); err != nil {
@@ -235,6 +238,23 @@
 	}
 }
 
+// belongs reports whether a node id is that of the named daemon, by the
+// membership or by the first message under that id, which it then records.
+func (m *Member[R]) belongs(started *node.Node[R], id consensus.NodeID, daemon string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if name, ok := m.names[id]; ok {
+		return name == daemon
+	}
+	for _, member := range started.Status().Members {
+		if member.ID == id && member.Name != daemon {
+			return false
+		}
+	}
+	m.names[id] = daemon
+	return true
+}
+
 func (m *Member[R]) handleForm(from peerlink.Identity, payload []byte) {
 	var msg bootstrap.Message
 	m.mu.Lock()
--- a/daemon/controlplane.go
+++ b/daemon/controlplane.go
@@ -9,7 +9,6 @@
 	"github.com/rs/zerolog"
 
 	"magnoliastand.example/api"
-	"magnoliastand.example/consensus"
 	"magnoliastand.example/control"
 	"magnoliastand.example/control/freshness"
 	"magnoliastand.example/daemon/settings"
@@ -78,7 +77,6 @@
 	link.Handle(methodPropose, c.handlePropose)
 	link.Handle(methodClaim, c.handleClaim)
 	link.Handle(methodDemand, c.leader.handleDemand)
-	link.Handle(methodJoin, c.handleJoin)
 	link.Handle(methodFleet, c.handleFleet)
 	link.Handle(methodReport, c.handleReport)
 	if set.DataFolder == "" {
@@ -295,14 +293,3 @@
 	}
 	return *ref.Queue.Objective, true
 }
-
-func (c *controlPlane) handleJoin(ctx context.Context, from peerlink.Identity, payload []byte) (any, error) {
-	var m consensus.Member
-	if err := decodeMessage(payload, &m); err != nil {
-		return nil, err
-	}
-	if c.node == nil || m.Name != from.Name {
-		return nil, errNotLeader
-	}
-	return nil, c.node.addLearner(ctx, m)
-}
--- a/system/core.go
+++ b/system/core.go
@@ -39,10 +39,10 @@
 		return err
 	}
 	defer link.Close()
-	replica := workload.NewReplica(platform.DecodeDocument)
+	committed := newReplica(platform.DecodeDocument)
 	member, err := cluster.Open(cluster.Config[[]error]{
 		Self: set.self(), Zone: set.Zone, DataFolder: set.DataFolder, Seeds: set.seedPeers(), Form: set.FormCluster,
-		Voters: 2*set.LostDisks + 1, Silence: seconds(set.CatchUpS), Machine: replica, Link: link, Log: log,
+		Voters: 2*set.LostDisks + 1, Silence: seconds(set.CatchUpS), Machine: committed, Link: link, Log: log,
 	})
 	if err != nil {
 		return err
@@ -50,7 +50,7 @@
 	client := platform.NewClient()
 	defer client.Close()
 	c := &core{set: set, log: log, link: link, member: member}
-	c.leader = &leader{member: member, replica: replica, log: log, base: driver.Config{
+	c.leader = &leader{member: member, replica: committed, log: log, base: driver.Config{
 		Name: set.Name, Workers: client, Advisor: client, Instances: client, AdviceAddress: set.AdviceAddress,
 		MachineAddress: set.InstancesAddress, Timing: set.timing(), ReportTo: set.OperatorsListen,
 		Metrics: driver.NewMetrics(registry), Logger: log,
--- a/system/leader.go
+++ b/system/leader.go
@@ -24,7 +24,7 @@
 // leader runs a driver while this daemon leads, and answers reads.
 type leader struct {
 	member  *cluster.Member[[]error]
-	replica *workload.Replica
+	replica *replica
 	base    driver.Config
 	log     zerolog.Logger
 
@@ -67,7 +67,7 @@
 		l.log.Warn().Err(err).Uint64("term", term).Msg("lead not taken")
 		return
 	}
-	state, err := l.replica.Clone()
+	state, err := l.replica.clone()
 	if err != nil {
 		l.log.Error().Err(err).Msg("state not copied")
 		return
@@ -129,7 +129,7 @@
 	if _, err := l.current(); err != nil {
 		return err
 	}
-	l.replica.Read(f)
+	l.replica.read(f)
 	_, err := l.current()
 	return err
 }
