Runs that stand still are moved

Cause: workers list the progress of a run; one that stands still kept its task until the fault was over (srv_grey hang). Tried first: also moving runs that are slow for their estimate. Test: TestRunThatStandsStillIsMoved does not end without the change.

--- a/driver/driver.go
+++ b/driver/driver.go
@@ -57,10 +57,14 @@
 	runs       map[workload.TaskRef]*run
 	notBefore  map[workload.TaskRef]workload.Millis
 	failedOn   map[workload.TaskRef]string
-	advice     map[workload.TaskRef]*advice
-	fleet      *fleet
-	lastPrune  time.Time
-	waiting    map[string]workload.Size
+	// moves counts how often a task was moved for its progress.
+	moves map[workload.TaskRef]int
+	// ratios holds, by queue, the duration of runs against their estimates.
+	ratios    map[string]float64
+	advice    map[workload.TaskRef]*advice
+	fleet     *fleet
+	lastPrune time.Time
+	waiting   map[string]workload.Size
 }
 
 // New returns a driver of a term. The state is the caller's copy of the
@@ -72,8 +76,8 @@
 		inbox: make(chan event, inboxSize), done: make(chan struct{}), orders: make(chan struct{}, maxOrders), started: time.Now(),
 		sessions: map[string]*session{}, runs: map[workload.TaskRef]*run{},
 		notBefore: map[workload.TaskRef]workload.Millis{}, advice: map[workload.TaskRef]*advice{},
-		failedOn: map[workload.TaskRef]string{},
-		dirty:    true, lastPrune: time.Now(),
+		failedOn: map[workload.TaskRef]string{}, moves: map[workload.TaskRef]int{},
+		dirty: true, lastPrune: time.Now(),
 	}
 	d.fleet = newFleet(d)
 	for id, w := range d.state.Workers() {
@@ -299,6 +303,7 @@
 	inactive := func(t workload.TaskRef) bool { return d.state.Active()[t.Job] == nil }
 	maps.DeleteFunc(d.notBefore, func(t workload.TaskRef, _ workload.Millis) bool { return inactive(t) })
 	maps.DeleteFunc(d.failedOn, func(t workload.TaskRef, _ string) bool { return inactive(t) })
+	maps.DeleteFunc(d.moves, func(t workload.TaskRef, _ int) bool { return inactive(t) })
 	maps.DeleteFunc(d.advice, func(t workload.TaskRef, _ *advice) bool { return inactive(t) })
 	var old []string
 	limit := nowMillis() - d.cfg.Timing.KeepFinished.Milliseconds()
--- a/driver/driver_test.go
+++ b/driver/driver_test.go
@@ -251,6 +251,24 @@
 	w.check()
 }
 
+// A run that shows no progress is stopped and its task goes elsewhere.
+func TestRunThatStandsStillIsMoved(t *testing.T) {
+	w := newWorld(t)
+	w.lead()
+	w.put()
+	stuck := w.worker("w1", "p", 20*time.Millisecond)
+	stuck.SetFaults(platformtest.Faults{Stall: true})
+	w.until("worker known", func() bool { return w.known() == 1 })
+	w.submit(jobID(0), step(1))
+	w.until("task begun", func() bool { return len(stuck.History()) == 1 })
+	w.worker("w2", "p", 20*time.Millisecond)
+	w.until("job completed", func() bool { return w.state(jobID(0)) == workload.JobCompleted })
+	if how := stuck.History()[0].How; how != "stopped" {
+		t.Errorf("the run that stood still ended %q", how)
+	}
+	w.check()
+}
+
 func TestWaveKeepsToItsBudgetAndEnds(t *testing.T) {
 	w := newWorld(t)
 	service := newFleet(t, w, 5)
--- a/driver/run.go
+++ b/driver/run.go
@@ -65,10 +65,11 @@
 	// unknownSince is when the start order was left without an answer.
 	unknownSince time.Time
 	// seen and percent are from the last list of the worker.
-	seen    time.Time
-	percent int
-	tail    int64
-	pace    int
+	seen     time.Time
+	progress progress
+	percent  int
+	tail     int64
+	pace     int
 }
 
 func (r *run) step() *workload.Step { return &r.job.Spec.Steps[r.ref.Step] }
@@ -339,6 +340,7 @@
 		d.noteBegin(r)
 	}
 	r.seen, r.percent, r.tail = now, t.Percent, t.Tail
+	d.watchProgress(s, r, t.Percent, now)
 	if r.stopping {
 		d.sendStop(r)
 	}
