Gang members keep their room until they end; a refusal after a lost answer proves nothing

Cause 1: the first member of a gang that was done took the others' runs out of the state; the job finished and dropped its tasks while the driver still held runs of it, and the leader's process ended (49 exits). Ruled out for the second: a new leader, since one process started both within 50 ms. Tests: TestGangIsDoneWithItsFirstMember, TestGangsRunToTheirEnd and TestRefusalAfterALostAnswerProvesNothing; the last doubles a task without the change.

--- a/driver/driver_test.go
+++ b/driver/driver_test.go
@@ -6,6 +6,9 @@
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
+
+	"magnoliastand.example/platform"
 	"magnoliastand.example/platform/platformtest"
 	"magnoliastand.example/workload"
 )
@@ -47,6 +50,33 @@
 	w.check()
 }
 
+// A second attempt that never left, or was refused, does not undo the first one,
+// which got no answer but was carried out.
+func TestRefusalAfterALostAnswerProvesNothing(t *testing.T) {
+	for name, second := range map[string]error{"not sent": platform.ErrNotSent, "busy": platform.ErrBusy} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t)
+			w.harm = func(attempt int64, err error) error {
+				switch attempt {
+				case 1:
+					return errors.New("no answer")
+				case 2:
+					return second
+				}
+				return err
+			}
+			w.lead()
+			w.put()
+			w.worker("w1", "p", 300*time.Millisecond)
+			w.worker("w2", "p", 300*time.Millisecond)
+			w.until("workers known", func() bool { return w.known() == 2 })
+			w.submit(jobID(0), step(1))
+			w.until("job completed", func() bool { return w.state(jobID(0)) == workload.JobCompleted })
+			w.check()
+		})
+	}
+}
+
 func (w *world) known() int {
 	n := 0
 	w.log.read(func(s *workload.State) { n = len(s.Workers()) })
@@ -251,6 +281,35 @@
 	w.check()
 }
 
+// Members of a gang end together; the job may be done before the last of them is
+// listed. Its runs must not trip over the finished job.
+func TestGangsRunToTheirEnd(t *testing.T) {
+	w := newWorld(t)
+	w.lead()
+	w.put()
+	w.worker("w1", "p", 30*time.Millisecond)
+	w.worker("w2", "p", 35*time.Millisecond)
+	w.until("workers known", func() bool { return w.known() == 2 })
+	for n := range 10 {
+		gang := step(8)
+		gang.Gang = true
+		w.submit(jobID(n), gang)
+	}
+	for n := range 10 {
+		w.until("job completed", func() bool { return w.state(jobID(n)) == workload.JobCompleted })
+	}
+	w.until("all room free", func() bool {
+		free := true
+		w.log.read(func(s *workload.State) {
+			for id := range s.Workers() {
+				free = free && len(s.Runs(id)) == 0
+			}
+		})
+		return free
+	})
+	w.check()
+}
+
 // A run that shows no progress is stopped and its task goes elsewhere.
 func TestRunThatStandsStillIsMoved(t *testing.T) {
 	w := newWorld(t)
--- a/driver/run.go
+++ b/driver/run.go
@@ -129,10 +129,12 @@
 	d.async(func() { d.sendStart(r, s, endpoint, o) })
 }
 
-// sendStart sends a start order, again when it gets no answer.
+// sendStart sends a start order, again when it gets no answer. Once an attempt
+// was left without an answer, a later refusal proves nothing: the first may still
+// be carried out.
 func (d *Driver) sendStart(r *run, s *session, endpoint platform.Endpoint, o *platform.StartOrder) {
 	var clock workload.Millis
-	var err error
+	var err, unanswered error
 	for range startAttempts {
 		err = d.call(startTimeout, func(ctx context.Context) (err error) {
 			clock, err = d.cfg.Workers.Start(ctx, endpoint, o)
@@ -141,6 +143,10 @@
 		if isAnswer(err) {
 			break
 		}
+		unanswered = err
+	}
+	if err != nil && unanswered != nil && !errors.Is(err, platform.ErrOtherIncarnation) {
+		err = unanswered
 	}
 	d.reply(func() { d.startAnswered(r, s, clock, err) })
 }
--- a/driver/world_test.go
+++ b/driver/world_test.go
@@ -67,7 +67,11 @@
 	control  *httptest.Server
 	machines string
 
+	// harm, if set, replaces the outcome of a start, whose number it gets.
+	harm func(attempt int64, err error) error
+
 	mu      sync.Mutex
+	starts  int64
 	driver  *driver.Driver
 	workers map[string]*platformtest.Worker
 	all     []*platformtest.Worker
@@ -109,7 +113,7 @@
 		w.t.Fatal("state not copied")
 	}
 	d := driver.New(driver.Config{
-		Name: fmt.Sprint("d", term), Term: term, State: state, Log: &termLog{w.log, term}, Workers: w.client, Advisor: w.client,
+		Name: fmt.Sprint("d", term), Term: term, State: state, Log: &termLog{w.log, term}, Workers: harmedWorkers{w.client, w}, Advisor: w.client,
 		Instances: w.client, MachineAddress: w.machines, Metrics: w.metrics, Logger: zerolog.Nop(),
 		Timing: driver.Timing{
 			MaxLease: maxLease, Announce: announce, KeepFinished: time.Minute, Migrate: 200 * time.Millisecond,
@@ -125,6 +129,27 @@
 	w.mu.Unlock()
 }
 
+// harmedWorkers carries starts out and replaces their outcome.
+type harmedWorkers struct {
+	*platform.Client
+	w *world
+}
+
+func (h harmedWorkers) Start(ctx context.Context, e platform.Endpoint, o *platform.StartOrder) (workload.Millis, error) {
+	h.w.mu.Lock()
+	h.w.starts++
+	n := h.w.starts
+	h.w.mu.Unlock()
+	if h.w.harm == nil {
+		return h.Client.Start(ctx, e, o)
+	}
+	if err := h.w.harm(n, nil); errors.Is(err, platform.ErrNotSent) || errors.Is(err, platform.ErrBusy) {
+		return 0, err
+	}
+	clock, err := h.Client.Start(ctx, e, o)
+	return clock, h.w.harm(n, err)
+}
+
 func (w *world) current() *driver.Driver {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/workload/apply.go
+++ b/workload/apply.go
@@ -274,6 +274,8 @@
 		return
 	}
 	switch {
+	case step.Gang && j.left[r.Occurrence][r.Step] == 0:
+		t.State = TaskDone
 	case o == OutcomeDone && !step.LongRunning:
 		t.State = TaskDone
 		s.finishTask(r, j, step, now)
@@ -304,15 +306,14 @@
 	s.finish(j, JobCompleted, now)
 }
 
-// finishGang marks all members of a gang as done.
+// finishGang settles a gang of which one member has ended as done. Members that
+// are still assigned keep their room until their own ends are listed.
 func (s *State) finishGang(r TaskRef, j *Job) {
 	tasks := j.Tasks[r.Occurrence][r.Step]
 	for i := range tasks {
-		t := &tasks[i]
-		if t.State == TaskAssigned {
-			s.removeRun(TaskRef{Job: r.Job, Occurrence: r.Occurrence, Step: r.Step, Index: i}, j, t)
+		if tasks[i].State == TaskWaiting {
+			tasks[i].State = TaskDone
 		}
-		t.State, t.Worker, t.Incarnation = TaskDone, "", 0
 	}
 	j.left[r.Occurrence][r.Step] = 0
 }
--- a/workload/state.go
+++ b/workload/state.go
@@ -219,11 +219,7 @@
 	for k := range j.Tasks {
 		j.left[k] = make([]int, len(j.Tasks[k]))
 		for st := range j.Tasks[k] {
-			for i := range j.Tasks[k][st] {
-				if j.Tasks[k][st][i].State != TaskDone {
-					j.left[k][st]++
-				}
-			}
+			j.left[k][st] = tasksLeft(j.Tasks[k][st], j.Spec.Steps[st].Gang)
 		}
 	}
 	j.assigned = 0
@@ -245,6 +241,21 @@
 	}
 }
 
+// tasksLeft counts the tasks of a step that are not done. One member of a gang
+// that is done stands for all.
+func tasksLeft(tasks []Task, gang bool) int {
+	left := 0
+	for i := range tasks {
+		if tasks[i].State != TaskDone {
+			left++
+		}
+	}
+	if gang && left < len(tasks) {
+		return 0
+	}
+	return left
+}
+
 // countOpen derives how many tasks of a job may be assigned.
 func (s *State) countOpen(j *Job) {
 	j.open = 0
--- a/workload/state_test.go
+++ b/workload/state_test.go
@@ -191,6 +191,37 @@
 	}
 }
 
+// One member of a gang that is done stands for all, but the others hold their
+// room until their own ends are listed, also over a restart.
+func TestGangIsDoneWithItsFirstMember(t *testing.T) {
+	s := newState(t)
+	must(t, s, register("w1", 1))
+	must(t, s, submit(workload.Step{Count: 2, Need: small, Gang: true}, workload.Step{Count: 1, Need: small, After: []int{0}}))
+	must(t, s, assign(0, 0, 1, "w1"))
+	must(t, s, assign(0, 1, 1, "w1"))
+	must(t, s, end(0, 0, 1, "w1", workload.OutcomeDone))
+	if got := s.Reserved("w1"); got != small {
+		t.Fatalf("%v is reserved while one member has not ended", got)
+	}
+	data, err := s.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := workload.New(testDocument)
+	if err := r.Restore(data); err != nil {
+		t.Fatal(err)
+	}
+	for _, s := range []*workload.State{s, r} {
+		must(t, s, assign(1, 0, 1, "w1"))
+		must(t, s, end(0, 1, 1, "w1", workload.OutcomeBroken))
+		must(t, s, end(1, 0, 1, "w1", workload.OutcomeDone))
+		if state(t, s) != workload.JobCompleted || s.Reserved("w1") != (workload.Size{}) {
+			t.Fatalf("state %s, reserved %v", state(t, s), s.Reserved("w1"))
+		}
+		s.CheckAll()
+	}
+}
+
 // A job waits until one of its runs has begun: orders that were never carried out
 // don't count (deploy/days/cut-workers.toml, seed 834997104537).
 func TestOrdersThatWereNotCarriedOutLeaveTheJobPending(t *testing.T) {
