--- /dev/null
+++ b/system/settings_test.go
@@ -0,0 +1,72 @@
+package system
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/pkg/errors"
+)
+
+const sampleSettings = `name: core-1
+ip: 10.1.0.26
+availability_zone: fukuoka
+operators_listen: 10.1.0.26:8345
+peer_port: 7000
+peer_secret: sixteen bytes or more
+seeds: ["10.1.0.26:8345", "10.2.0.17:8345"]
+form_cluster: true
+data_folder: /data/core
+lost_disks: 1
+announce_ms: 1500
+catch_up_s: 4
+grace_s: 6
+max_lease_ms: 6000
+something_new: 7
+`
+
+func load(t *testing.T, text string) (Settings, error) {
+	t.Helper()
+	file := filepath.Join(t.TempDir(), "settings.yaml")
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return LoadSettings(file)
+}
+
+func TestSettings(t *testing.T) {
+	s, err := load(t, sampleSettings)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.self() != "10.1.0.26:7000" || s.peerListen() != s.self() {
+		t.Errorf("self %s, listens at %s", s.self(), s.peerListen())
+	}
+	if peers := s.seedPeers(); len(peers) != 2 || peers[1] != "10.2.0.17:7000" {
+		t.Errorf("seeds %v", peers)
+	}
+}
+
+func TestSettingsNameTheirFaults(t *testing.T) {
+	for name, tc := range map[string]struct{ old, new, want string }{
+		"ip":         {"ip: 10.1.0.26", "ip: here", "ip"},
+		"port":       {"peer_port: 7000", "peer_port: 70000", "peer_port"},
+		"seed":       {`"10.2.0.17:8345"`, `"10.2.0.17"`, "seeds[1]"},
+		"no seeds":   {`seeds: ["10.1.0.26:8345", "10.2.0.17:8345"]`, "", "seeds"},
+		"listen":     {"operators_listen: 10.1.0.26:8345", "operators_listen: somewhere", "operators_listen"},
+		"times":      {"grace_s: 6", "grace_s: 0", "grace_s"},
+		"not yaml":   {"name: core-1", "name: [", "settings.yaml"},
+		"wrong type": {"lost_disks: 1", "lost_disks: many", "lost_disks"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, err := load(t, strings.Replace(sampleSettings, tc.old, tc.new, 1))
+			if !errors.Is(err, ErrSettings) || !strings.Contains(err.Error(), tc.want) {
+				t.Errorf("error %v, want one that names %q", err, tc.want)
+			}
+		})
+	}
+	if _, err := LoadSettings(filepath.Join(t.TempDir(), "missing")); !errors.Is(err, ErrSettings) {
+		t.Errorf("a missing file: %v", err)
+	}
+}
