Test of queues with advice

Measured: green; the service fails once, is asked again, and only the worker with a ticket gets starts, each with it. Ruled out: a change of behaviour; none was needed.

--- a/driver/driver_test.go
+++ b/driver/driver_test.go
@@ -281,6 +281,35 @@
 	w.check()
 }
 
+// Tasks of a queue with advice start only on workers with a ticket, and carry it.
+// A service that fails is asked again.
+func TestAdvisedTasksStartWithTickets(t *testing.T) {
+	w := newWorld(t)
+	w.ticket = "t-7"
+	calls := 0
+	w.advisor = func([]string) (map[string]string, error) {
+		calls++
+		if calls == 1 {
+			return nil, platform.ErrBusy
+		}
+		return map[string]string{"w2": w.ticket}, nil
+	}
+	w.lead()
+	w.put()
+	w.worker("w1", "p", 10*time.Millisecond)
+	w.worker("w2", "p", 10*time.Millisecond)
+	w.until("workers known", func() bool { return w.known() == 2 })
+	if resp := w.requestAt("/advised/", workload.VerbSubmit, jobID(0), step(3)); resp.Answer != workload.AnswerOK {
+		t.Fatal(resp.Answer, resp.Reason)
+	}
+	w.until("job completed", func() bool { return w.state(jobID(0)) == workload.JobCompleted })
+	for _, r := range w.history() {
+		if r.Worker != "w2" {
+			t.Errorf("a run on %s, which has no ticket", r.Worker)
+		}
+	}
+}
+
 // Members of a gang end together; the job may be done before the last of them is
 // listed. Its runs must not trip over the finished job.
 func TestGangsRunToTheirEnd(t *testing.T) {
--- a/driver/world_test.go
+++ b/driver/world_test.go
@@ -66,6 +66,10 @@
 	metrics  *driver.Metrics
 	control  *httptest.Server
 	machines string
+	// advisor answers for the queue "advised"; nil is none.
+	advisor fakeAdvisor
+	// ticket is what the workers want with each start.
+	ticket string
 
 	// harm, if set, replaces the outcome of a start, whose number it gets.
 	harm func(attempt int64, err error) error
@@ -80,7 +84,9 @@
 }
 
 const document = `{"version":1,"routes":[
- {"name":"q","host":"h","path_prefix":"/q/","service":"p","timeout_ms":3000,"target_latency_ms":600,"max_attempts":3,"stretch":2,"public":true}],
+ {"name":"q","host":"h","path_prefix":"/q/","service":"p","timeout_ms":3000,"target_latency_ms":600,"max_attempts":3,"stretch":2,"public":true},
+ {"name":"advised","host":"h","path_prefix":"/advised/","service":"p","timeout_ms":3000,"target_latency_ms":600,"max_attempts":3,
+ "stretch":2,"public":true,"advice":{"decide_ms":1,"period_ms":1,"valid_ms":1000}}],
  "services":[{"name":"p"},{"name":"spare","standby":true}],"tenants":[]}`
 
 const (
@@ -113,7 +119,7 @@
 		w.t.Fatal("state not copied")
 	}
 	d := driver.New(driver.Config{
-		Name: fmt.Sprint("d", term), Term: term, State: state, Log: &termLog{w.log, term}, Workers: harmedWorkers{w.client, w}, Advisor: w.client,
+		Name: fmt.Sprint("d", term), Term: term, State: state, Log: &termLog{w.log, term}, Workers: harmedWorkers{w.client, w}, Advisor: w.advisor, AdviceAddress: "advice",
 		Instances: w.client, MachineAddress: w.machines, Metrics: w.metrics, Logger: zerolog.Nop(),
 		Timing: driver.Timing{
 			MaxLease: maxLease, Announce: announce, KeepFinished: time.Minute, Migrate: 200 * time.Millisecond,
@@ -129,6 +135,13 @@
 	w.mu.Unlock()
 }
 
+// fakeAdvisor gives tickets.
+type fakeAdvisor func(workers []string) (map[string]string, error)
+
+func (f fakeAdvisor) Advise(_ context.Context, _ string, _ workload.TaskRef, workers []string) (map[string]string, error) {
+	return f(workers)
+}
+
 // harmedWorkers carries starts out and replaces their outcome.
 type harmedWorkers struct {
 	*platform.Client
@@ -175,7 +188,7 @@
 func (w *world) worker(id, pool string, runTime time.Duration) *platformtest.Worker {
 	w.t.Helper()
 	s, err := platformtest.StartWorker(&platformtest.Worker{
-		ID: id, Pool: pool, RunTime: runTime, Capacity: 4000, MemoryMB: 4000, Labels: []string{"a", "r1"}, MaxLease: maxLease,
+		ID: id, Pool: pool, RunTime: runTime, Ticket: w.ticket, Capacity: 4000, MemoryMB: 4000, Labels: []string{"a", "r1"}, MaxLease: maxLease,
 	})
 	if err != nil {
 		w.t.Fatal(err)
@@ -233,7 +246,13 @@
 
 func (w *world) request(verb workload.Verb, job string, steps ...workload.Step) workload.Response {
 	w.t.Helper()
-	r := &workload.Request{Verb: verb, Host: "h", Path: "/q/" + job}
+	return w.requestAt("/q/", verb, job, steps...)
+}
+
+// requestAt makes a request to the queue at a prefix.
+func (w *world) requestAt(prefix string, verb workload.Verb, job string, steps ...workload.Step) workload.Response {
+	w.t.Helper()
+	r := &workload.Request{Verb: verb, Host: "h", Path: prefix + job}
 	if verb == workload.VerbSubmit {
 		r.Spec = &workload.Spec{Payload: "p", Repeat: 1, Steps: steps}
 	}
