Lint; the grace time is split for short ones, too

Cause: the linter named unused constants and calls without a context; an edge with a grace time below 3.5 s would have cut its requests after a fixed drain. Ruled out: a longer grace margin. Test: TestGraceTimeIsSplit.

--- a/cmd/magnoliastand/roles.go
+++ b/cmd/magnoliastand/roles.go
@@ -60,12 +60,12 @@
 			if *file == "" {
 				return usageError("--settings is required, or the variable %s", settingsVariable)
 			}
-			return startRole(ctx, s, name, *file, run)
+			return startRole(ctx, s, *file, run)
 		},
 	}
 }
 
-func startRole(ctx context.Context, s streams, name, file string, run runRole) error {
+func startRole(ctx context.Context, s streams, file string, run runRole) error {
 	set, err := system.LoadSettings(file)
 	if err != nil {
 		return &exitError{code: exitUsage, err: err}
--- a/driver/driver.go
+++ b/driver/driver.go
@@ -58,9 +58,7 @@
 	notBefore  map[workload.TaskRef]workload.Millis
 	failedOn   map[workload.TaskRef]string
 	// moves counts how often a task was moved for its progress.
-	moves map[workload.TaskRef]int
-	// ratios holds, by queue, the duration of runs against their estimates.
-	ratios    map[string]float64
+	moves     map[workload.TaskRef]int
 	advice    map[workload.TaskRef]*advice
 	fleet     *fleet
 	lastPrune time.Time
--- a/driver/pace.go
+++ b/driver/pace.go
@@ -18,9 +18,6 @@
 	// calmTime is how long the tails stay low before the pace rises: the tail is
 	// measured over half a second.
 	calmTime = 700 * time.Millisecond
-	// servingHold is the time between two lists of a worker on which tasks serve
-	// beside filling ones.
-	servingHold = 500 * time.Millisecond
 )
 
 // pace slows filling runs while a serving task beside them is near its target.
--- a/driver/run.go
+++ b/driver/run.go
@@ -19,8 +19,6 @@
 	startTimeout = 250 * time.Millisecond
 	// stopRetry is the time between two stop orders for one run.
 	stopRetry = 300 * time.Millisecond
-	// listRetry is how long the leader waits for a list that settles a run.
-	listRetry = 200 * time.Millisecond
 	// retryDelay keeps a task that was refused by a worker from the next plan,
 	// so that a fleet that refuses all starts is not asked in a loop.
 	retryDelay = 150 // milliseconds
--- a/system/edge.go
+++ b/system/edge.go
@@ -89,12 +89,20 @@
 	e.log.Info().Msg("stopping")
 	close(e.stopping)
 	callers.SetKeepAlivesEnabled(false)
-	time.Sleep(drainTime)
-	s.stop(max(seconds(e.set.GraceS)-drainTime-graceMargin, 0))
+	drain, rest := drainTimes(seconds(e.set.GraceS))
+	time.Sleep(drain)
+	s.stop(rest)
 	e.log.Info().Msg("stopped")
 	return nil
 }
 
+// drainTimes splits the grace time: how long new connections are still taken, and
+// how long the requests under way may take after that.
+func drainTimes(grace time.Duration) (drain, rest time.Duration) {
+	drain = min(drainTime, grace/2)
+	return drain, max(grace-drain-graceMargin, 0)
+}
+
 // Ready implements platform.Frontend.
 func (e *edge) Ready() bool {
 	select {
--- a/system/edge_test.go
+++ b/system/edge_test.go
@@ -118,3 +118,15 @@
 		t.Error("a stopping edge is ready")
 	}
 }
+
+func TestGraceTimeIsSplit(t *testing.T) {
+	for grace, want := range map[time.Duration][2]time.Duration{
+		6 * time.Second: {drainTime, 2500 * time.Millisecond},
+		4 * time.Second: {2 * time.Second, time.Second},
+		time.Second:     {500 * time.Millisecond, 0},
+	} {
+		if drain, rest := drainTimes(grace); drain != want[0] || rest != want[1] {
+			t.Errorf("%s: %s and %s, want %v", grace, drain, rest, want)
+		}
+	}
+}
--- a/system/server.go
+++ b/system/server.go
@@ -82,7 +82,7 @@
 func (s *servers) start() error {
 	listeners := make([]net.Listener, 0, len(s.list))
 	for _, srv := range s.list {
-		l, err := net.Listen("tcp", srv.http.Addr)
+		l, err := new(net.ListenConfig).Listen(context.Background(), "tcp", srv.http.Addr)
 		if err != nil {
 			for _, open := range listeners {
 				_ = open.Close()
--- a/workload/plan/plan.go
+++ b/workload/plan/plan.go
@@ -149,7 +149,7 @@
 }
 
 func (p *planner) candidate(j *workload.Job) candidate {
-	c := candidate{job: j, due: j.Submitted + j.Chain()}
+	c := candidate{job: j, urgency: inTime, due: j.Submitted + j.Chain()}
 	q, ok := p.in.State.Queue(j.Queue)
 	if !ok {
 		return c
--- a/workload/state.go
+++ b/workload/state.go
@@ -4,7 +4,6 @@
 	"maps"
 	"slices"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
 	"magnoliastand.example/codec"
@@ -372,8 +371,7 @@
 // DecodeBatch decodes a batch. Errors wrap ErrMalformed.
 func DecodeBatch(data []byte) (*Batch, error) {
 	var b Batch
-	dec := cbor.DecMode(decMode)
-	if err := dec.Unmarshal(data, &b); err != nil {
+	if err := decMode.Unmarshal(data, &b); err != nil {
 		return nil, errors.Wrap(ErrMalformed, err.Error())
 	}
 	return &b, nil
