--- a/driver/session.go
+++ b/driver/session.go
@@ -33,7 +33,7 @@
 	// workers, so that holds take a bounded part of the processor: one costs about
 	// 0.15 ms.
 	holdGap          = 25 * time.Millisecond
-	holdGapPerWorker = 800 * time.Microsecond
+	holdGapPerWorker = 1250 * time.Microsecond
 	// ackDelay is how long the acknowledgement of ends may wait for another hold.
 	ackDelay = 500 * time.Millisecond
 	// callTimeout bounds a call to a worker, without the time that it may wait.
