Remove what nothing reads

Cause: fields of sessions, runs and settings that no decision uses (duplicates and a read of the whole change). Ruled out: a change of behaviour.

--- a/cmd/magnoliastand/soak_test.go
+++ b/cmd/magnoliastand/soak_test.go
@@ -117,7 +117,7 @@
 		fmt.Fprintf(&b, "  - %s:%d\n", o.ip, soakControlPort)
 	}
 	fmt.Fprintf(&b, "form_cluster: %t\nlost_disks: 1\nannounce_ms: 300\ncatch_up_s: 2\ngrace_s: 4\nmax_lease_ms: 2500\n"+
-		"keep_finished_s: 600\nmigrate_s: 1\nmaintain_s: 1\npace_ms: 100\ncheckpoint_s: 1\nlog_level: info\n", d.form)
+		"keep_finished_s: 600\nmigrate_s: 1\nmaintain_s: 1\npace_ms: 100\nlog_level: info\n", d.form)
 	return b.String()
 }
 
--- a/driver/run.go
+++ b/driver/run.go
@@ -59,7 +59,6 @@
 	stopBusy  bool
 	stopSent  time.Time
 	stopAcked time.Time
-	stopWhy   string
 	// unknownSince is when the start order was left without an answer.
 	unknownSince time.Time
 	// seen and percent are from the last list of the worker.
@@ -81,7 +80,7 @@
 	}
 	d.runs[ref] = r
 	if j.State.Finished() {
-		r.stopping, r.stopWhy = true, j.State.String()
+		r.stopping = true
 	}
 }
 
@@ -412,7 +411,7 @@
 	if r.stopping {
 		return
 	}
-	r.stopping, r.stopWhy = true, why
+	r.stopping = true
 	d.cfg.Logger.Info().Str("task", r.ref.String()).Int64("run", r.number).Str("worker", r.worker).
 		Str("reason", why).Msg("run stopped")
 	if r.phase != phaseCommitting {
--- a/driver/session.go
+++ b/driver/session.go
@@ -67,7 +67,6 @@
 	sequence int64
 	// heardAt is the time of the last announcement or reply.
 	heardAt   time.Time
-	leavesAt  time.Time
 	holding   bool
 	nextHold  time.Time
 	acked     int64
@@ -75,7 +74,6 @@
 	failures  int
 	blame     float64
 	blamedAt  time.Time
-	cordoned  bool
 	fillPace  int
 	pacedAt   time.Time
 	calmSince time.Time
@@ -153,9 +151,6 @@
 	}
 	s.heardAt, s.sequence = now, a.Sequence
 	s.readClock(a.Clock, now)
-	if a.Worker.Draining && a.Remaining > 0 {
-		s.leavesAt = now.Add(time.Duration(a.Remaining) * time.Millisecond)
-	}
 }
 
 // addressTaken reports whether a later incarnation has the address.
@@ -185,7 +180,7 @@
 	}
 	err := d.do(workload.Command{Register: &w}, func() {
 		d.cfg.Logger.Info().Str("worker", w.ID).Int64("incarnation", w.Incarnation).Str("pool", w.Pool).
-			Bool("draining", w.Draining).Bool("restarted", restarted).Int64("seq", a.Sequence).Msg("worker registered")
+			Bool("draining", w.Draining).Int64("remaining_ms", a.Remaining).Bool("restarted", restarted).Int64("seq", a.Sequence).Msg("worker registered")
 		then(nil)
 	})
 	if err != nil {
@@ -257,7 +252,7 @@
 	now := time.Now()
 	out := make(map[string]plan.Condition, len(d.sessions))
 	for id, s := range d.sessions {
-		usable := !s.cordoned && s.failures < unusableFailures && now.Sub(s.heardAt) < d.silence() && s.clock > 0 && !d.fleet.reserved(id)
+		usable := s.failures < unusableFailures && now.Sub(s.heardAt) < d.silence() && s.clock > 0 && !d.fleet.reserved(id)
 		out[id] = plan.Condition{Usable: usable, Penalty: s.blameAt(now) * failurePenalty}
 	}
 	return out
--- a/driver/types.go
+++ b/driver/types.go
@@ -61,8 +61,6 @@
 	Migrate, Maintain time.Duration
 	// Pace is the time until a changed pace takes effect.
 	Pace time.Duration
-	// Checkpoint is the work between two checkpoints of a task.
-	Checkpoint time.Duration
 }
 
 // Config holds the settings of a driver.
--- a/driver/world_test.go
+++ b/driver/world_test.go
@@ -123,7 +123,7 @@
 		Instances: w.client, MachineAddress: w.machines, Metrics: w.metrics, Logger: zerolog.Nop(),
 		Timing: driver.Timing{
 			MaxLease: maxLease, Announce: announce, KeepFinished: time.Minute, Migrate: 200 * time.Millisecond,
-			Maintain: 200 * time.Millisecond, Pace: 100 * time.Millisecond, Checkpoint: time.Second,
+			Maintain: 200 * time.Millisecond, Pace: 100 * time.Millisecond,
 		},
 	})
 	ctx, stop := context.WithCancel(context.Background())
--- a/system/settings.go
+++ b/system/settings.go
@@ -50,7 +50,6 @@
 	MigrateS          float64 `yaml:"migrate_s"`
 	MaintainS         float64 `yaml:"maintain_s"`
 	PaceMS            int64   `yaml:"pace_ms"`
-	CheckpointS       float64 `yaml:"checkpoint_s"`
 	AdviceAddress     string  `yaml:"advice_address"`
 	InstancesAddress  string  `yaml:"instances_address"`
 	RetryAfterSeconds int     `yaml:"retry_after_s"`
@@ -134,7 +133,7 @@
 func (s *Settings) timing() driver.Timing {
 	return driver.Timing{
 		MaxLease: millis(s.MaxLeaseMS), Announce: millis(s.AnnounceMS), KeepFinished: seconds(s.KeepFinishedS) + keepMargin,
-		Migrate: seconds(s.MigrateS), Maintain: seconds(s.MaintainS), Pace: millis(s.PaceMS), Checkpoint: seconds(s.CheckpointS),
+		Migrate: seconds(s.MigrateS), Maintain: seconds(s.MaintainS), Pace: millis(s.PaceMS),
 	}
 }
 
