One stop of untracked runs; the planner calls the state's count of a step

Cause: a last read of the change. voidLateOrder and stopStray sent the same order in two copies, and the planner repeated State.SameStep's loop.

--- a/driver/run.go
+++ b/driver/run.go
@@ -351,14 +351,21 @@
 
 // stopStray stops a run that the state does not place on the worker.
 func (d *Driver) stopStray(s *session, t *platform.RunningTask) {
-	endpoint, ref, number := s.endpoint(), t.Task, t.Run
-	d.cfg.Logger.Warn().Str("task", ref.String()).Int64("run", number).Str("worker", s.worker.ID).Msg("stray run stopped")
+	d.cfg.Logger.Warn().Str("task", t.Task.String()).Int64("run", t.Run).Str("worker", s.worker.ID).Msg("stray run stopped")
+	d.stopUntracked(s, t.Task, t.Run)
+}
+
+// stopUntracked stops a run that the driver holds no record of. It is not
+// repeated: a run that goes on is listed again.
+func (d *Driver) stopUntracked(s *session, ref workload.TaskRef, number int64) {
+	endpoint := s.endpoint()
 	d.async(func() {
 		err := d.call(callTimeout, func(ctx context.Context) error {
 			return d.cfg.Workers.Stop(ctx, endpoint, ref, number, d.cfg.Term)
 		})
 		if err != nil {
-			d.cfg.Logger.Warn().Err(err).Str("task", ref.String()).Msg("stray run not stopped")
+			d.cfg.Logger.Warn().Err(err).Str("task", ref.String()).Int64("run", number).Str("worker", endpoint.ID).
+				Msg("untracked run not stopped")
 		}
 	})
 }
--- a/driver/session.go
+++ b/driver/session.go
@@ -210,15 +210,7 @@
 	if r.phase == phaseStarted {
 		return
 	}
-	endpoint, ref, number := s.endpoint(), r.ref, r.number
-	d.async(func() {
-		err := d.call(callTimeout, func(ctx context.Context) error {
-			return d.cfg.Workers.Stop(ctx, endpoint, ref, number, d.cfg.Term)
-		})
-		if err != nil {
-			d.cfg.Logger.Warn().Err(err).Str("task", ref.String()).Int64("run", number).Msg("late order not voided")
-		}
-	})
+	d.stopUntracked(s, r.ref, r.number)
 }
 
 // lose commits that an incarnation of a worker runs nothing any more.
--- a/workload/apply.go
+++ b/workload/apply.go
@@ -225,7 +225,7 @@
 		return errors.Wrapf(ErrNotAssignable, "worker %s lacks label %s", c.Worker, step.Requires)
 	case !s.reserved[c.Worker].Add(step.Reserved()).Fits(w.Capacity):
 		return errors.Wrapf(ErrNotAssignable, "worker %s has no room", c.Worker)
-	case step.AntiAffinity > 0 && s.sameStep(c.Worker, c.Task) >= step.AntiAffinity:
+	case step.AntiAffinity > 0 && s.SameStep(c.Worker, c.Task) >= step.AntiAffinity:
 		return errors.Wrapf(ErrNotAssignable, "worker %s runs enough tasks of the step", c.Worker)
 	}
 	if team := s.teams[j.Team]; team != nil && !s.teamUse[j.Team].Add(step.Need).WithinLimit(team.Limit) {
@@ -234,8 +234,8 @@
 	return nil
 }
 
-// sameStep counts the runs on a worker that are of the same occurrence and step.
-func (s *State) sameStep(worker string, r TaskRef) int {
+// SameStep counts the runs on a worker that are of the same occurrence and step.
+func (s *State) SameStep(worker string, r TaskRef) int {
 	n := 0
 	for o := range s.runs[worker] {
 		if o.Job == r.Job && o.Occurrence == r.Occurrence && o.Step == r.Step {
--- a/workload/plan/plan.go
+++ b/workload/plan/plan.go
@@ -388,12 +388,7 @@
 		return true
 	}
 	n := p.planned[stepOnWorker{h.worker.ID, ref.Job, ref.Occurrence, ref.Step}]
-	for o := range p.in.State.Runs(h.worker.ID) {
-		if o.Job == ref.Job && o.Occurrence == ref.Occurrence && o.Step == ref.Step {
-			n++
-		}
-	}
-	return n < step.AntiAffinity
+	return n+p.in.State.SameStep(h.worker.ID, ref) < step.AntiAffinity
 }
 
 // score is low for a worker that suits well. Work is packed, so that other
