Orders to workers go through agents on the other core daemons

Each start and hold was an HTTP call of the leader. Change: new module relay. The leader sends orders in batches (CBOR over the peer links) to an agent on a core daemon in the worker's zone; the agent makes the calls and returns outcomes in batches. Orders keep the leader's term as fence and the lease on the worker's clock, so an agent that is late meets the checks of a late order. No agent: direct calls, as before. The bound of 48 orders under way moved from the driver to each caller of workers. Ruled out: handing executors to other daemons with fences of their own, because the leader's one serial state would then need a protocol for moved sessions; agents without state need none.

--- a/cluster/member.go
+++ b/cluster/member.go
@@ -320,6 +320,27 @@
 	return names
 }
 
+// Peer is a member's name on the peer links and its availability zone.
+type Peer struct {
+	Name, Zone string
+}
+
+// Peers returns the members that this daemon knows, each once.
+func (m *Member[R]) Peers() []Peer {
+	started := m.Node()
+	if started == nil {
+		return nil
+	}
+	var peers []Peer
+	for _, member := range started.Status().Members {
+		p := Peer{Name: member.Name, Zone: member.Zone}
+		if p.Name != "" && !slices.Contains(peers, p) {
+			peers = append(peers, p)
+		}
+	}
+	return peers
+}
+
 // isMember reports whether the disk's identity is in the membership.
 func (m *Member[R]) isMember() bool {
 	status := m.Node().Status()
--- a/driver/driver.go
+++ b/driver/driver.go
@@ -24,10 +24,6 @@
 	proposeTimeout = 3 * time.Second
 	// maxBatch bounds the commands of a batch, about 100 bytes each.
 	maxBatch = 2000
-	// maxOrders bounds the orders to workers that are under way, so that a burst of
-	// starts does not hold up the log's heartbeats: a call takes a few
-	// milliseconds, so this allows some thousand a second.
-	maxOrders = 48
 	// pruneInterval is the time between two removals of old jobs.
 	pruneInterval = 5 * time.Second
 )
@@ -42,7 +38,6 @@
 	cancel context.CancelFunc
 	inbox  chan event
 	done   chan struct{}
-	orders chan struct{}
 	wg     sync.WaitGroup
 
 	// The rest belongs to the loop.
@@ -71,7 +66,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	d := &Driver{
 		cfg: cfg, ctx: ctx, cancel: cancel, state: cfg.State,
-		inbox: make(chan event, inboxSize), done: make(chan struct{}), orders: make(chan struct{}, maxOrders), started: time.Now(),
+		inbox: make(chan event, inboxSize), done: make(chan struct{}), started: time.Now(),
 		sessions: map[string]*session{}, runs: map[workload.TaskRef]*run{},
 		notBefore: map[workload.TaskRef]workload.Millis{}, advice: map[workload.TaskRef]*advice{},
 		failedOn: map[workload.TaskRef]string{}, moves: map[workload.TaskRef]int{},
@@ -142,15 +137,8 @@
 // async runs f outside the loop.
 func (d *Driver) async(f func()) { d.wg.Go(f) }
 
-// call makes one call to a worker, once fewer than maxOrders are under way. The
-// time limit counts from then.
+// call makes one call to a worker.
 func (d *Driver) call(timeout time.Duration, f func(ctx context.Context) error) error {
-	select {
-	case d.orders <- struct{}{}:
-	case <-d.ctx.Done():
-		return platform.ErrNotSent
-	}
-	defer func() { <-d.orders }()
 	ctx, cancel := context.WithTimeout(d.ctx, timeout)
 	defer cancel()
 	return f(ctx)
--- a/driver/session.go
+++ b/driver/session.go
@@ -95,7 +95,7 @@
 }
 
 func (s *session) endpoint() platform.Endpoint {
-	return platform.Endpoint{ID: s.worker.ID, Address: s.worker.Address}
+	return platform.Endpoint{ID: s.worker.ID, Address: s.worker.Address, Zone: s.worker.Zone}
 }
 
 // readClock notes the worker's clock.
--- a/driver/types.go
+++ b/driver/types.go
@@ -29,7 +29,8 @@
 	Leads(term uint64) bool
 }
 
-// Workers carries orders to workers.
+// Workers carries orders to workers. A call ends soon after its context; see
+// platform.Client for its errors.
 type Workers interface {
 	Start(ctx context.Context, e platform.Endpoint, o *platform.StartOrder) (workload.Millis, error)
 	Stop(ctx context.Context, e platform.Endpoint, task workload.TaskRef, run int64, fence uint64) error
--- /dev/null
+++ b/relay/message.go
@@ -0,0 +1,154 @@
+package relay
+
+import (
+	"context"
+
+	"github.com/pkg/errors"
+
+	"magnoliastand.example/codec"
+	"magnoliastand.example/platform"
+	"magnoliastand.example/workload"
+)
+
+// Methods of the peer links.
+const (
+	methodOrders   = "relay.orders"
+	methodOutcomes = "relay.outcomes"
+	methodProbe    = "relay.probe"
+)
+
+// Bounds of decoding: a batch holds at most maxBatchWeight items and rows.
+const (
+	maxItems = 4 * maxBatchWeight
+	maxDepth = 16
+)
+
+var decMode = codec.Decoder(codec.Limits{Items: maxItems, Depth: maxDepth})
+
+// order is one call to a worker; one of the last four fields is set.
+type order struct {
+	// Seq names the order within the life of the sending Relay.
+	Seq    uint64            `cbor:"1,keyasint"`
+	Worker platform.Endpoint `cbor:"2,keyasint"`
+	// Timeout bounds the call once the agent makes it.
+	Timeout workload.Millis      `cbor:"3,keyasint"`
+	Start   *platform.StartOrder `cbor:"4,keyasint,omitempty"`
+	Stop    *stopOrder           `cbor:"5,keyasint,omitempty"`
+	Pace    *paceOrder           `cbor:"6,keyasint,omitempty"`
+	Hold    *platform.HoldOrder  `cbor:"7,keyasint,omitempty"`
+}
+
+type stopOrder struct {
+	_     struct{} `cbor:",toarray"`
+	Task  workload.TaskRef
+	Run   int64
+	Fence uint64
+}
+
+type paceOrder struct {
+	_       struct{} `cbor:",toarray"`
+	Task    workload.TaskRef
+	Run     int64
+	Percent int
+	Fence   uint64
+}
+
+// weight is about the size of an order in units of 100 bytes.
+func (o *order) weight() int {
+	if o.Start == nil {
+		return 1
+	}
+	return 1 + len(o.Start.Payload)/100
+}
+
+// failure tells apart the errors of a call that callers know.
+type failure uint8
+
+const (
+	succeeded failure = iota
+	// noAnswer leaves open whether the order was carried out.
+	noAnswer
+	notSent
+	busy
+	refused
+	otherIncarnation
+)
+
+// outcome is what came of an order.
+type outcome struct {
+	Seq     uint64  `cbor:"1,keyasint"`
+	Failure failure `cbor:"2,keyasint,omitempty"`
+	// Status and Reason are set for refusals, Detail for other failures.
+	Status int             `cbor:"3,keyasint,omitempty"`
+	Reason platform.Reason `cbor:"4,keyasint,omitempty"`
+	Detail string          `cbor:"5,keyasint,omitempty"`
+	// Clock answers a start, Lists a hold.
+	Clock workload.Millis `cbor:"6,keyasint,omitempty"`
+	Lists *platform.Lists `cbor:"7,keyasint,omitempty"`
+}
+
+// weight is about the size of an outcome in units of 100 bytes.
+func (o *outcome) weight() int {
+	if o.Lists == nil {
+		return 1
+	}
+	return 1 + len(o.Lists.Running) + len(o.Lists.Ended)
+}
+
+// setError stores the error of a call.
+func (o *outcome) setError(err error) {
+	var refusal *platform.Refusal
+	switch {
+	case err == nil:
+		return
+	case errors.As(err, &refusal):
+		o.Failure, o.Status, o.Reason = refused, refusal.Status, refusal.Reason
+		return
+	case errors.Is(err, platform.ErrOtherIncarnation):
+		o.Failure = otherIncarnation
+	case errors.Is(err, platform.ErrNotSent):
+		o.Failure = notSent
+	case errors.Is(err, platform.ErrBusy):
+		o.Failure = busy
+	default:
+		o.Failure = noAnswer
+	}
+	o.Detail = err.Error()
+}
+
+// err restores the error of a call.
+func (o *outcome) err() error {
+	switch o.Failure {
+	case succeeded:
+		return nil
+	case refused:
+		return &platform.Refusal{Status: o.Status, Reason: o.Reason}
+	case otherIncarnation:
+		return platform.ErrOtherIncarnation
+	case notSent:
+		return errors.Wrap(platform.ErrNotSent, o.Detail)
+	case busy:
+		return errors.Wrap(platform.ErrBusy, o.Detail)
+	}
+	return errors.Wrap(ErrNoAnswer, o.Detail)
+}
+
+// carryOut makes the call of an order.
+func (o *order) carryOut(ctx context.Context, to Orders) *outcome {
+	out := &outcome{Seq: o.Seq}
+	var err error
+	switch {
+	case o.Start != nil:
+		out.Clock, err = to.Start(ctx, o.Worker, o.Start)
+	case o.Stop != nil:
+		err = to.Stop(ctx, o.Worker, o.Stop.Task, o.Stop.Run, o.Stop.Fence)
+	case o.Pace != nil:
+		err = to.Pace(ctx, o.Worker, o.Pace.Task, o.Pace.Run, o.Pace.Percent, o.Pace.Fence)
+	case o.Hold != nil:
+		out.Lists, err = to.Hold(ctx, o.Worker, o.Hold)
+	default:
+		err = errors.Wrap(platform.ErrNotSent, "unknown kind of order")
+	}
+	out.setError(err)
+	return out
+}
--- a/system/core.go
+++ b/system/core.go
@@ -11,6 +11,7 @@
 	"magnoliastand.example/driver"
 	"magnoliastand.example/peerlink"
 	"magnoliastand.example/platform"
+	"magnoliastand.example/relay"
 	"magnoliastand.example/workload"
 )
 
@@ -49,9 +50,15 @@
 	}
 	client := platform.NewClient()
 	defer client.Close()
+	agent := relay.NewAgent(link, client, log)
+	defer agent.Close()
+	orders := relay.New(relay.Config{
+		Link: link, Direct: client, Self: relay.Peer{Name: set.self(), Zone: set.Zone}, Log: log,
+		Peers: func() []relay.Peer { return agentPeers(member.Peers()) },
+	})
 	c := &core{set: set, log: log, link: link, member: member}
-	c.leader = &leader{member: member, replica: committed, log: log, base: driver.Config{
-		Name: set.Name, Workers: client, Advisor: client, Instances: client, AdviceAddress: set.AdviceAddress,
+	c.leader = &leader{member: member, replica: committed, log: log, relay: orders, base: driver.Config{
+		Name: set.Name, Workers: orders, Advisor: client, Instances: client, AdviceAddress: set.AdviceAddress,
 		MachineAddress: set.InstancesAddress, Timing: set.timing(), ReportTo: set.OperatorsListen,
 		Metrics: driver.NewMetrics(registry), Logger: log,
 	}}
@@ -59,6 +66,15 @@
 	return c.serve(ctx, registry)
 }
 
+// agentPeers returns the members as agents for orders: every member runs one.
+func agentPeers(members []cluster.Peer) []relay.Peer {
+	peers := make([]relay.Peer, 0, len(members))
+	for _, m := range members {
+		peers = append(peers, relay.Peer(m))
+	}
+	return peers
+}
+
 // handle registers what other daemons may ask of the leader.
 func (c *core) handle() {
 	c.link.Handle(methodRequest, handler(c.leader.request))
--- a/system/leader.go
+++ b/system/leader.go
@@ -11,6 +11,7 @@
 	"magnoliastand.example/cluster"
 	"magnoliastand.example/driver"
 	"magnoliastand.example/platform"
+	"magnoliastand.example/relay"
 	"magnoliastand.example/workload"
 )
 
@@ -26,6 +27,7 @@
 	member  *cluster.Member[[]error]
 	replica *replica
 	base    driver.Config
+	relay   *relay.Relay
 	log     zerolog.Logger
 
 	mu     sync.Mutex
@@ -79,14 +81,12 @@
 	l.log.Info().Uint64("term", term).Int("jobs", len(state.Jobs())).Int("workers", len(state.Workers())).
 		Int64("version", state.Version()).Dur("took", time.Since(begun)).Msg("lead taken")
 	driveCtx, stop := context.WithCancel(ctx)
-	watched := make(chan struct{})
-	go func() {
-		defer close(watched)
-		l.watch(driveCtx, stop, term)
-	}()
+	var beside sync.WaitGroup
+	beside.Go(func() { l.watch(driveCtx, stop, term) })
+	beside.Go(func() { l.relay.Run(driveCtx) })
 	d.Run(driveCtx)
 	stop()
-	<-watched
+	beside.Wait()
 	l.set(nil, 0)
 	l.log.Info().Uint64("term", term).Dur("led", time.Since(begun)).Msg("lead ended")
 }
