Shorter gaps between holds; the planner reads only pools with open jobs

Change: 0.1 ms a worker; workers indexed by pool and the mix of runs counted by the state, conditions asked for one worker at a time.

--- a/driver/driver.go
+++ b/driver/driver.go
@@ -214,7 +214,8 @@
 
 // plan plans starts when something changed or a task has become due.
 func (d *Driver) plan() {
-	now := nowMillis()
+	begun := time.Now()
+	now := begun.UnixMilli()
 	if d.wake != 0 && now >= d.wake {
 		d.dirty, d.wake = true, 0
 	}
@@ -223,7 +224,7 @@
 	}
 	d.dirty = false
 	p := plan.Tasks(&plan.Input{
-		State: d.state, Now: now, Conditions: d.conditions(), Tickets: d.tickets,
+		State: d.state, Now: now, Condition: func(worker string) plan.Condition { return d.condition(worker, begun) }, Tickets: d.tickets,
 		NotBefore: func(t workload.TaskRef) workload.Millis { return d.notBefore[t] },
 		FailedOn:  func(t workload.TaskRef) string { return d.failedOn[t] },
 	})
--- a/driver/pools.go
+++ b/driver/pools.go
@@ -37,14 +37,13 @@
 			in.Pools[w.Pool] = demand
 		}
 	}
-	conditions := d.conditions()
 	for _, i := range f.instances {
-		in.Instances = append(in.Instances, f.poolInstance(i, in.Pools, conditions, now))
+		in.Instances = append(in.Instances, f.poolInstance(i, in.Pools, now))
 	}
 	return in
 }
 
-func (f *fleet) poolInstance(i *instance, pools map[string]plan.PoolDemand, conditions map[string]plan.Condition, now time.Time) plan.PoolInstance {
+func (f *fleet) poolInstance(i *instance, pools map[string]plan.PoolDemand, now time.Time) plan.PoolInstance {
 	d := f.d
 	session := d.sessions[i.Worker]
 	idle := len(d.state.Runs(i.Worker)) == 0
@@ -65,7 +64,7 @@
 	case i.State == platform.InstanceMoving || i.State == platform.InstanceUp && session == nil:
 		p.Ready = true
 	default:
-		p.Ready = free && conditions[i.Worker].Usable
+		p.Ready = free && d.condition(i.Worker, now).Usable
 	}
 	p.Movable = free && idle && !leaving && f.accounted(i, now)
 	return p
--- a/driver/session.go
+++ b/driver/session.go
@@ -33,7 +33,7 @@
 	// workers, so that holds take a bounded part of the processor: one costs about
 	// 0.15 ms.
 	holdGap          = 25 * time.Millisecond
-	holdGapPerWorker = 1250 * time.Microsecond
+	holdGapPerWorker = 100 * time.Microsecond
 	// ackDelay is how long the acknowledgement of ends may wait for another hold.
 	ackDelay = 500 * time.Millisecond
 	// callTimeout bounds a call to a worker, without the time that it may wait.
@@ -239,15 +239,14 @@
 // silence is how long a worker may be silent and still get work.
 func (d *Driver) silence() time.Duration { return silentAnnouncements * d.cfg.Timing.Announce }
 
-// conditions returns what the planner may use.
-func (d *Driver) conditions() map[string]plan.Condition {
-	now := time.Now()
-	out := make(map[string]plan.Condition, len(d.sessions))
-	for id, s := range d.sessions {
-		usable := s.failures < unusableFailures && now.Sub(s.heardAt) < d.silence() && s.clock > 0 && !d.fleet.reserved(id)
-		out[id] = plan.Condition{Usable: usable, Penalty: s.blameAt(now) * failurePenalty}
-	}
-	return out
+// condition returns whether the planner may use a worker, and how gladly.
+func (d *Driver) condition(worker string, now time.Time) plan.Condition {
+	s := d.sessions[worker]
+	if s == nil {
+		return plan.Condition{}
+	}
+	usable := s.failures < unusableFailures && now.Sub(s.heardAt) < d.silence() && s.clock > 0 && !d.fleet.reserved(worker)
+	return plan.Condition{Usable: usable, Penalty: s.blameAt(now) * failurePenalty}
 }
 
 // blameAt returns the weight of the recent failures of a worker.
--- a/workload/apply.go
+++ b/workload/apply.go
@@ -127,7 +127,7 @@
 	if old != nil && old.Incarnation < c.Incarnation {
 		s.endRuns(c.ID, old.Incarnation, now)
 	}
-	s.workers[c.ID] = &w
+	s.setWorker(&w)
 	return nil
 }
 
@@ -139,7 +139,8 @@
 	w.Gone = true
 	s.endRuns(c.Worker, c.Incarnation, now)
 	if len(s.runs[c.Worker]) == 0 {
-		delete(s.workers, c.Worker)
+		s.dropWorker(c.Worker)
+		delete(s.mixes, c.Worker)
 		delete(s.runs, c.Worker)
 		delete(s.reserved, c.Worker)
 	}
--- a/workload/plan/plan.go
+++ b/workload/plan/plan.go
@@ -36,8 +36,8 @@
 type Input struct {
 	State *workload.State
 	Now   workload.Millis
-	// Conditions holds the usable workers by id.
-	Conditions map[string]Condition
+	// Condition returns what the leader has seen of a worker.
+	Condition func(worker string) Condition
 	// Tickets returns the tickets of the advice service for a step, by worker,
 	// and whether the service has answered.
 	Tickets func(step workload.TaskRef) (map[string]string, bool)
@@ -63,8 +63,7 @@
 	worker  *workload.Worker
 	free    workload.Size
 	penalty float64
-	serving int
-	filling int
+	mix     workload.Mix
 }
 
 func (h *host) rack() string {
@@ -104,7 +103,6 @@
 	if len(jobs) == 0 {
 		return p.plan
 	}
-	p.collectHosts()
 	for _, c := range jobs {
 		p.planJob(c.job)
 	}
@@ -167,31 +165,26 @@
 	return c
 }
 
-// collectHosts lists the usable workers of each pool in the order of their ids.
-func (p *planner) collectHosts() {
-	for id, w := range p.in.State.Workers() {
-		c, known := p.in.Conditions[id]
-		if !known || !c.Usable || w.Draining || w.Gone {
+// hostsOf returns the usable workers of a pool in the order of their ids.
+func (p *planner) hostsOf(pool string) []*host {
+	hosts, known := p.hosts[pool]
+	if known {
+		return hosts
+	}
+	for _, w := range p.in.State.PoolWorkers(pool) {
+		if w.Draining || w.Gone {
 			continue
 		}
-		h := &host{worker: w, free: w.Capacity.Sub(p.in.State.Reserved(id)), penalty: c.Penalty}
-		for r, j := range p.in.State.Runs(id) {
-			h.count(&j.Spec.Steps[r.Step])
+		c := p.in.Condition(w.ID)
+		if !c.Usable {
+			continue
 		}
-		p.hosts[w.Pool] = append(p.hosts[w.Pool], h)
-	}
-	for _, hosts := range p.hosts {
-		slices.SortFunc(hosts, func(a, b *host) int { return cmp.Compare(a.worker.ID, b.worker.ID) })
-	}
-}
-
-func (h *host) count(s *workload.Step) {
-	if s.Fills {
-		h.filling++
-	}
-	if s.TailTarget > 0 {
-		h.serving++
+		hosts = append(hosts, &host{
+			worker: w, free: w.Capacity.Sub(p.in.State.Reserved(w.ID)), penalty: c.Penalty, mix: p.in.State.MixOf(w.ID),
+		})
 	}
+	p.hosts[pool] = hosts
+	return hosts
 }
 
 func (p *planner) planJob(j *workload.Job) {
@@ -301,7 +294,7 @@
 func (p *planner) roomiestRack(pool string) string {
 	free := map[string]int64{}
 	best := ""
-	for _, h := range p.hosts[pool] {
+	for _, h := range p.hostsOf(pool) {
 		free[h.rack()] += h.free.Processors
 		if best == "" || free[h.rack()] > free[best] {
 			best = h.rack()
@@ -315,7 +308,7 @@
 	for _, a := range p.plan.Assign[from:] {
 		j, _ := p.in.State.TaskOf(a.Task)
 		step := &j.Spec.Steps[a.Task.Step]
-		for _, h := range p.hosts[p.in.State.PoolOf(j)] {
+		for _, h := range p.hostsOf(p.in.State.PoolOf(j)) {
 			if h.worker.ID == a.Worker {
 				h.free = h.free.Add(step.Reserved())
 			}
@@ -342,7 +335,7 @@
 	var bestScore float64
 	fits := false
 	failedOn := p.in.FailedOn(ref)
-	for _, h := range p.hosts[pool] {
+	for _, h := range p.hostsOf(pool) {
 		fits = fits || step.Reserved().Fits(h.free)
 		if tickets != nil && tickets[h.worker.ID] == "" || !p.suits(h, step, ref) {
 			continue
@@ -362,7 +355,7 @@
 		return false
 	}
 	best.free = best.free.Sub(step.Reserved())
-	best.count(step)
+	best.mix = best.mix.Add(step, 1)
 	p.use[j.Team] = p.use[j.Team].Add(step.Need)
 	p.planned[stepOnWorker{best.worker.ID, ref.Job, ref.Occurrence, ref.Step}]++
 	p.plan.Assign = append(p.plan.Assign, workload.Assign{
@@ -401,7 +394,7 @@
 	if rack != "" && rack != h.rack() {
 		score += offRackWeight
 	}
-	if step.Fills && h.serving > 0 || step.TailTarget > 0 && h.filling > 0 {
+	if step.Fills && h.mix.Serving > 0 || step.TailTarget > 0 && h.mix.Filling > 0 {
 		score += disturbWeight
 	}
 	return score
--- a/workload/plan/plan_test.go
+++ b/workload/plan/plan_test.go
@@ -67,7 +67,7 @@
 
 func (w *world) plan(now workload.Millis) plan.Plan {
 	return plan.Tasks(&plan.Input{
-		State: w.state, Now: now, Conditions: w.conds,
+		State: w.state, Now: now, Condition: func(id string) plan.Condition { return w.conds[id] },
 		Tickets:   func(workload.TaskRef) (map[string]string, bool) { return nil, false },
 		NotBefore: func(workload.TaskRef) workload.Millis { return 0 },
 		FailedOn:  func(workload.TaskRef) string { return w.failedOn },
--- a/workload/state.go
+++ b/workload/state.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"strings"
 
 	"github.com/pkg/errors"
 
@@ -39,6 +40,8 @@
 
 	// The rest is derived.
 	runs     map[string]map[TaskRef]*Job
+	mixes    map[string]Mix
+	members  map[string][]*Worker
 	reserved map[string]Size
 	teamUse  map[string]Size
 	pending  map[string]int
@@ -58,6 +61,7 @@
 	s.jobs, s.workers, s.waves = map[string]*Job{}, map[string]*Worker{}, map[int64]*Wave{}
 	s.runs, s.reserved, s.teamUse = map[string]map[TaskRef]*Job{}, map[string]Size{}, map[string]Size{}
 	s.pending, s.active = map[string]int{}, map[string]*Job{}
+	s.mixes, s.members = map[string]Mix{}, map[string][]*Worker{}
 }
 
 // Version returns the version of the document; 0 before the first.
@@ -96,6 +100,31 @@
 // Workers returns all workers by id. The map must not be modified.
 func (s *State) Workers() map[string]*Worker { return s.workers }
 
+// PoolWorkers returns the workers of a pool in the order of their ids. The slice
+// must not be modified.
+func (s *State) PoolWorkers(pool string) []*Worker { return s.members[pool] }
+
+// Mix counts the runs on a worker that disturb each other.
+type Mix struct {
+	// Serving runs have a target for their tail latency, Filling ones use the
+	// processors that others leave.
+	Serving, Filling int
+}
+
+// Add returns the mix with n more tasks of a step.
+func (m Mix) Add(step *Step, n int) Mix {
+	if step.Fills {
+		m.Filling += n
+	}
+	if step.TailTarget > 0 {
+		m.Serving += n
+	}
+	return m
+}
+
+// MixOf returns the mix of the runs on a worker.
+func (s *State) MixOf(worker string) Mix { return s.mixes[worker] }
+
 // Waves returns all waves by id. The map must not be modified.
 func (s *State) Waves() map[int64]*Wave { return s.waves }
 
@@ -179,7 +208,7 @@
 		s.setDocument(snap.Raw, doc)
 	}
 	for _, w := range snap.Workers {
-		s.workers[w.ID] = w
+		s.setWorker(w)
 	}
 	for _, w := range snap.Waves {
 		w.complete()
@@ -211,6 +240,30 @@
 	}
 }
 
+// setWorker stores a worker in place of an older account of it.
+func (s *State) setWorker(w *Worker) {
+	s.dropWorker(w.ID)
+	s.workers[w.ID] = w
+	pool := s.members[w.Pool]
+	at, _ := slices.BinarySearchFunc(pool, w.ID, compareWorker)
+	s.members[w.Pool] = slices.Insert(pool, at, w)
+}
+
+// dropWorker removes a worker from the indexes.
+func (s *State) dropWorker(id string) {
+	old := s.workers[id]
+	if old == nil {
+		return
+	}
+	delete(s.workers, id)
+	pool := s.members[old.Pool]
+	if at, found := slices.BinarySearchFunc(pool, id, compareWorker); found {
+		s.members[old.Pool] = slices.Delete(pool, at, at+1)
+	}
+}
+
+func compareWorker(w *Worker, id string) int { return strings.Compare(w.ID, id) }
+
 // index derives the counts of a job and adds it to the indexes.
 func (s *State) index(j *Job) {
 	j.chain = longestChain(j.Spec.Steps)
@@ -323,6 +376,7 @@
 	step := &j.Spec.Steps[r.Step]
 	s.reserved[t.Worker] = s.reserved[t.Worker].Add(step.Reserved())
 	s.teamUse[j.Team] = s.teamUse[j.Team].Add(step.Need)
+	s.mixes[t.Worker] = s.mixes[t.Worker].Add(step, 1)
 	j.assigned++
 }
 
@@ -331,6 +385,7 @@
 	step := &j.Spec.Steps[r.Step]
 	s.reserved[t.Worker] = s.reserved[t.Worker].Sub(step.Reserved())
 	s.teamUse[j.Team] = s.teamUse[j.Team].Sub(step.Need)
+	s.mixes[t.Worker] = s.mixes[t.Worker].Add(step, -1)
 	j.assigned--
 }
 
