Pools grow ahead of a rising demand

Change: the demand of each pool is followed for a second; growth beyond what a few jobs explain is projected to the time at which a moved worker takes work. Waiting work counts once in place of one and a half times, which had stood in for the trend.

--- a/driver/fleet.go
+++ b/driver/fleet.go
@@ -8,6 +8,7 @@
 
 	"magnoliastand.example/platform"
 	"magnoliastand.example/workload"
+	"magnoliastand.example/workload/plan"
 )
 
 const (
@@ -54,10 +55,11 @@
 	plannedAt time.Time
 	listing   bool
 	listOK    bool
+	trends    map[string]*plan.Trend
 }
 
 func newFleet(d *Driver) *fleet {
-	return &fleet{d: d, instances: map[string]*instance{}, byWorker: map[string]*instance{}}
+	return &fleet{d: d, instances: map[string]*instance{}, byWorker: map[string]*instance{}, trends: map[string]*plan.Trend{}}
 }
 
 // reserved reports whether a worker's instance is about to be taken down.
--- a/driver/pools.go
+++ b/driver/pools.go
@@ -10,6 +10,10 @@
 	"magnoliastand.example/workload/plan"
 )
 
+// joinTime is how long a worker that has moved takes to announce itself, to be
+// read and to get its first task.
+const joinTime = 400 * time.Millisecond
+
 // movePools carries out the moves that the planner wants.
 func (f *fleet) movePools(now time.Time) {
 	in := f.poolInput(now)
@@ -37,12 +41,41 @@
 			in.Pools[w.Pool] = demand
 		}
 	}
+	f.followTrends(in.Pools, now)
 	for _, i := range f.instances {
 		in.Instances = append(in.Instances, f.poolInstance(i, in.Pools, now))
 	}
 	return in
 }
 
+// followTrends notes the demand of each pool and adds what is expected by the time
+// at which an instance ordered now takes work.
+func (f *fleet) followTrends(pools map[string]plan.PoolDemand, now time.Time) {
+	d := f.d
+	jobs := map[string]int{}
+	for _, j := range d.state.Active() {
+		if j.Open() > 0 || j.Assigned() > 0 {
+			jobs[d.state.PoolOf(j)]++
+		}
+	}
+	ahead := (d.cfg.Timing.Migrate + joinTime).Milliseconds()
+	for name, demand := range pools {
+		t := f.trends[name]
+		if t == nil {
+			t = &plan.Trend{}
+			f.trends[name] = t
+		}
+		t.Add(now.UnixMilli(), demand.Running.Add(demand.Waiting))
+		demand.Rising = t.Rise(ahead, jobs[name])
+		pools[name] = demand
+	}
+	for name := range f.trends {
+		if _, known := pools[name]; !known {
+			delete(f.trends, name)
+		}
+	}
+}
+
 func (f *fleet) poolInstance(i *instance, pools map[string]plan.PoolDemand, now time.Time) plan.PoolInstance {
 	d := f.d
 	session := d.sessions[i.Worker]
--- a/workload/plan/pools.go
+++ b/workload/plan/pools.go
@@ -9,9 +9,6 @@
 
 // Weights and times of the moves between pools.
 const (
-	// waitingWeight is how much of the waiting work calls for instances, in
-	// percent: more than all, because demand that outgrows a pool is still rising.
-	waitingWeight = 150
 	// roomPercent is the share of an instance that work is expected to fill; the
 	// rest is lost to sizes that don't add up.
 	roomPercent = 90
@@ -39,6 +36,8 @@
 	Standby bool
 	// Running is what its runs occupy, Waiting what found no room.
 	Running, Waiting workload.Size
+	// Rising is how much more is expected until an instance ordered now is there.
+	Rising workload.Size
 }
 
 // PoolInput is a snapshot to plan moves from.
@@ -131,15 +130,12 @@
 // waits although the sum of its instances would do needs one more.
 func (p *poolState) needed(unit workload.Size) int {
 	n := 0
-	for _, dim := range [...][3]int64{
-		{p.demand.Running.Processors, p.demand.Waiting.Processors, unit.Processors},
-		{p.demand.Running.MemoryMB, p.demand.Waiting.MemoryMB, unit.MemoryMB},
-		{p.demand.Running.Accelerators, p.demand.Waiting.Accelerators, unit.Accelerators},
+	want := p.demand.Running.Add(p.demand.Waiting).Add(p.demand.Rising)
+	for _, dim := range [...][2]int64{
+		{want.Processors, unit.Processors}, {want.MemoryMB, unit.MemoryMB}, {want.Accelerators, unit.Accelerators},
 	} {
-		room := dim[2] * roomPercent
-		if room > 0 {
-			want := dim[0]*100 + dim[1]*waitingWeight
-			n = max(n, int((want+room-1)/room))
+		if room := dim[1] * roomPercent; room > 0 {
+			n = max(n, int((dim[0]*100+room-1)/room))
 		}
 	}
 	if p.demand.Waiting != (workload.Size{}) && n <= p.have {
