--- a/driver/driver_test.go
+++ b/driver/driver_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -212,6 +214,12 @@
 
 // newFleet starts n machines of pool p with their workers.
 func newFleet(t *testing.T, w *world, n int) *platformtest.Machines {
+	t.Helper()
+	return newFleetOf(t, w, n, &platformtest.Worker{RunTime: 20 * time.Millisecond})
+}
+
+// newFleetOf makes n machines with workers like one.
+func newFleetOf(t *testing.T, w *world, n int, like *platformtest.Worker) *platformtest.Machines {
 	t.Helper()
 	machines := make([]*platformtest.Machine, n)
 	service := &platformtest.Machines{Away: 100 * time.Millisecond, Stop: w.crash}
@@ -222,7 +230,7 @@
 		}
 		next++
 		id := fmt.Sprintf("%s-%d", m.Name, next)
-		w.worker(id, m.Pool, 20*time.Millisecond)
+		w.workerOf(&platformtest.Worker{ID: id, Pool: m.Pool, RunTime: like.RunTime, Lasting: like.Lasting})
 		return id
 	}
 	for i := range machines {
@@ -382,6 +390,79 @@
 // TestRandomFaults submits jobs while workers lose orders, fall silent, crash and
 // return, and the lead changes. Fixed seeds choose the faults; the promises are
 // checked from the workers' own accounts.
+// Tasks with a budget leave the instances of a wave before their turn: one at a
+// time from the cordoned instance alone, a wave ends late (kpao-sched-grown, trouble-2).
+func TestLastingTasksLeaveAheadOfTheWave(t *testing.T) {
+	w := newWorld(t)
+	service := newFleetOf(t, w, 4, &platformtest.Worker{RunTime: time.Hour, Lasting: true})
+	service.Away = time.Hour // the first instance of the wave never comes back
+	// Without a standby pool the idle instances stay.
+	without := strings.NewReplacer(`"version":1`, `"version":2`, `,{"name":"spare","standby":true}`, "").Replace(document)
+	if err := w.current().PutDocument(t.Context(), []byte(without)); err != nil {
+		t.Fatal(err)
+	}
+	lasting := step(2)
+	lasting.LongRunning, lasting.MaxUnavailable, lasting.AntiAffinity = true, 1, 1
+	w.submit("0000000000000001", lasting)
+	where := func() map[string]bool {
+		out := map[string]bool{}
+		w.log.read(func(s *workload.State) {
+			j, ok := s.Job("0000000000000001")
+			for i := 0; ok && i < 2; i++ {
+				if task := j.Tasks[0][0][i]; task.State == workload.TaskAssigned {
+					out[task.Worker] = true
+				}
+			}
+		})
+		return out
+	}
+	w.until("both tasks run", func() bool { return len(where()) == 2 })
+	var wave workload.Wave
+	for _, m := range service.Snapshot() {
+		if where()[m.Worker] {
+			wave.Instances = append(wave.Instances, m.Name)
+		}
+	}
+	wave.ID, wave.MaxDown = 1, 1
+	if err := w.current().StartWave(t.Context(), &wave, 3_600_000); err != nil {
+		t.Fatal(err)
+	}
+	w.until("no task is left on an instance of the wave", func() bool {
+		now := where()
+		if len(now) < 2 {
+			return false
+		}
+		for _, m := range service.Snapshot() {
+			if slices.Contains(wave.Instances, m.Name) && now[m.Worker] {
+				return false
+			}
+		}
+		return true
+	})
+	w.check()
+}
+
+// Without a worker that stays, a task is not moved in circles.
+func TestLastingTasksStayWithoutARefuge(t *testing.T) {
+	w := newWorld(t)
+	service := newFleetOf(t, w, 2, &platformtest.Worker{RunTime: time.Hour, Lasting: true})
+	service.Away = time.Hour
+	lasting := step(1)
+	lasting.LongRunning, lasting.MaxUnavailable = true, 1
+	w.submit("0000000000000001", lasting, lasting)
+	w.until("both tasks run", func() bool { return len(w.history()) == 2 })
+	// A wave of no instance at a time never cordons one.
+	wave := &workload.Wave{ID: 1, Instances: []string{"m0", "m1"}, MaxDown: 0}
+	if err := w.current().StartWave(t.Context(), wave, 3_600_000); err != nil {
+		t.Fatal(err)
+	}
+	enough := service.Readings() + 2
+	w.until("list read", func() bool { return service.Readings() >= enough })
+	if n := len(w.history()); n != 2 {
+		t.Errorf("%d runs of two tasks", n)
+	}
+}
+
 func TestRandomFaults(t *testing.T) {
 	for _, seed := range []uint64{1, 2, 3, 4} {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
--- a/driver/pools.go
+++ b/driver/pools.go
@@ -33,7 +33,7 @@
 	in := &plan.PoolInput{Pools: map[string]plan.PoolDemand{}, Settle: d.cfg.Timing.Migrate.Milliseconds()}
 	for i := range d.state.Document().Pools {
 		p := &d.state.Document().Pools[i]
-		in.Pools[p.Name] = plan.PoolDemand{Standby: p.Standby, Waiting: d.waiting[p.Name]}
+		in.Pools[p.Name] = plan.PoolDemand{Standby: p.Standby, Waiting: d.waiting[p.Name].Add(f.wanted[p.Name])}
 	}
 	for id, w := range d.state.Workers() {
 		if demand, ok := in.Pools[w.Pool]; ok {
--- a/driver/run.go
+++ b/driver/run.go
@@ -389,14 +389,19 @@
 	}
 }
 
-// awaitsList reports whether a run on the worker waits for a list that settles it.
-func (d *Driver) awaitsList(s *session) bool {
+// holdWaitFor returns how long a worker may wait for an end: not at all while a
+// run waits for a list that settles it.
+func (d *Driver) holdWaitFor(s *session) time.Duration {
+	wait := holdWait
 	for _, r := range d.runsOn(s.worker.ID, s.worker.Incarnation) {
 		if r.phase == phaseUnknown || r.stopping {
-			return true
+			return 0
+		}
+		if step := r.step(); step.LongRunning && step.MaxUnavailable > 0 && r.percent < fullPace {
+			wait = startingWait
 		}
 	}
-	return false
+	return wait
 }
 
 // stopJob stops all runs of a job.
--- a/driver/session.go
+++ b/driver/session.go
@@ -23,6 +23,9 @@
 	// holdWait is how long a worker with runs may wait for an end before it
 	// answers. A hold that is lost hides ends for so long.
 	holdWait = 500 * time.Millisecond
+	// startingWait is the same while a lasting task starts up, so that a budget
+	// counts it as available soon after it is.
+	startingWait = 100 * time.Millisecond
 	// holdTimeout bounds a hold beyond its wait; see startTimeout.
 	holdTimeout = 250 * time.Millisecond
 	// unusableFailures is the number of failed holds in a row after which a worker
@@ -246,7 +249,7 @@
 		return plan.Condition{}
 	}
 	usable := s.failures < unusableFailures && now.Sub(s.heardAt) < d.silence() && s.clock > 0 && !d.fleet.reserved(worker)
-	return plan.Condition{Usable: usable, Penalty: s.blameAt(now) * failurePenalty}
+	return plan.Condition{Usable: usable, Penalty: s.blameAt(now) * failurePenalty, Leaving: d.fleet.leaving[worker]}
 }
 
 // blameAt returns the weight of the recent failures of a worker.
@@ -301,9 +304,9 @@
 	// be known to be over.
 	if runs > 0 && s.failures == 0 {
 		order.Until = d.leaseUntil(s, now)
-		if s.clock > 0 && !d.awaitsList(s) {
-			order.Wait = holdWait.Milliseconds()
-			timeout += holdWait
+		if wait := d.holdWaitFor(s); s.clock > 0 && wait > 0 {
+			order.Wait = wait.Milliseconds()
+			timeout += wait
 		}
 	}
 	endpoint := s.endpoint()
--- a/driver/world_test.go
+++ b/driver/world_test.go
@@ -187,9 +187,15 @@
 // worker starts a stand-in and lets it announce itself until the test ends.
 func (w *world) worker(id, pool string, runTime time.Duration) *platformtest.Worker {
 	w.t.Helper()
-	s, err := platformtest.StartWorker(&platformtest.Worker{
-		ID: id, Pool: pool, RunTime: runTime, Ticket: w.ticket, Capacity: 4000, MemoryMB: 4000, Labels: []string{"a", "r1"}, MaxLease: maxLease,
-	})
+	return w.workerOf(&platformtest.Worker{ID: id, Pool: pool, RunTime: runTime})
+}
+
+// workerOf completes and starts a stand-in; see worker.
+func (w *world) workerOf(s *platformtest.Worker) *platformtest.Worker {
+	w.t.Helper()
+	id := s.ID
+	s.Ticket, s.Capacity, s.MemoryMB, s.Labels, s.MaxLease = w.ticket, 4000, 4000, []string{"a", "r1"}, maxLease
+	s, err := platformtest.StartWorker(s)
 	if err != nil {
 		w.t.Fatal(err)
 	}
--- a/workload/plan/plan.go
+++ b/workload/plan/plan.go
@@ -17,6 +17,8 @@
 	offRackWeight = 1.5
 	// disturbWeight keeps filling and serving tasks apart while there is a choice.
 	disturbWeight = 1.0
+	// leavingWeight keeps lasting tasks off workers that are taken down soon.
+	leavingWeight = 2.0
 	// failedWeight keeps a task from the worker on which it failed last, while
 	// there is another one.
 	failedWeight = 2
@@ -30,6 +32,8 @@
 	Usable bool
 	// Penalty is added to the score of the worker.
 	Penalty float64
+	// Leaving workers are taken down soon: work that lasts would have to move again.
+	Leaving bool
 }
 
 // Input is a snapshot to plan from.
@@ -63,6 +67,7 @@
 	worker  *workload.Worker
 	free    workload.Size
 	penalty float64
+	leaving bool
 	mix     workload.Mix
 }
 
@@ -180,7 +185,7 @@
 			continue
 		}
 		hosts = append(hosts, &host{
-			worker: w, free: w.Capacity.Sub(p.in.State.Reserved(w.ID)), penalty: c.Penalty, mix: p.in.State.MixOf(w.ID),
+			worker: w, free: w.Capacity.Sub(p.in.State.Reserved(w.ID)), penalty: c.Penalty, leaving: c.Leaving, mix: p.in.State.MixOf(w.ID),
 		})
 	}
 	p.hosts[pool] = hosts
@@ -394,6 +399,9 @@
 	if rack != "" && rack != h.rack() {
 		score += offRackWeight
 	}
+	if h.leaving && step.LongRunning {
+		score += leavingWeight
+	}
 	if step.Fills && h.mix.Serving > 0 || step.TailTarget > 0 && h.mix.Filling > 0 {
 		score += disturbWeight
 	}
--- a/workload/plan/plan_test.go
+++ b/workload/plan/plan_test.go
@@ -255,6 +255,22 @@
 	}
 }
 
+func TestLastingTasksAvoidLeavingWorkers(t *testing.T) {
+	w := newWorld(t, workload.Size{})
+	w.worker("w1", 8)
+	w.worker("w2", 8)
+	w.conds["w1"] = plan.Condition{Usable: true, Leaving: true}
+	lasting := step(1, 1)
+	lasting.LongRunning = true
+	w.job("a-lasting", "q", 0, lasting)
+	w.job("b-short", "q", 0, step(1, 8))
+	for _, a := range w.plan(0).Assign {
+		if want := map[string]string{"a-lasting": "w2", "b-short": "w1"}[a.Task.Job]; a.Worker != want {
+			t.Errorf("%s on %s, want %s", a.Task, a.Worker, want)
+		}
+	}
+}
+
 func TestLaterOccurrencesWait(t *testing.T) {
 	w := newWorld(t, workload.Size{})
 	w.worker("w1", 8)
--- a/workload/plan/pools.go
+++ b/workload/plan/pools.go
@@ -97,7 +97,7 @@
 	var unit workload.Size
 	for i := range in.Instances {
 		instance := &in.Instances[i]
-		unit = larger(unit, instance.Capacity)
+		unit = unit.Max(instance.Capacity)
 		p := byName[instance.Pool]
 		if p == nil {
 			continue
@@ -119,13 +119,6 @@
 	return pools
 }
 
-func larger(a, b workload.Size) workload.Size {
-	return workload.Size{
-		Processors: max(a.Processors, b.Processors), MemoryMB: max(a.MemoryMB, b.MemoryMB),
-		Accelerators: max(a.Accelerators, b.Accelerators),
-	}
-}
-
 // needed returns how many instances carry the demand of the pool. Work that
 // waits although the sum of its instances would do needs one more.
 func (p *poolState) needed(unit workload.Size) int {
--- a/workload/types.go
+++ b/workload/types.go
@@ -27,6 +27,11 @@
 	return Size{s.Processors - o.Processors, s.MemoryMB - o.MemoryMB, s.Accelerators - o.Accelerators}
 }
 
+// Max returns the larger amount of each resource.
+func (s Size) Max(o Size) Size {
+	return Size{max(s.Processors, o.Processors), max(s.MemoryMB, o.MemoryMB), max(s.Accelerators, o.Accelerators)}
+}
+
 // Fits reports whether s fits into free.
 func (s Size) Fits(free Size) bool {
 	return s.Processors <= free.Processors && s.MemoryMB <= free.MemoryMB && s.Accelerators <= free.Accelerators
