Teams beyond their share wait for those within it

Cause: the planner ordered jobs by their objectives alone; the weights of the document's teams had no effect when the fleet is full. TestTeamsComeNearTheirShares fails without the order. Ruled out: a strict order by share, which would put late jobs before those that can be in time.

--- a/workload/plan/plan.go
+++ b/workload/plan/plan.go
@@ -131,26 +131,44 @@
 	job      *workload.Job
 	priority int
 	urgency  urgency
-	due      workload.Millis
+	// over is set for teams beyond their share.
+	over bool
+	due  workload.Millis
 }
 
 // runnable returns the jobs with open tasks in the order of their turns: what
-// can still be in time first, then priority, then the time at which the
-// objective passes. In overload this gives up some jobs in place of making all late.
+// can still be in time first, then priority, then teams within their share, then
+// the time at which the objective passes. In overload this gives up some jobs in place of making all late.
 func (p *planner) runnable() []candidate {
 	var out []candidate
+	waiting := map[string]bool{}
 	for _, j := range p.in.State.Active() {
 		if j.Open() > 0 {
 			out = append(out, p.candidate(j))
+			waiting[j.Team] = true
 		}
 	}
+	shares := newShares(p.in.State, waiting)
+	for i := range out {
+		out[i].over = shares.over[out[i].job.Team]
+	}
 	slices.SortFunc(out, func(a, b candidate) int {
 		return cmp.Or(cmp.Compare(a.urgency, b.urgency), cmp.Compare(a.priority, b.priority),
-			cmp.Compare(a.due, b.due), cmp.Compare(a.job.ID, b.job.ID))
+			compareBool(a.over, b.over), cmp.Compare(a.due, b.due), cmp.Compare(a.job.ID, b.job.ID))
 	})
 	return out
 }
 
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
+	}
+	return -1
+}
+
 func (p *planner) candidate(j *workload.Job) candidate {
 	c := candidate{job: j, urgency: inTime, due: j.Submitted + j.Chain()}
 	q, ok := p.in.State.Queue(j.Queue)
--- a/workload/plan/plan_test.go
+++ b/workload/plan/plan_test.go
@@ -271,6 +271,49 @@
 	}
 }
 
+// A team beyond its share waits for one within it, even if its job is due first.
+func TestTeamsComeNearTheirShares(t *testing.T) {
+	for name, tc := range map[string]struct {
+		weights map[string]float64
+		want    string
+	}{
+		"equal shares":             {map[string]float64{"large": 1, "small": 1}, "small"},
+		"a share as large as used": {map[string]float64{"large": 100, "small": 1}, "large"},
+		"no shares":                {map[string]float64{}, "large"},
+	} {
+		w := newWorld(t, workload.Size{})
+		raw, err := json.Marshal(workload.Document{
+			Version: 2, Pools: []workload.Pool{{Name: "p"}},
+			Queues: []workload.Queue{{Name: "q", Pool: "p", MaxAttempts: 3, Stretch: 1, Target: 10_000}},
+			Teams:  []workload.Team{{Name: "large", Weight: tc.weights["large"]}, {Name: "small", Weight: tc.weights["small"]}},
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		w.do(workload.Command{PutDocument: &workload.PutDocument{Raw: raw}}, 0)
+		w.worker("w1", 8)
+		submit := func(id, team string, at workload.Millis, tasks int) {
+			w.do(workload.Command{Submit: &workload.Submit{ID: id, Queue: "q", Team: team, Spec: workload.Spec{
+				Repeat: 1, Steps: []workload.Step{step(tasks, 1)},
+			}}}, at)
+		}
+		submit("a", "large", 0, 5)
+		submit("b", "small", 0, 1)
+		w.take(w.plan(0))
+		submit("c", "large", 1, 2)
+		submit("d", "small", 2, 2)
+		p := w.plan(2)
+		if len(p.Assign) != 2 {
+			t.Fatalf("%s: %d assignments, want 2", name, len(p.Assign))
+		}
+		for _, a := range p.Assign {
+			if j, _ := w.state.Job(a.Task.Job); j.Team != tc.want {
+				t.Errorf("%s: the room went to %s", name, j.Team)
+			}
+		}
+	}
+}
+
 func TestLaterOccurrencesWait(t *testing.T) {
 	w := newWorld(t, workload.Size{})
 	w.worker("w1", 8)
