--- a/relay/route.go
+++ b/relay/route.go
@@ -141,48 +141,65 @@
 	r.setUsable(a, false, ErrNoAnswer)
 }
 
+// path is one way to a worker; without an agent it is the direct one.
+type path struct {
+	agent *agentLink
+	rank  int
+	hash  uint64
+}
+
+func (p path) compare(o path) int {
+	return cmp.Or(cmp.Compare(p.rank, o.rank), cmp.Compare(p.hash, o.hash))
+}
+
 // route returns the agent for a worker, or nil for a direct call. Agents in the
 // worker's zone come first, then this daemon if it is in that zone, then other agents.
 func (r *Relay) route(e platform.Endpoint) *agentLink {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	paths := r.paths(e)
-	skip := 0
 	if d, ok := r.detours[e.ID]; ok && time.Now().Before(d.until) {
-		skip = d.skip
+		paths := r.sortedPaths(e)
+		return paths[d.skip%len(paths)].agent
 	}
-	return paths[skip%len(paths)]
+	best := r.directPath(e)
+	for _, a := range r.agents {
+		if p, ok := r.pathThrough(a, e); ok && p.compare(best) < 0 {
+			best = p
+		}
+	}
+	return best.agent
 }
 
-// paths returns the ways to a worker, best first; nil is the direct one. The
-// order among equals is stable by worker, so that connections are used again.
-func (r *Relay) paths(e platform.Endpoint) []*agentLink {
-	type path struct {
-		agent *agentLink
-		rank  int
-		hash  uint64
-	}
-	direct := path{rank: 3}
+func (r *Relay) directPath(e platform.Endpoint) path {
 	if r.cfg.Self.Zone == e.Zone {
-		direct.rank = 1
+		return path{rank: 1}
+	}
+	return path{rank: 3}
+}
+
+// pathThrough returns the path through an agent that gets orders. The order among
+// equals is stable by worker, so that connections are used again.
+func (r *Relay) pathThrough(a *agentLink, e platform.Endpoint) (path, bool) {
+	if !a.usable || !r.cfg.Link.Connected(a.peer.Name) {
+		return path{}, false
+	}
+	p := path{agent: a, rank: 2, hash: xxhash.Sum64String(a.peer.Name + e.ID)}
+	if a.peer.Zone == e.Zone {
+		p.rank = 0
 	}
-	list := []path{direct}
+	return p, true
+}
+
+// sortedPaths returns the ways to a worker, best first.
+func (r *Relay) sortedPaths(e platform.Endpoint) []path {
+	list := []path{r.directPath(e)}
 	for _, a := range r.agents {
-		if !a.usable || !r.cfg.Link.Connected(a.peer.Name) {
-			continue
-		}
-		p := path{agent: a, rank: 2, hash: xxhash.Sum64String(a.peer.Name + e.ID)}
-		if a.peer.Zone == e.Zone {
-			p.rank = 0
+		if p, ok := r.pathThrough(a, e); ok {
+			list = append(list, p)
 		}
-		list = append(list, p)
 	}
-	slices.SortFunc(list, func(a, b path) int { return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.hash, b.hash)) })
-	out := make([]*agentLink, len(list))
-	for i := range list {
-		out[i] = list[i].agent
-	}
-	return out
+	slices.SortFunc(list, path.compare)
+	return list
 }
 
 // noteRoute leads a worker that could not be reached over the next path.
@@ -192,7 +209,6 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	paths := r.paths(e)
-	next := slices.Index(paths, used) + 1
+	next := slices.IndexFunc(r.sortedPaths(e), func(p path) bool { return p.agent == used }) + 1
 	r.detours[e.ID] = detour{skip: next, until: time.Now().Add(detourTime)}
 }
