Agents under random faults; orders counted by path

Cause: the relay had tests of its own, but no run of drivers, workers and agents that fail together, and nothing on the metrics address told how orders travel. Change: TestRandomFaultsThroughAgents adds agents that stand still with orders in their hands and links that lose all frames to the faults of TestRandomFaults, under leases of 3 s that outlast the stalls; counter magnoliastand_relay_orders_total by path and outcome; one log line when a worker is called on another path. Ruled out: the lease of 0.9 s of the other tests, under which late starts are refused as late and an unanswered order taken for an unsent one went unnoticed.

--- /dev/null
+++ b/driver/agents_test.go
@@ -0,0 +1,136 @@
+package driver_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+
+	"magnoliastand.example/peerlink"
+	"magnoliastand.example/platform"
+	"magnoliastand.example/relay"
+	"magnoliastand.example/workload"
+)
+
+// stallingOrders stands still like a suspended daemon: orders that reached it are
+// carried out once it goes on, however late that is.
+type stallingOrders struct {
+	*platform.Client
+	mu   sync.Mutex
+	gate chan struct{}
+}
+
+func (s *stallingOrders) stall(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.gate != nil {
+		return
+	}
+	gate := make(chan struct{})
+	s.gate = gate
+	time.AfterFunc(d, func() {
+		s.mu.Lock()
+		s.gate = nil
+		s.mu.Unlock()
+		close(gate)
+	})
+}
+
+// wait returns a context that counts from the end of a stall.
+func (s *stallingOrders) wait(ctx context.Context) (context.Context, context.CancelFunc) {
+	s.mu.Lock()
+	gate := s.gate
+	s.mu.Unlock()
+	if gate != nil {
+		<-gate
+	}
+	return context.WithTimeout(context.WithoutCancel(ctx), time.Second)
+}
+
+func (s *stallingOrders) Start(ctx context.Context, e platform.Endpoint, o *platform.StartOrder) (workload.Millis, error) {
+	ctx, cancel := s.wait(ctx)
+	defer cancel()
+	return s.Client.Start(ctx, e, o)
+}
+
+func (s *stallingOrders) Stop(ctx context.Context, e platform.Endpoint, task workload.TaskRef, run int64, fence uint64) error {
+	ctx, cancel := s.wait(ctx)
+	defer cancel()
+	return s.Client.Stop(ctx, e, task, run, fence)
+}
+
+func (s *stallingOrders) Hold(ctx context.Context, e platform.Endpoint, o *platform.HoldOrder) (*platform.Lists, error) {
+	ctx, cancel := s.wait(ctx)
+	defer cancel()
+	return s.Client.Hold(ctx, e, o)
+}
+
+func testNode(t *testing.T) (*peerlink.Node, string) {
+	t.Helper()
+	server := httptest.NewUnstartedServer(nil)
+	name := server.Listener.Addr().String()
+	node, err := peerlink.New(peerlink.Config{
+		Self:   peerlink.Identity{Cluster: "c", Name: name, Incarnation: "1"},
+		Secret: []byte("a secret of the test"), NamesAreAddresses: true, Log: zerolog.Nop(),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	server.Config.Handler = node.Handler()
+	server.Start()
+	t.Cleanup(func() { node.Close(); server.Close() })
+	return node, name
+}
+
+// TestRandomFaultsThroughAgents adds agents that stand still with orders in their
+// hands, and links that lose everything, to the faults of TestRandomFaults.
+func TestRandomFaultsThroughAgents(t *testing.T) {
+	for _, seed := range []uint64{1, 2, 3, 4} {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			faultsThroughAgents(t, rand.New(rand.NewPCG(seed, 1)))
+		})
+	}
+}
+
+func faultsThroughAgents(t *testing.T, rnd *rand.Rand) {
+	const agents = 3
+	w := newWorld(t)
+	w.lease = 3 * time.Second // outlasts the stalls: only stops and fences keep late orders from running
+	leader, self := testNode(t)
+	nodes := make([]*peerlink.Node, agents)
+	orders := make([]*stallingOrders, agents)
+	var peers []relay.Peer
+	for i := range agents {
+		node, name := testNode(t)
+		nodes[i], orders[i] = node, &stallingOrders{Client: w.client}
+		agent := relay.NewAgent(node, orders[i], zerolog.Nop())
+		t.Cleanup(agent.Close)
+		peers = append(peers, relay.Peer{Name: name, Zone: "z"})
+	}
+	r := relay.New(relay.Config{
+		Link: leader, Direct: w.client, Self: relay.Peer{Name: self}, Log: zerolog.Nop(),
+		Metrics: relay.NewMetrics(prometheus.NewRegistry()), Peers: func() []relay.Peer { return peers },
+	})
+	w.orders = r
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); r.Run(ctx) }()
+	t.Cleanup(func() { cancel(); <-done })
+	randomFaults(t, w, rnd, func() {
+		i := rnd.IntN(agents)
+		switch rnd.IntN(4) {
+		case 0:
+			orders[i].stall(time.Duration(rnd.IntN(1500)) * time.Millisecond)
+		case 1:
+			nodes[i].SetBlocked(func(peerlink.Identity) bool { return true })
+			time.AfterFunc(time.Duration(rnd.IntN(800))*time.Millisecond, func() { nodes[i].SetBlocked(nil) })
+		}
+	})
+}
--- a/driver/driver_test.go
+++ b/driver/driver_test.go
@@ -467,14 +467,15 @@
 	for _, seed := range []uint64{1, 2, 3, 4} {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			t.Parallel()
-			randomFaults(t, rand.New(rand.NewPCG(seed, 0)))
+			randomFaults(t, newWorld(t), rand.New(rand.NewPCG(seed, 0)), func() {})
 		})
 	}
 }
 
-func randomFaults(t *testing.T, rnd *rand.Rand) {
+// randomFaults runs jobs while workers fail and leaders change; disturb, called
+// with each job, may add faults of its own.
+func randomFaults(t *testing.T, w *world, rnd *rand.Rand, disturb func()) {
 	const jobs = 25
-	w := newWorld(t)
 	w.lead()
 	w.put()
 	for n := range 4 {
@@ -504,6 +505,7 @@
 			s.SetFaults(platformtest.Faults{Busy: true})
 			time.AfterFunc(200*time.Millisecond, func() { s.SetFaults(platformtest.Faults{}) })
 		}
+		disturb()
 		time.Sleep(time.Duration(rnd.IntN(40)) * time.Millisecond)
 	}
 	for n := range jobs {
--- a/driver/world_test.go
+++ b/driver/world_test.go
@@ -71,6 +71,10 @@
 	// ticket is what the workers want with each start.
 	ticket string
 
+	// lease is the longest lease of workers started from now on, and of drivers.
+	lease time.Duration
+	// orders carries orders to the workers.
+	orders driver.Workers
 	// harm, if set, replaces the outcome of a start, whose number it gets.
 	harm func(attempt int64, err error) error
 
@@ -98,8 +102,9 @@
 	t.Helper()
 	w := &world{
 		t: t, log: &memoryLog{state: workload.New(platform.DecodeDocument)}, client: platform.NewClient(),
-		metrics: driver.NewMetrics(prometheus.NewRegistry()), workers: map[string]*platformtest.Worker{},
+		metrics: driver.NewMetrics(prometheus.NewRegistry()), workers: map[string]*platformtest.Worker{}, lease: maxLease,
 	}
+	w.orders = harmedWorkers{w.client, w}
 	t.Cleanup(w.client.Close)
 	w.control = httptest.NewServer(platform.NewControl(w))
 	t.Cleanup(w.control.Close)
@@ -119,10 +124,10 @@
 		w.t.Fatal("state not copied")
 	}
 	d := driver.New(driver.Config{
-		Name: fmt.Sprint("d", term), Term: term, State: state, Log: &termLog{w.log, term}, Workers: harmedWorkers{w.client, w}, Advisor: w.advisor, AdviceAddress: "advice",
+		Name: fmt.Sprint("d", term), Term: term, State: state, Log: &termLog{w.log, term}, Workers: w.orders, Advisor: w.advisor, AdviceAddress: "advice",
 		Instances: w.client, MachineAddress: w.machines, Metrics: w.metrics, Logger: zerolog.Nop(),
 		Timing: driver.Timing{
-			MaxLease: maxLease, Announce: announce, KeepFinished: time.Minute, Migrate: 200 * time.Millisecond,
+			MaxLease: w.lease, Announce: announce, KeepFinished: time.Minute, Migrate: 200 * time.Millisecond,
 			Maintain: 200 * time.Millisecond, Pace: 100 * time.Millisecond,
 		},
 	})
@@ -194,7 +199,7 @@
 func (w *world) workerOf(s *platformtest.Worker) *platformtest.Worker {
 	w.t.Helper()
 	id := s.ID
-	s.Ticket, s.Capacity, s.MemoryMB, s.Labels, s.MaxLease = w.ticket, 4000, 4000, []string{"a", "r1"}, maxLease
+	s.Ticket, s.Capacity, s.MemoryMB, s.Labels, s.MaxLease = w.ticket, 4000, 4000, []string{"a", "r1"}, w.lease
 	s, err := platformtest.StartWorker(s)
 	if err != nil {
 		w.t.Fatal(err)
--- a/relay/message.go
+++ b/relay/message.go
@@ -74,6 +74,15 @@
 	otherIncarnation
 )
 
+// String returns the label of a failure.
+func (f failure) String() string {
+	names := [...]string{"ok", "no-answer", "not-sent", "busy", "refused", "other-incarnation"}
+	if int(f) >= len(names) {
+		return names[noAnswer]
+	}
+	return names[f]
+}
+
 // outcome is what came of an order.
 type outcome struct {
 	Seq     uint64  `cbor:"1,keyasint"`
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -51,8 +51,9 @@
 	// Self is this daemon.
 	Self Peer
 	// Peers returns the daemons that run an Agent; this one may be among them.
-	Peers func() []Peer
-	Log   zerolog.Logger
+	Peers   func() []Peer
+	Metrics *Metrics
+	Log     zerolog.Logger
 }
 
 // Relay implements Orders over the agents of other daemons. A call takes as long
@@ -110,11 +111,11 @@
 	agent := r.route(o.Worker)
 	if agent == nil {
 		out := o.carryOut(ctx, r.direct)
-		r.noteRoute(o.Worker, nil, out)
+		r.noteOutcome(o.Worker, nil, out)
 		return out, out.err()
 	}
 	out := r.send(ctx, agent, o)
-	r.noteRoute(o.Worker, agent, out)
+	r.noteOutcome(o.Worker, agent, out)
 	err := out.err()
 	if err == nil && o.Hold != nil && out.Lists == nil {
 		err = errors.Wrap(ErrNoAnswer, "outcome without lists")
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 
 	"magnoliastand.example/peerlink"
@@ -125,7 +126,7 @@
 		f.peers = append(f.peers, relay.Peer{Name: agentName, Zone: zone})
 	}
 	f.relay = relay.New(relay.Config{
-		Link: f.leader, Direct: f.direct, Self: relay.Peer{Name: name, Zone: "a"}, Log: zerolog.Nop(),
+		Link: f.leader, Direct: f.direct, Self: relay.Peer{Name: name, Zone: "a"}, Log: zerolog.Nop(), Metrics: relay.NewMetrics(prometheus.NewRegistry()),
 		Peers: func() []relay.Peer { f.mu.Lock(); defer f.mu.Unlock(); return append([]relay.Peer(nil), f.peers...) },
 	})
 	ctx, cancel := context.WithCancel(context.Background())
--- a/relay/route.go
+++ b/relay/route.go
@@ -202,13 +202,25 @@
 	return list
 }
 
-// noteRoute leads a worker that could not be reached over the next path.
-func (r *Relay) noteRoute(e platform.Endpoint, used *agentLink, out *outcome) {
+// noteOutcome counts an order and leads a worker that could not be reached over
+// the next path.
+func (r *Relay) noteOutcome(e platform.Endpoint, used *agentLink, out *outcome) {
+	r.cfg.Metrics.count(used, out)
 	if out.Failure != noAnswer && out.Failure != notSent {
 		return
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	next := slices.IndexFunc(r.sortedPaths(e), func(p path) bool { return p.agent == used }) + 1
+	before := r.detours[e.ID]
 	r.detours[e.ID] = detour{skip: next, until: time.Now().Add(detourTime)}
+	if before.skip == next {
+		return
+	}
+	agent := pathDirect
+	if used != nil {
+		agent = used.peer.Name
+	}
+	r.cfg.Log.Info().Str("worker", e.ID).Str("path", agent).Stringer("outcome", out.Failure).Str("detail", out.Detail).
+		Int("next", next).Msg("worker is called on another path")
 }
--- a/system/core.go
+++ b/system/core.go
@@ -53,7 +53,7 @@
 	agent := relay.NewAgent(link, client, log)
 	defer agent.Close()
 	orders := relay.New(relay.Config{
-		Link: link, Direct: client, Self: relay.Peer{Name: set.self(), Zone: set.Zone}, Log: log,
+		Link: link, Direct: client, Self: relay.Peer{Name: set.self(), Zone: set.Zone}, Log: log, Metrics: relay.NewMetrics(registry),
 		Peers: func() []relay.Peer { return agentPeers(member.Peers()) },
 	})
 	c := &core{set: set, log: log, link: link, member: member}
