--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -355,6 +355,11 @@
 	if err := f.stop("w2", "b"); err != nil && !errors.Is(err, platform.ErrNotSent) {
 		t.Errorf("order to a draining agent: %v", err)
 	}
+	select {
+	case <-drained:
+		t.Error("drained with an order under way")
+	default:
+	}
 	close(gate)
 	<-drained
 	if err := <-under; err != nil {
