--- a/driver/agents_test.go
+++ b/driver/agents_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"net/http/httptest"
 	"sync"
 	"testing"
 	"time"
@@ -13,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"magnoliastand.example/peerlink"
+	"magnoliastand.example/peerlink/peerlinktest"
 	"magnoliastand.example/platform"
 	"magnoliastand.example/relay"
 	"magnoliastand.example/workload"
@@ -71,23 +71,6 @@
 	return s.Client.Hold(ctx, e, o)
 }
 
-func testNode(t *testing.T) (*peerlink.Node, string) {
-	t.Helper()
-	server := httptest.NewUnstartedServer(nil)
-	name := server.Listener.Addr().String()
-	node, err := peerlink.New(peerlink.Config{
-		Self:   peerlink.Identity{Cluster: "c", Name: name, Incarnation: "1"},
-		Secret: []byte("a secret of the test"), NamesAreAddresses: true, Log: zerolog.Nop(),
-	})
-	if err != nil {
-		t.Fatal(err)
-	}
-	server.Config.Handler = node.Handler()
-	server.Start()
-	t.Cleanup(func() { node.Close(); server.Close() })
-	return node, name
-}
-
 // TestRandomFaultsThroughAgents adds agents that stand still with orders in their
 // hands, and links that lose everything, to the faults of TestRandomFaults.
 func TestRandomFaultsThroughAgents(t *testing.T) {
@@ -103,16 +86,17 @@
 	const agents = 3
 	w := newWorld(t)
 	w.lease = 3 * time.Second // outlasts the stalls: only stops and fences keep late orders from running
-	leader, self := testNode(t)
+	leader := peerlinktest.NewNode(t, "")
+	self := leader.Self().Name
 	nodes := make([]*peerlink.Node, agents)
 	orders := make([]*stallingOrders, agents)
 	var peers []relay.Peer
 	for i := range agents {
-		node, name := testNode(t)
+		node := peerlinktest.NewNode(t, "z")
 		nodes[i], orders[i] = node, &stallingOrders{Client: w.client}
 		agent := relay.NewAgent(node, orders[i], zerolog.Nop())
 		t.Cleanup(agent.Close)
-		peers = append(peers, relay.Peer{Name: name, Zone: "z"})
+		peers = append(peers, relay.Peer{Name: node.Self().Name, Zone: "z"})
 	}
 	r := relay.New(relay.Config{
 		Link: leader, Direct: w.client, Self: relay.Peer{Name: self}, Log: zerolog.Nop(),
--- a/driver/types.go
+++ b/driver/types.go
@@ -29,15 +29,6 @@
 	Leads(term uint64) bool
 }
 
-// Workers carries orders to workers. A call ends soon after its context; see
-// platform.Client for its errors.
-type Workers interface {
-	Start(ctx context.Context, e platform.Endpoint, o *platform.StartOrder) (workload.Millis, error)
-	Stop(ctx context.Context, e platform.Endpoint, task workload.TaskRef, run int64, fence uint64) error
-	Pace(ctx context.Context, e platform.Endpoint, task workload.TaskRef, run int64, percent int, fence uint64) error
-	Hold(ctx context.Context, e platform.Endpoint, o *platform.HoldOrder) (*platform.Lists, error)
-}
-
 // Advisor asks the advice service.
 type Advisor interface {
 	Advise(ctx context.Context, address string, step workload.TaskRef, workers []string) (map[string]string, error)
@@ -69,10 +60,11 @@
 	// Name is the holder's name towards the machine service.
 	Name string
 	// Term is the term that this daemon leads; it fences all orders.
-	Term      uint64
-	State     *workload.State
-	Log       Log
-	Workers   Workers
+	Term  uint64
+	State *workload.State
+	Log   Log
+	// Workers carries orders to workers; its calls may end somewhat after their contexts.
+	Workers   platform.Workers
 	Advisor   Advisor
 	Instances Instances
 	// AdviceAddress and MachineAddress may be empty where there is no such service.
--- a/driver/world_test.go
+++ b/driver/world_test.go
@@ -74,7 +74,7 @@
 	// lease is the longest lease of workers started from now on, and of drivers.
 	lease time.Duration
 	// orders carries orders to the workers.
-	orders driver.Workers
+	orders platform.Workers
 	// harm, if set, replaces the outcome of a start, whose number it gets.
 	harm func(attempt int64, err error) error
 
--- /dev/null
+++ b/peerlink/peerlinktest/node.go
@@ -0,0 +1,29 @@
+// Package peerlinktest starts peer links on loopback for tests.
+package peerlinktest
+
+import (
+	"net/http/httptest"
+	"testing"
+
+	"github.com/rs/zerolog"
+
+	"magnoliastand.example/peerlink"
+)
+
+// NewNode serves a node in an availability zone until the test ends. Its name is
+// its address; all nodes share a secret.
+func NewNode(t testing.TB, zone string) *peerlink.Node {
+	t.Helper()
+	server := httptest.NewUnstartedServer(nil)
+	node, err := peerlink.New(peerlink.Config{
+		Self:   peerlink.Identity{Cluster: "c", Name: server.Listener.Addr().String(), Incarnation: "1", Zone: zone},
+		Secret: []byte("a secret of the test"), NamesAreAddresses: true, Log: zerolog.Nop(),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	server.Config.Handler = node.Handler()
+	server.Start()
+	t.Cleanup(func() { node.Close(); server.Close() })
+	return node
+}
--- a/relay/agent.go
+++ b/relay/agent.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"magnoliastand.example/peerlink"
+	"magnoliastand.example/platform"
 )
 
 // maxCarried bounds the orders that an agent carries out at a time, holds included:
@@ -19,7 +20,7 @@
 // Agent carries out orders for whichever daemon leads.
 type Agent struct {
 	link   Link
-	orders Orders
+	orders platform.Workers
 	log    zerolog.Logger
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -32,7 +33,7 @@
 }
 
 // NewAgent returns an agent and registers its handlers on the link.
-func NewAgent(link Link, orders Orders, log zerolog.Logger) *Agent {
+func NewAgent(link Link, orders platform.Workers, log zerolog.Logger) *Agent {
 	ctx, cancel := context.WithCancel(context.Background())
 	a := &Agent{
 		link: link, orders: newLimited(orders), log: log, ctx: ctx, cancel: cancel,
--- a/relay/limit.go
+++ b/relay/limit.go
@@ -18,11 +18,13 @@
 // limited makes calls of which at most maxOrders are under way. Holds are not
 // counted: each worker has at most one.
 type limited struct {
-	Orders
+	platform.Workers
 	slots chan struct{}
 }
 
-func newLimited(o Orders) *limited { return &limited{Orders: o, slots: make(chan struct{}, maxOrders)} }
+func newLimited(w platform.Workers) *limited {
+	return &limited{Workers: w, slots: make(chan struct{}, maxOrders)}
+}
 
 // enter waits for a slot, at most as long as the call itself may take. The time
 // limit of the returned context counts from then.
@@ -48,32 +50,32 @@
 	return callCtx, func() { stop(); cancel(); leave() }, nil
 }
 
-// Start implements Orders.
+// Start implements platform.Workers.
 func (l *limited) Start(ctx context.Context, e platform.Endpoint, o *platform.StartOrder) (workload.Millis, error) {
 	ctx, leave, err := l.enter(ctx)
 	if err != nil {
 		return 0, err
 	}
 	defer leave()
-	return l.Orders.Start(ctx, e, o)
+	return l.Workers.Start(ctx, e, o)
 }
 
-// Stop implements Orders.
+// Stop implements platform.Workers.
 func (l *limited) Stop(ctx context.Context, e platform.Endpoint, task workload.TaskRef, run int64, fence uint64) error {
 	ctx, leave, err := l.enter(ctx)
 	if err != nil {
 		return err
 	}
 	defer leave()
-	return l.Orders.Stop(ctx, e, task, run, fence)
+	return l.Workers.Stop(ctx, e, task, run, fence)
 }
 
-// Pace implements Orders.
+// Pace implements platform.Workers.
 func (l *limited) Pace(ctx context.Context, e platform.Endpoint, task workload.TaskRef, run int64, percent int, fence uint64) error {
 	ctx, leave, err := l.enter(ctx)
 	if err != nil {
 		return err
 	}
 	defer leave()
-	return l.Orders.Pace(ctx, e, task, run, percent, fence)
+	return l.Workers.Pace(ctx, e, task, run, percent, fence)
 }
--- a/relay/message.go
+++ b/relay/message.go
@@ -143,7 +143,7 @@
 }
 
 // carryOut makes the call of an order.
-func (o *order) carryOut(ctx context.Context, to Orders) *outcome {
+func (o *order) carryOut(ctx context.Context, to platform.Workers) *outcome {
 	out := &outcome{Seq: o.Seq}
 	var err error
 	switch {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -21,14 +21,6 @@
 // ErrNoAnswer leaves open whether an order was carried out, now or later.
 var ErrNoAnswer = errors.New("relay: no answer")
 
-// Orders makes calls to workers. Errors are those of platform.Client.
-type Orders interface {
-	Start(ctx context.Context, e platform.Endpoint, o *platform.StartOrder) (workload.Millis, error)
-	Stop(ctx context.Context, e platform.Endpoint, task workload.TaskRef, run int64, fence uint64) error
-	Pace(ctx context.Context, e platform.Endpoint, task workload.TaskRef, run int64, percent int, fence uint64) error
-	Hold(ctx context.Context, e platform.Endpoint, o *platform.HoldOrder) (*platform.Lists, error)
-}
-
 // Link carries messages to other daemons; see peerlink.Node.
 type Link interface {
 	Call(ctx context.Context, peer, method string, req, resp any) error
@@ -47,7 +39,7 @@
 type Config struct {
 	Link Link
 	// Direct makes calls from this daemon.
-	Direct Orders
+	Direct platform.Workers
 	// Self is this daemon.
 	Self Peer
 	// Peers returns the daemons that run an Agent; this one may be among them.
@@ -56,12 +48,12 @@
 	Log     zerolog.Logger
 }
 
-// Relay implements Orders over the agents of other daemons. A call takes as long
+// Relay implements platform.Workers over the agents of other daemons. A call takes as long
 // as its context allows on the worker's side, and up to as long again, and
 // answerMargin, on its way. Safe for concurrent use.
 type Relay struct {
 	cfg    Config
-	direct Orders
+	direct platform.Workers
 
 	mu      sync.Mutex
 	seq     uint64
@@ -81,25 +73,25 @@
 	return r
 }
 
-// Start implements Orders.
+// Start implements platform.Workers.
 func (r *Relay) Start(ctx context.Context, e platform.Endpoint, o *platform.StartOrder) (workload.Millis, error) {
 	out, err := r.do(ctx, &order{Worker: e, Start: o})
 	return out.Clock, err
 }
 
-// Stop implements Orders.
+// Stop implements platform.Workers.
 func (r *Relay) Stop(ctx context.Context, e platform.Endpoint, task workload.TaskRef, run int64, fence uint64) error {
 	_, err := r.do(ctx, &order{Worker: e, Stop: &stopOrder{Task: task, Run: run, Fence: fence}})
 	return err
 }
 
-// Pace implements Orders.
+// Pace implements platform.Workers.
 func (r *Relay) Pace(ctx context.Context, e platform.Endpoint, task workload.TaskRef, run int64, percent int, fence uint64) error {
 	_, err := r.do(ctx, &order{Worker: e, Pace: &paceOrder{Task: task, Run: run, Percent: percent, Fence: fence}})
 	return err
 }
 
-// Hold implements Orders.
+// Hold implements platform.Workers.
 func (r *Relay) Hold(ctx context.Context, e platform.Endpoint, o *platform.HoldOrder) (*platform.Lists, error) {
 	out, err := r.do(ctx, &order{Worker: e, Hold: o})
 	return out.Lists, err
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net/http/httptest"
 	"strings"
 	"sync"
 	"testing"
@@ -14,6 +13,7 @@
 	"github.com/rs/zerolog"
 
 	"magnoliastand.example/peerlink"
+	"magnoliastand.example/peerlink/peerlinktest"
 	"magnoliastand.example/platform"
 	"magnoliastand.example/relay"
 	"magnoliastand.example/workload"
@@ -95,32 +95,16 @@
 	peers   []relay.Peer
 }
 
-func newNode(t *testing.T, zone string) (*peerlink.Node, string) {
-	t.Helper()
-	server := httptest.NewUnstartedServer(nil)
-	name := server.Listener.Addr().String()
-	node, err := peerlink.New(peerlink.Config{
-		Self:   peerlink.Identity{Cluster: "c", Name: name, Incarnation: "1", Zone: zone},
-		Secret: []byte("a secret of the test"), NamesAreAddresses: true, Log: zerolog.Nop(),
-	})
-	if err != nil {
-		t.Fatal(err)
-	}
-	server.Config.Handler = node.Handler()
-	server.Start()
-	t.Cleanup(func() { node.Close(); server.Close() })
-	return node, name
-}
-
 // newFleet makes a leader in zone "a" and an agent in each of the zones.
 func newFleet(t *testing.T, zones ...string) *fleet {
 	t.Helper()
 	f := &fleet{t: t, direct: &recorder{}, agents: map[string]*recorder{}, names: map[string]string{}, agentOf: map[string]*relay.Agent{}, nodes: map[string]*peerlink.Node{}}
-	var name string
-	f.leader, name = newNode(t, "a")
+	f.leader = peerlinktest.NewNode(t, "a")
+	name := f.leader.Self().Name
 	f.peers = append(f.peers, relay.Peer{Name: name, Zone: "a"})
 	for _, zone := range zones {
-		node, agentName := newNode(t, zone)
+		node := peerlinktest.NewNode(t, zone)
+		agentName := node.Self().Name
 		f.agents[zone], f.names[zone], f.nodes[zone] = &recorder{}, agentName, node
 		agent := relay.NewAgent(node, f.agents[zone], zerolog.Nop())
 		t.Cleanup(agent.Close)
