Agents carry out no order that was long on its way

Cause, found by reading: a frozen agent gets orders for up to 0.7 s and would make the calls when it goes on. A worker that started anew under its id meanwhile would take a hold's acknowledgement for its own ends and forget them; such a task would run again after its end was noted (TWICE). Ruled out: the steady clock (it stands still while a machine is suspended), the time of day (it jumps), deadlines of the orders alone (they count from the agent's receipt).

--- a/relay/agent.go
+++ b/relay/agent.go
@@ -17,7 +17,9 @@
 // some seconds of the expected peak. Further ones are answered as not sent.
 const maxCarried = 4096
 
-// Agent carries out orders for whichever daemon leads.
+// Agent carries out orders for whichever daemon leads. Orders that were long on
+// their way, because this daemon stood still or a link was cut, are not carried out:
+// the worker may have started anew under its id and would take them for its own.
 type Agent struct {
 	link   Link
 	orders platform.Workers
@@ -30,6 +32,8 @@
 	carried  atomic.Int64
 	mu       sync.Mutex
 	replies  map[string]*batcher[*outcome]
+	clocks   map[sender]*senderClock
+	now      func() time.Duration
 }
 
 // NewAgent returns an agent and registers its handlers on the link.
@@ -37,7 +41,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	a := &Agent{
 		link: link, orders: newLimited(orders), log: log, ctx: ctx, cancel: cancel,
-		replies: map[string]*batcher[*outcome]{},
+		replies: map[string]*batcher[*outcome]{}, clocks: map[sender]*senderClock{}, now: bootTime,
 	}
 	link.HandleNotify(methodOrders, a.take)
 	link.Handle(methodProbe, a.probe)
@@ -45,7 +49,12 @@
 }
 
 // probe answers a leader's check. A draining agent fails it.
-func (a *Agent) probe(context.Context, peerlink.Identity, []byte) (any, error) {
+func (a *Agent) probe(_ context.Context, from peerlink.Identity, payload []byte) (any, error) {
+	var c check
+	if err := decMode.Unmarshal(payload, &c); err != nil {
+		return nil, errors.Wrap(err, "check")
+	}
+	a.age(from, c.SentAt)
 	if a.draining.Load() {
 		return nil, errors.New("relay: agent is draining")
 	}
@@ -80,7 +89,7 @@
 
 // take starts the orders of a batch.
 func (a *Agent) take(from peerlink.Identity, payload []byte) {
-	var batch []*order
+	var batch orders
 	if err := decMode.Unmarshal(payload, &batch); err != nil {
 		a.log.Warn().Err(err).Str("peer", from.Name).Msg("batch of orders not readable")
 		return
@@ -89,7 +98,7 @@
 		return
 	}
 	replies := a.repliesTo(from.Name)
-	for _, o := range batch {
+	for _, o := range batch.Orders {
 		if a.carried.Add(1) > maxCarried || a.draining.Load() {
 			a.carried.Add(-1)
 			replies.add(&outcome{Seq: o.Seq, Failure: notSent, Detail: "agent is full or draining"})
@@ -97,6 +106,10 @@
 		}
 		a.wg.Go(func() {
 			defer a.carried.Add(-1)
+			if age := a.age(from, batch.SentAt); age > maxAge {
+				replies.add(&outcome{Seq: o.Seq, Failure: notSent, Detail: "reached the agent " + age.String() + " late"})
+				return
+			}
 			ctx, cancel := context.WithTimeout(a.ctx, time.Duration(o.Timeout)*time.Millisecond)
 			defer cancel()
 			replies.add(o.carryOut(ctx, a.orders))
--- a/relay/message.go
+++ b/relay/message.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -25,6 +26,19 @@
 
 var decMode = codec.Decoder(codec.Limits{Items: maxItems, Depth: maxDepth})
 
+// check asks whether an agent takes orders.
+type check struct {
+	// SentAt is on the sender's bootTime.
+	SentAt time.Duration `cbor:"1,keyasint"`
+}
+
+// orders is a batch.
+type orders struct {
+	// SentAt is on the sender's bootTime.
+	SentAt time.Duration `cbor:"1,keyasint"`
+	Orders []*order      `cbor:"2,keyasint"`
+}
+
 // order is one call to a worker; one of the last four fields is set.
 type order struct {
 	// Seq names the order within the life of the sending Relay.
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -334,7 +334,7 @@
 	f.until("the agent drains", func() bool {
 		ctx, cancel := context.WithTimeout(context.Background(), callTime)
 		defer cancel()
-		return f.leader.Call(ctx, f.names["b"], "relay.probe", struct{}{}, nil) != nil
+		return f.leader.Call(ctx, f.names["b"], "relay.probe", map[int]int64{1: 0}, nil) != nil
 	})
 	if err := f.stop("w2", "b"); err != nil && !errors.Is(err, platform.ErrNotSent) {
 		t.Errorf("order to a draining agent: %v", err)
--- a/relay/route.go
+++ b/relay/route.go
@@ -90,7 +90,9 @@
 }
 
 func (r *Relay) newAgentLink(p Peer) *agentLink {
-	return &agentLink{peer: p, batch: newBatcher(func(items []*order) { r.cfg.Link.Notify(p.Name, methodOrders, items) })}
+	return &agentLink{peer: p, batch: newBatcher(func(items []*order) {
+		r.cfg.Link.Notify(p.Name, methodOrders, orders{SentAt: bootTime(), Orders: items})
+	})}
 }
 
 // probe checks all agents at once.
@@ -100,7 +102,7 @@
 	var wg sync.WaitGroup
 	for _, a := range r.known() {
 		wg.Go(func() {
-			err := r.cfg.Link.Call(ctx, a.peer.Name, methodProbe, struct{}{}, nil)
+			err := r.cfg.Link.Call(ctx, a.peer.Name, methodProbe, check{SentAt: bootTime()}, nil)
 			r.probed(a, err)
 		})
 	}
