Read of the change: one list of members, one test of a wave's pending instances

Change: Members calls Peers, Wave.Awaits, overShare returns the map, true comments. Behaviour as before.

--- a/cluster/member.go
+++ b/cluster/member.go
@@ -307,14 +307,10 @@
 
 // Members returns the names of the members that this daemon knows.
 func (m *Member[R]) Members() []string {
-	started := m.Node()
-	if started == nil {
-		return nil
-	}
 	var names []string
-	for _, member := range started.Status().Members {
-		if member.Name != "" && !slices.Contains(names, member.Name) {
-			names = append(names, member.Name)
+	for _, p := range m.Peers() {
+		if !slices.Contains(names, p.Name) {
+			names = append(names, p.Name)
 		}
 	}
 	return names
--- a/driver/wave.go
+++ b/driver/wave.go
@@ -41,7 +41,7 @@
 func (f *fleet) markLeaving(w *workload.Wave) {
 	f.leaving = map[string]bool{}
 	for _, name := range w.Instances {
-		if in := f.instances[name]; in != nil && in.Worker != "" && !w.Begun[name] && !w.Dropped[name] {
+		if in := f.instances[name]; in != nil && in.Worker != "" && w.Awaits(name) {
 			f.leaving[in.Worker] = true
 		}
 	}
@@ -108,7 +108,7 @@
 // dropLeft takes instances that left the fleet out of a wave.
 func (f *fleet) dropLeft(w *workload.Wave) {
 	for _, name := range w.Instances {
-		if f.instances[name] == nil && !w.Begun[name] && !w.Dropped[name] {
+		if f.instances[name] == nil && w.Awaits(name) {
 			f.commit(&workload.Upkeep{Wave: w.ID, Instance: name, Left: true})
 		}
 	}
@@ -138,7 +138,7 @@
 		var best *instance
 		for _, name := range w.Instances {
 			in := f.instances[name]
-			if in == nil || w.Begun[name] || w.Dropped[name] || in.wave != 0 || in.moveTo != "" ||
+			if in == nil || !w.Awaits(name) || in.wave != 0 || in.moveTo != "" ||
 				in.State != platform.InstanceUp || !f.accounted(in, now) {
 				continue
 			}
@@ -218,7 +218,7 @@
 func (f *fleet) patience(w *workload.Wave, now time.Time) time.Duration {
 	left := 0
 	for _, name := range w.Instances {
-		if !w.Begun[name] && !w.Dropped[name] {
+		if w.Awaits(name) {
 			left++
 		}
 	}
--- a/relay/age.go
+++ b/relay/age.go
@@ -8,8 +8,8 @@
 	"magnoliastand.example/peerlink"
 )
 
-// maxAge is how old an order may be when an agent makes its call: the longest an
-// order waits for a batch, a round trip between zones and a slot, as a daemon that runs does.
+// maxAge is how old an order may be when an agent takes it up: far above a batch and a
+// round trip between zones, below the leader's wait for an outcome.
 const maxAge = 500 * time.Millisecond
 
 // bootTime reads a clock that also counts while the machine is suspended, from an
--- a/relay/message.go
+++ b/relay/message.go
@@ -39,7 +39,7 @@
 	Orders []*order      `cbor:"2,keyasint"`
 }
 
-// order is one call to a worker; one of the last four fields is set.
+// order is one call to a worker; one of Start, Stop, Pace and Hold is set.
 type order struct {
 	// Seq names the order within the life of the sending Relay.
 	Seq    uint64            `cbor:"1,keyasint"`
--- a/workload/plan/plan.go
+++ b/workload/plan/plan.go
@@ -148,9 +148,9 @@
 			waiting[j.Team] = true
 		}
 	}
-	shares := newShares(p.in.State, waiting)
+	over := overShare(p.in.State, waiting)
 	for i := range out {
-		out[i].over = shares.over[out[i].job.Team]
+		out[i].over = over[out[i].job.Team]
 	}
 	slices.SortFunc(out, func(a, b candidate) int {
 		return cmp.Or(cmp.Compare(a.urgency, b.urgency), cmp.Compare(a.priority, b.priority),
--- a/workload/plan/share.go
+++ b/workload/plan/share.go
@@ -5,14 +5,9 @@
 	"magnoliastand.example/workload"
 )
 
-// shares tells which teams are beyond their share while others wait.
-type shares struct {
-	over map[string]bool
-}
-
-// newShares compares the use of the waiting teams with their weights. A team's
-// share counts against the teams that use or wait for something.
-func newShares(state *workload.State, waiting map[string]bool) shares {
+// overShare tells which of the waiting teams use more than their weight's share of
+// what is in use. A share counts against the teams that use or wait for something.
+func overShare(state *workload.State, waiting map[string]bool) map[string]bool {
 	var total workload.Size
 	var weights float64
 	document := state.Document()
@@ -24,17 +19,17 @@
 			weights += t.Weight
 		}
 	}
-	s := shares{over: map[string]bool{}}
+	over := map[string]bool{}
 	if weights <= 0 {
-		return s
+		return over
 	}
 	for name := range waiting {
 		if t, ok := state.Team(name); ok {
 			used := fairshare.DominantShare(resources(state.TeamUse(name)), resources(total))
-			s.over[name] = used > t.Weight/weights
+			over[name] = used > t.Weight/weights
 		}
 	}
-	return s
+	return over
 }
 
 // resources converts an amount; only proportions matter, so the units are kept.
--- a/workload/types.go
+++ b/workload/types.go
@@ -326,10 +326,8 @@
 
 // Completed reports whether every instance that stays has begun its upkeep.
 func (w *Wave) Completed() bool {
-	for _, i := range w.Instances {
-		if !w.Begun[i] && !w.Dropped[i] {
-			return false
-		}
-	}
-	return true
+	return !slices.ContainsFunc(w.Instances, w.Awaits)
 }
+
+// Awaits reports whether the upkeep of an instance of the wave has yet to begin.
+func (w *Wave) Awaits(instance string) bool { return !w.Begun[instance] && !w.Dropped[instance] }
