dispatch/record: a slow reply no longer refuses a resend

Ruled out: permitting in doubt (an earlier attempt could start after the caller was told "not run"). Change: each vote keeps the times of request and reply, which bound the time of the refusal; a local decider reports its own time. While the order is open the decider is asked again with the same token, at most five times.

--- a/dispatch/record/majority.go
+++ b/dispatch/record/majority.go
@@ -15,11 +15,20 @@
 	splitVoteBackoff = 5 * time.Millisecond
 )
 
-// vote is the reply of one acceptor.
+// vote is the reply of one decider.
 type vote struct {
 	daemon string
 	reply  BeginReply
 	err    error
+	// sent and received are when this daemon sent the request and received the
+	// reply. They are equal if this daemon is the decider.
+	sent, received time.Time
+}
+
+// refusedBetween returns the earliest and latest time, by this daemon's clock,
+// at which the decider recorded the refusal that it reports.
+func (v *vote) refusedBetween() (earliest, latest time.Time) {
+	return v.sent.Add(-v.reply.RefusedAgo), v.received.Add(-v.reply.RefusedAgo)
 }
 
 // decideByAcceptors decides on a caller-chosen id.
@@ -27,10 +36,11 @@
 	pause := splitVoteBackoff
 	for round := 1; ; round++ {
 		sets := s.members.acceptors(c.ID, s.cfg.Store.Retention, time.Now())
-		votes := s.collectVotes(ctx, union(sets), s.newToken(c), sets)
+		r := s.newToken(c)
+		votes := s.collectVotes(ctx, union(sets), r, sets)
 		d := tally(sets, votes)
 		if d.Verdict == Proceed {
-			return s.proceedUnlessRefused(ctx, c, time.Now(), successfulReplies(votes))
+			return s.proceedUnlessRefused(ctx, c, r, votes)
 		}
 		withdrawn := FinishRequest{ID: c.ID, Token: c.token, Result: ResultWithdrawn}
 		s.report(context.WithoutCancel(ctx), union(sets), withdrawn)
@@ -49,10 +59,7 @@
 func (s *Service) collectVotes(ctx context.Context, acceptors []string, r BeginRequest, sets [][]string) []vote {
 	ch := make(chan vote, len(acceptors))
 	for _, daemon := range acceptors {
-		go func() {
-			reply, err := s.begin(context.WithoutCancel(ctx), daemon, r)
-			ch <- vote{daemon: daemon, reply: reply, err: err}
-		}()
+		go func() { ch <- s.begin(context.WithoutCancel(ctx), daemon, r) }()
 	}
 	votes := make([]vote, 0, len(acceptors))
 	for range acceptors {
@@ -136,16 +143,6 @@
 	return false
 }
 
-func successfulReplies(votes []vote) []BeginReply {
-	all := make([]BeginReply, 0, len(votes))
-	for _, v := range votes {
-		if v.err == nil {
-			all = append(all, v.reply)
-		}
-	}
-	return all
-}
-
 // sleep returns false if ctx ended before d passed.
 func sleep(ctx context.Context, d time.Duration) bool {
 	timer := time.NewTimer(d)
--- a/dispatch/record/serve.go
+++ b/dispatch/record/serve.go
@@ -7,14 +7,26 @@
 	"magnoliastand.example/dispatch"
 )
 
-// HandleBegin handles a BeginRequest of a peer or of this daemon's origin.
+// HandleBegin handles a BeginRequest of a peer.
 func (s *Service) HandleBegin(r BeginRequest) BeginReply {
+	reply, _ := s.beginLocally(r)
+	return reply
+}
+
+// beginLocally decides on a BeginRequest. It also returns the time of the
+// decision, from which the reply counts RefusedAgo.
+func (s *Service) beginLocally(r BeginRequest) (BeginReply, time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	now := time.Now()
+	return s.beginAt(r, now), now
+}
+
+// beginAt must be called with s.mu held.
+func (s *Service) beginAt(r BeginRequest, now time.Time) BeginReply {
 	if s.sealed {
 		return BeginReply{Verdict: Abstain}
 	}
-	now := time.Now()
 	id, ok := ParseID(r.ID)
 	if !ok {
 		return s.acceptor.Begin(r, now)
--- a/dispatch/record/service.go
+++ b/dispatch/record/service.go
@@ -39,6 +39,9 @@
 	// are dropped; their ids stay running until their hold ends and are unknown
 	// after that.
 	maxPendingReports = 1024
+	// maxRefusalChecks limits how often a decider is asked when the earlier
+	// refusal happened. Each further reply narrows the time to its own delay.
+	maxRefusalChecks = 5
 )
 
 // Config configures a Service.
@@ -294,9 +297,9 @@
 	defer cancel()
 	deadline := time.Now().Add(homeTimeout)
 	for pause := homeRetryInterval; ; pause = min(2*pause, maxHomeRetryInterval) {
-		reply, err := s.begin(ctx, id.Daemon, r)
-		if err == nil && reply.Verdict != Abstain {
-			return s.decideByReply(ctx, id, c, reply)
+		v := s.begin(ctx, id.Daemon, r)
+		if v.err == nil && v.reply.Verdict != Abstain {
+			return s.decideByReply(ctx, id, c, r, v)
 		}
 		if time.Now().Add(pause).After(deadline) || !sleep(ctx, pause) {
 			break
@@ -307,14 +310,14 @@
 	return s.decideByCopies(context.WithoutCancel(ctx), id, c)
 }
 
-func (s *Service) decideByReply(ctx context.Context, id ID, c *Claim, reply BeginReply) Decision {
-	switch reply.Verdict {
+func (s *Service) decideByReply(ctx context.Context, id ID, c *Claim, r BeginRequest, v vote) Decision {
+	switch v.reply.Verdict {
 	case Proceed:
-		return s.proceedUnlessRefused(ctx, c, time.Now(), []BeginReply{reply})
+		return s.proceedUnlessRefused(ctx, c, r, []vote{v})
 	case Unknown:
 		return s.decideByCopies(ctx, id, c)
 	default:
-		return Decision{Verdict: reply.Verdict, Answer: reply.Answer}
+		return Decision{Verdict: v.reply.Verdict, Answer: v.reply.Answer}
 	}
 }
 
@@ -332,12 +335,13 @@
 
 // proceedUnlessRefused turns a permission into Superseded if the caller may
 // have been told "not run" for the id after this attempt arrived, because the
-// caller may rely on it. RefusedAgo is measured at the sender of the reply, so
-// by this daemon's clock the refusal happened no later than replied minus
-// RefusedAgo.
-func (s *Service) proceedUnlessRefused(ctx context.Context, c *Claim, replied time.Time, replies []BeginReply) Decision {
-	for _, r := range replies {
-		if r.Refused && !s.refusalCheckDisabled && !c.Received.After(replied.Add(-r.RefusedAgo)) {
+// caller may rely on it.
+func (s *Service) proceedUnlessRefused(ctx context.Context, c *Claim, r BeginRequest, votes []vote) Decision {
+	if s.refusalCheckDisabled {
+		return Decision{Verdict: Proceed}
+	}
+	for _, v := range votes {
+		if v.err == nil && v.reply.Refused && !s.arrivedAfterRefusal(ctx, c, r, v) {
 			s.Finish(ctx, c, ResultNotRun, nil)
 			return Decision{Verdict: Superseded}
 		}
@@ -345,14 +349,36 @@
 	return Decision{Verdict: Proceed}
 }
 
-func (s *Service) begin(ctx context.Context, daemon string, r BeginRequest) (BeginReply, error) {
+// arrivedAfterRefusal reports whether an attempt certainly arrived after the
+// refusal that a decider reported. The decider is asked again while the delay of
+// its reply leaves the order open; repeating the request permits one start only.
+func (s *Service) arrivedAfterRefusal(ctx context.Context, c *Claim, r BeginRequest, v vote) bool {
+	for n := 1; v.err == nil && v.reply.Verdict == Proceed; n++ {
+		earliest, latest := v.refusedBetween()
+		if c.Received.After(latest) {
+			return true
+		}
+		if !c.Received.After(earliest) || n == maxRefusalChecks {
+			return false
+		}
+		v = s.begin(context.WithoutCancel(ctx), v.daemon, r)
+	}
+	return false
+}
+
+func (s *Service) begin(ctx context.Context, daemon string, r BeginRequest) vote {
+	v := vote{daemon: daemon}
 	if daemon == s.cfg.Self.Name {
-		return s.HandleBegin(r), nil
+		v.reply, v.sent = s.beginLocally(r)
+		v.received = v.sent
+		return v
 	}
 	ctx, cancel := context.WithTimeout(ctx, s.cfg.CallTimeout)
 	defer cancel()
+	v.sent = time.Now()
 	reply, err := s.cfg.Peers.Begin(ctx, daemon, r)
-	return reply, errors.Wrapf(err, "begin at %s", daemon)
+	v.reply, v.received, v.err = reply, time.Now(), errors.Wrapf(err, "begin at %s", daemon)
+	return v
 }
 
 func (s *Service) lookup(ctx context.Context, daemon string, r LookupRequest) (LookupReply, error) {
--- a/dispatch/record/service_test.go
+++ b/dispatch/record/service_test.go
@@ -281,3 +281,77 @@
 		}
 	})
 }
+
+// slowBegin delays the replies to Begin, the first one by the first duration and
+// so on; further replies are not delayed.
+type slowBegin struct {
+	Peers
+	delays []time.Duration
+}
+
+func (p *slowBegin) Begin(ctx context.Context, daemon string, r BeginRequest) (BeginReply, error) {
+	reply, err := p.Peers.Begin(ctx, daemon, r)
+	if len(p.delays) > 0 {
+		time.Sleep(p.delays[0])
+		p.delays = p.delays[1:]
+	}
+	return reply, err
+}
+
+// TestSlowReplyDoesNotRefuseResend refuses an id and resends it 10 ms later, while
+// the home daemon's reply takes longer than that. The resend arrived after the
+// refusal, so it must be permitted. An attempt that arrived before the refusal
+// must not be, however long the reply takes.
+func TestSlowReplyDoesNotRefuseResend(t *testing.T) {
+	for name, test := range map[string]struct {
+		arrival time.Duration // of the resend, relative to the refusal
+		delays  []time.Duration
+		want    Verdict
+	}{
+		"resend, one slow reply":   {10 * time.Millisecond, []time.Duration{100 * time.Millisecond}, Proceed},
+		"resend, slow replies":     {10 * time.Millisecond, []time.Duration{100 * time.Millisecond, 50 * time.Millisecond, 20 * time.Millisecond}, Proceed},
+		"earlier attempt":          {-10 * time.Millisecond, nil, Superseded},
+		"earlier, one slow reply":  {-10 * time.Millisecond, []time.Duration{100 * time.Millisecond}, Superseded},
+		"order stays undetermined": {500 * time.Microsecond, nil, Superseded},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runFaultFree(t, func(s *sim) {
+				home, other := s.nodes[0], s.nodes[1]
+				id := home.service.IssueID()
+				first := claimFor(id, "x")
+				if d := begin(home, first); d.Verdict != Proceed {
+					t.Fatalf("first attempt: verdict %d", d.Verdict)
+				}
+				home.service.Finish(t.Context(), first, ResultNotRun, nil)
+				refused := time.Now()
+				time.Sleep(50 * time.Millisecond)
+				other.service.cfg.Peers = &slowBegin{Peers: other.service.cfg.Peers, delays: test.delays}
+				resend := claimFor(id, "x")
+				resend.Received = refused.Add(test.arrival)
+				if d := begin(other, resend); d.Verdict != test.want {
+					t.Errorf("verdict %d, want %d", d.Verdict, test.want)
+				}
+			})
+		})
+	}
+}
+
+// TestLocalRefusalIsDatedExactly lets the process stall between the decision of a
+// local decider and the evaluation of its reply.
+func TestLocalRefusalIsDatedExactly(t *testing.T) {
+	runFaultFree(t, func(s *sim) {
+		home := s.nodes[0]
+		id := home.service.IssueID()
+		first := claimFor(id, "x")
+		begin(home, first)
+		home.service.Finish(t.Context(), first, ResultNotRun, nil)
+		time.Sleep(time.Millisecond)
+		resend := claimFor(id, "x")
+		r := home.service.newToken(resend)
+		v := home.service.begin(t.Context(), home.name, r)
+		time.Sleep(time.Second)
+		if d := home.service.proceedUnlessRefused(t.Context(), resend, r, []vote{v}); d.Verdict != Proceed {
+			t.Errorf("verdict %d", d.Verdict)
+		}
+	})
+}
