consensus/node: TestClusterFormsAndSurvivesRestarts checks all members before it proposes

Change: all members are checked for 51 entries, then a proposal is made at each, and all are checked for 52, which is stricter: nothing but the leader's proposal may be in the log.

--- a/consensus/node/node_test.go
+++ b/consensus/node/node_test.go
@@ -26,19 +26,29 @@
 		if err != nil || n != 51 {
 			t.Fatalf("result %d, %v; want 51 entries after the restart", n, err)
 		}
-		for _, m := range ms {
-			if err := m.node.ReadIndex(ctx); err != nil {
-				t.Fatal(err)
-			}
-			if got := len(m.recorder.list()); got != 51 {
-				t.Errorf("%s has %d entries after ReadIndex, want 51", m.name, got)
+		checkEntries := func(want int) {
+			t.Helper()
+			for _, m := range ms {
+				if err := m.node.ReadIndex(ctx); err != nil {
+					t.Fatal(err)
+				}
+				if got := len(m.recorder.list()); got != want {
+					t.Errorf("%s has %d entries after ReadIndex, want %d", m.name, got, want)
+				}
 			}
+		}
+		checkEntries(51)
+		for _, m := range ms {
 			_, err := m.node.Propose(ctx, []byte("x"))
 			var nl *consensus.NotLeaderError
+			if m == lead && err != nil {
+				t.Errorf("proposal at the leader: %v", err)
+			}
 			if m != lead && (!errors.As(err, &nl) || nl.Leader != lead.store.Node()) {
 				t.Errorf("error %v, want NotLeaderError with leader %s", err, lead.name)
 			}
 		}
+		checkEntries(52) // only the leader's proposal is in the log
 	})
 }
 
