cluster: a member outlives a full disk

Ruled out: going on with the node after a failed write (the state on disk is unknown, so an acknowledgement or a vote could be lost); reopening the database as it is (after a failed sync, pages may be readable that are not on disk). Change: Member.Run closes the storage, tries again with backoff (storage.Reopen copies the database to a new synced file first) and starts the node from it, exactly as a new process would. Meanwhile it neither votes nor leads; it asks other members for the leader and goes on forwarding and carrying out orders. One log line and the gauge magnoliastand_log_storage_failed tell. A stopped node reports the role follower; a blocked one shows its age. A leader whose writes take over 100 ms on average transfers its leadership. The daemon of our own interface keeps the restored state out of force until a read of the log has confirmed it (BeforeStart).

--- a/cluster/cluster_test.go
+++ b/cluster/cluster_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 
 	"magnoliastand.example/consensus"
@@ -68,17 +69,24 @@
 	t.Cleanup(s.CloseClientConnections)
 }
 
+// prepareMember, if set, is called with each member before it runs.
+var prepareMember func(*Member[int])
+
 // start opens and runs a member.
 func start(t *testing.T, l net.Listener, seeds []string, form bool, folder string) *daemon {
 	t.Helper()
 	link := newLink(t, l)
 	m, err := Open(Config[int]{
 		Self: l.Addr().String(), Zone: "z", DataFolder: folder, Seeds: seeds, Form: form, Voters: 3,
-		Silence: 2 * time.Second, Machine: &counter{}, Link: link, Log: zerolog.Nop(),
+		Silence: 2 * time.Second, Machine: &counter{}, Link: link,
+		Metrics: NewMetrics(prometheus.NewRegistry()), Log: zerolog.Nop(),
 	})
 	if err != nil {
 		t.Fatal(err)
 	}
+	if prepareMember != nil {
+		prepareMember(m)
+	}
 	serve(t, l, link)
 	ctx, stop := context.WithCancel(context.Background())
 	d := &daemon{name: l.Addr().String(), link: link, member: m, ended: make(chan error, 1), stop: stop}
--- a/cluster/finder.go
+++ b/cluster/finder.go
@@ -92,6 +92,16 @@
 	return f.leader != "" && time.Since(f.confirmedAt) < leaderFreshness
 }
 
+// FreshLeader returns the leader if it confirmed its leadership within
+// leaderFreshness, or "".
+func (f *Finder) FreshLeader() string {
+	if !f.HasLeader() {
+		return ""
+	}
+	name, _ := f.Leader()
+	return name
+}
+
 // refresh queries the known leader, and all candidates if it does not confirm its
 // leadership.
 func (f *Finder) refresh(ctx context.Context) bool {
--- a/cluster/member.go
+++ b/cluster/member.go
@@ -60,29 +60,45 @@
 	// Silence is how long a voter may be silent before a spare replaces it.
 	Silence time.Duration
 	Machine node.StateMachine[R]
-	Link    *peerlink.Node
-	Log     zerolog.Logger
+	// BeforeStart, if set, is called each time before the state machine is
+	// restored from the disk. The restored state may be older than before.
+	BeforeStart func()
+	Link        *peerlink.Node
+	Metrics     *Metrics
+	Log         zerolog.Logger
 }
 
 // Member is this daemon's membership in the replicated log.
 type Member[R any] struct {
-	cfg  Config[R]
-	disk *storage.Disk
+	cfg    Config[R]
+	finder *Finder
+	// reopen opens the storage again after it failed. Tests replace it.
+	reopen func() (storage.Storage, error)
 
 	mu     sync.Mutex
+	disk   storage.Storage
 	former *node.Former
 	node   *node.Node[R]
 	names  map[consensus.NodeID]string
+
+	// yieldedAt is when this daemon last gave up leadership for its slow disk.
+	// It is used by maintainMembership only.
+	yieldedAt time.Time
 }
 
 // Open opens the log in the data folder and registers the peer link handlers.
 // Errors are those of storage.Open.
 func Open[R any](cfg Config[R]) (*Member[R], error) {
-	disk, err := storage.Open(filepath.Join(cfg.DataFolder, logFolder))
+	folder := filepath.Join(cfg.DataFolder, logFolder)
+	disk, err := storage.Open(folder)
 	if err != nil {
 		return nil, errors.Wrap(err, "data_folder")
 	}
-	m := &Member[R]{cfg: cfg, disk: disk, names: map[consensus.NodeID]string{}}
+	m := &Member[R]{
+		cfg: cfg, disk: disk, names: map[consensus.NodeID]string{},
+		finder: NewFinder(cfg.Link, slices.Concat(cfg.Seeds, cfg.Peers), cfg.Log),
+		reopen: func() (storage.Storage, error) { return storage.Reopen(folder) },
+	}
 	cfg.Link.HandleNotify(methodLog, m.handleLog)
 	cfg.Link.HandleNotify(methodForm, m.handleForm)
 	cfg.Link.Handle(methodJoin, m.handleJoin)
@@ -90,11 +106,35 @@
 	return m, nil
 }
 
-// Run binds the disk to a cluster and then runs the log until ctx ends or the log
-// fails.
+// Run binds the disk to a cluster and then runs the log until ctx ends. After a
+// failed write the member leaves the log until the disk can be written again. Run
+// returns an error if the disk is damaged or the state machine fails.
 func (m *Member[R]) Run(ctx context.Context) error {
+	searchCtx, stopSearch := context.WithCancel(ctx)
+	searched := make(chan struct{})
+	go func() {
+		defer close(searched)
+		m.searchLeader(searchCtx)
+	}()
+	defer func() {
+		stopSearch()
+		<-searched
+	}()
+	for {
+		err := m.runLog(ctx)
+		if !errors.Is(err, node.ErrStorage) || ctx.Err() != nil {
+			return err
+		}
+		if err := m.awaitStorage(ctx, err); err != nil {
+			return err
+		}
+	}
+}
+
+// runLog runs the log until ctx ends or it fails, and closes the storage.
+func (m *Member[R]) runLog(ctx context.Context) error {
 	defer func() {
-		if err := m.disk.Close(); err != nil {
+		if err := m.storage().Close(); err != nil {
 			m.cfg.Log.Error().Err(err).Msg("failed to close log")
 		}
 	}()
@@ -154,7 +194,7 @@
 			Rand:        newRandSource(),
 			RetryTicks:  formRetryTicks,
 		},
-		Storage:    m.disk,
+		Storage:    m.storage(),
 		Send:       func(to string, msg bootstrap.Message) { m.cfg.Link.Notify(to, methodForm, msg) },
 		TickPeriod: logTick,
 	})
@@ -169,8 +209,11 @@
 
 func (m *Member[R]) startNode() (*node.Node[R], error) {
 	silent := uint64(m.cfg.Silence / logTick)
+	if m.cfg.BeforeStart != nil {
+		m.cfg.BeforeStart()
+	}
 	started, err := node.Start(node.Config[R]{
-		Storage:    m.disk,
+		Storage:    m.storage(),
 		Transport:  m,
 		Machine:    m.cfg.Machine,
 		TickPeriod: logTick,
@@ -356,6 +399,7 @@
 		if removed || !m.isMember() {
 			m.requestJoin(ctx)
 		}
+		m.yieldOnSlowDisk(ctx)
 		select {
 		case <-time.After(joinInterval):
 		case <-ctx.Done():
@@ -366,7 +410,7 @@
 // requestJoin sends join requests to the daemons that may be the leader until one
 // succeeds.
 func (m *Member[R]) requestJoin(ctx context.Context) {
-	self := consensus.Member{ID: m.disk.Node(), Name: m.cfg.Self, Zone: m.cfg.Zone}
+	self := consensus.Member{ID: m.storage().Node(), Name: m.cfg.Self, Zone: m.cfg.Zone}
 	asked := map[string]bool{m.cfg.Self: true}
 	for _, peer := range append(append([]string{m.Leader()}, m.cfg.Seeds...), m.Members()...) {
 		if peer == "" || asked[peer] {
@@ -417,13 +461,13 @@
 	return s.Term, s.Role == consensus.Leader && s.QuorumKnown && s.QuorumAge < LeaseTime
 }
 
-// Leader returns the leader as far as this daemon knows, or "".
+// Leader returns the leader as far as this daemon knows, or "". While this
+// daemon's own log is not running, that is the leader known to other members.
 func (m *Member[R]) Leader() string {
-	started := m.Node()
-	if started == nil {
-		return ""
+	if !m.isLogRunning() {
+		return m.finder.FreshLeader()
 	}
-	if leader := started.Status().Leader; leader != consensus.None {
+	if leader := m.Node().Status().Leader; leader != consensus.None {
 		return m.nameOf(leader)
 	}
 	return ""
--- a/consensus/node/fault_test.go
+++ b/consensus/node/fault_test.go
@@ -203,12 +203,12 @@
 func TestHistoriesAreLinearizable(t *testing.T) {
 	calls, stale := 0, 0
 	for seed := range uint64(40) {
-		h := runHistory(t, seed, false)
+		h := runHistory(t, seed, false, (*cluster).isolateRandomly)
 		calls += len(h.ops)
 		if !porcupine.CheckOperations(listModel, h.ops) {
 			t.Errorf("seed %d: history of %d calls is not linearizable", seed, len(h.ops))
 		}
-		if !porcupine.CheckOperations(listModel, runHistory(t, seed, true).ops) {
+		if !porcupine.CheckOperations(listModel, runHistory(t, seed, true, (*cluster).isolateRandomly).ops) {
 			stale++
 		}
 	}
@@ -218,7 +218,55 @@
 	}
 }
 
-func runHistory(t *testing.T, seed uint64, skipReadIndex bool) *history {
+// TestFailingDisksKeepHistoriesLinearizable makes writes of random nodes fail,
+// some of them after they took effect, while other nodes are isolated. A node
+// whose write failed is started again from its disk, as after a full disk.
+func TestFailingDisksKeepHistoriesLinearizable(t *testing.T) {
+	failures := 0
+	for seed := range uint64(60) {
+		h := runHistory(t, seed, false, func(c *cluster, ms []*member, rnd *rand.Rand, done <-chan struct{}) {
+			failures += c.failDisksRandomly(ms, rnd, done)
+		})
+		if !porcupine.CheckOperations(listModel, h.ops) {
+			t.Errorf("seed %d: history of %d calls is not linearizable", seed, len(h.ops))
+		}
+	}
+	if failures < 100 {
+		t.Errorf("%d failed writes, want 100 or more", failures)
+	}
+}
+
+// failDisksRandomly makes a write of random nodes fail until done is closed, and
+// starts these nodes again. It returns the number of failed writes.
+func (c *cluster) failDisksRandomly(ms []*member, rnd *rand.Rand, done <-chan struct{}) int {
+	failures := 0
+	for {
+		m := ms[rnd.IntN(len(ms))]
+		isolated := ms[rnd.IntN(len(ms))]
+		c.setIsolated(isolated.name, rnd.IntN(3) == 0)
+		mem := m.store.(*storage.Memory)
+		mem.Plan(storage.Crash{AtSync: 1 + rnd.IntN(4), Durable: rnd.IntN(2) == 0})
+		n, _ := c.running(m)
+		select {
+		case <-n.Done():
+			failures++
+			time.Sleep(time.Duration(rnd.IntN(1500)) * time.Millisecond)
+			c.stopNode(m)
+			c.replaceStorage(m, mem.Reopen(storage.Crash{}))
+			c.startNode(m)
+		case <-time.After(time.Duration(rnd.IntN(2000)) * time.Millisecond):
+			mem.Plan(storage.Crash{})
+		case <-done:
+			mem.Plan(storage.Crash{})
+			for _, m := range ms {
+				c.setIsolated(m.name, false)
+			}
+			return failures
+		}
+	}
+}
+
+func runHistory(t *testing.T, seed uint64, skipReadIndex bool, disturb func(*cluster, []*member, *rand.Rand, <-chan struct{})) *history {
 	h := &history{skipReadIndex: skipReadIndex}
 	runWithFakeClock(t, func(_ *testing.T, ctx context.Context, c *cluster) {
 		c.snapshotEntries = 8
@@ -227,9 +275,9 @@
 		done := make(chan struct{})
 		var wg sync.WaitGroup
 		for client := range 4 {
-			wg.Go(func() { h.client(ctx, ms, client, rand.New(rand.NewPCG(seed, uint64(client)))) })
+			wg.Go(func() { h.client(ctx, c, ms, client, rand.New(rand.NewPCG(seed, uint64(client)))) })
 		}
-		wg.Go(func() { c.isolateRandomly(ms, rand.New(rand.NewPCG(seed, 99)), done) })
+		wg.Go(func() { disturb(c, ms, rand.New(rand.NewPCG(seed, 99)), done) })
 		time.Sleep(30 * time.Second)
 		close(done)
 		wg.Wait()
@@ -260,19 +308,22 @@
 	skipReadIndex bool
 }
 
-func (h *history) client(ctx context.Context, ms []*member, id int, rnd *rand.Rand) {
+func (h *history) client(ctx context.Context, c *cluster, ms []*member, id int, rnd *rand.Rand) {
 	for i := range 12 {
 		time.Sleep(time.Duration(rnd.IntN(2000)) * time.Millisecond)
-		m := ms[rnd.IntN(len(ms))]
+		n, recorder := c.running(ms[rnd.IntN(len(ms))])
+		if n == nil {
+			continue
+		}
 		call := time.Now().UnixNano()
 		in, out, ok := listOp{}, 0, false
 		limit, cancel := context.WithTimeout(ctx, 3*time.Second)
 		if rnd.IntN(2) == 0 {
 			in.write = fmt.Sprint(id, "/", i)
-			n, err := m.node.Propose(limit, []byte(in.write))
-			out, ok = n, err == nil || errors.Is(err, ErrOutcomeUnknown)
-		} else if h.skipReadIndex || m.node.ReadIndex(limit) == nil {
-			out, ok = len(m.recorder.list()), true
+			length, err := n.Propose(limit, []byte(in.write))
+			out, ok = length, err == nil || errors.Is(err, ErrOutcomeUnknown)
+		} else if h.skipReadIndex || n.ReadIndex(limit) == nil {
+			out, ok = len(recorder.list()), true
 		}
 		cancel()
 		end := time.Now().UnixNano()
--- a/consensus/node/harness_test.go
+++ b/consensus/node/harness_test.go
@@ -149,19 +149,27 @@
 func (c *cluster) startNode(m *member) {
 	<-m.former.Bound()
 	coreConfig := c.coreConfig
-	m.recorder = &entryRecorder{}
+	recorder := &entryRecorder{}
 	n, err := Start(Config[int]{
-		Storage: m.store, Transport: memoryTransport{c, m.name}, Machine: m.recorder, Rand: c.newRandSource(),
+		Storage: m.store, Transport: memoryTransport{c, m.name}, Machine: recorder, Rand: c.newRandSource(),
 		CoreConfig: &coreConfig, Repair: c.repair, SnapshotEntries: c.snapshotEntries,
 	})
 	if err != nil {
 		c.t.Fatal(err)
 	}
 	c.mu.Lock()
-	m.node = n
+	m.node, m.recorder = n, recorder
 	c.mu.Unlock()
 }
 
+// running returns the node of a member and its state machine, or nil while the
+// member is stopped.
+func (c *cluster) running(m *member) (*Node[int], *entryRecorder) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return m.node, m.recorder
+}
+
 func (c *cluster) setIsolated(name string, isolated bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/consensus/node/loop.go
+++ b/consensus/node/loop.go
@@ -13,6 +13,7 @@
 func (n *Node[R]) run() {
 	ticks, stopTicks := n.cfg.Clock.NewTicker(n.cfg.TickPeriod)
 	defer close(n.done)
+	defer n.publishStopped()
 	defer n.failPending()
 	defer stopTicks()
 	for {
@@ -154,10 +155,9 @@
 // handleReady processes one Ready in the order that consensus.Ready documents.
 func (n *Node[R]) handleReady(rd *consensus.Ready) error {
 	if !rd.Update.Empty() {
-		if err := n.cfg.Storage.Save(rd.Update); err != nil {
-			return errors.Wrap(ErrStorage, err.Error())
+		if err := n.save(&rd.Update); err != nil {
+			return err
 		}
-		n.syncs++
 	}
 	for _, m := range rd.Messages {
 		n.cfg.Transport.Send(m.To, m)
@@ -177,6 +177,17 @@
 	return nil
 }
 
+// save stores an update durably and measures how long that takes.
+func (n *Node[R]) save(u *consensus.Update) error {
+	start := n.cfg.Clock.Now()
+	if err := n.cfg.Storage.Save(*u); err != nil {
+		return errors.Wrap(ErrStorage, err.Error())
+	}
+	n.syncs++
+	n.syncLatency = (syncWeight*n.syncLatency + n.cfg.Clock.Now().Sub(start)) / (syncWeight + 1)
+	return nil
+}
+
 // apply applies one committed entry to the state machine and answers the call that
 // proposed it. If the entry at that index is from another term, the proposal was
 // superseded.
@@ -273,7 +284,10 @@
 // publishStatus updates the copy that Status returns, and notifies the users of
 // Changed if it differs.
 func (n *Node[R]) publishStatus() {
-	s := &Status{Status: n.core.Status(), Syncs: n.syncs, Refused: n.refusedMessages}
+	s := &Status{
+		Status: n.core.Status(), Syncs: n.syncs, Refused: n.refusedMessages, SyncLatency: n.syncLatency,
+		publishedAt: n.cfg.Clock.Now(),
+	}
 	if s.QuorumKnown && s.QuorumTicks < uint64(len(n.tickTimes)) && s.QuorumTicks <= n.tickCount {
 		s.QuorumAt = n.tickTimes[(n.tickCount-s.QuorumTicks)%uint64(len(n.tickTimes))]
 	} else {
@@ -281,10 +295,24 @@
 	}
 	old := n.status.Swap(s)
 	if old == nil || statusChanged(&old.Status, &s.Status) {
-		next := make(chan struct{})
-		if last := n.changed.Swap(&next); last != nil {
-			close(*last)
-		}
+		n.notifyChanged()
+	}
+}
+
+// publishStopped publishes that the event loop has terminated, so that nobody
+// takes the node for the leader that it was.
+func (n *Node[R]) publishStopped() {
+	s := *n.status.Load()
+	s.Role, s.Leader, s.QuorumKnown, s.Stopped = consensus.Follower, consensus.None, false, true
+	n.status.Store(&s)
+	n.notifyChanged()
+}
+
+// notifyChanged wakes the users of Changed.
+func (n *Node[R]) notifyChanged() {
+	next := make(chan struct{})
+	if last := n.changed.Swap(&next); last != nil {
+		close(*last)
 	}
 }
 
--- a/consensus/node/node.go
+++ b/consensus/node/node.go
@@ -12,8 +12,13 @@
 	"magnoliastand.example/consensus"
 )
 
-// maxBatch limits the messages and calls that are handled between two syncs.
-const maxBatch = 512
+const (
+	// maxBatch limits the messages and calls that are handled between two syncs.
+	maxBatch = 512
+	// syncWeight is the weight of the previous writes in the moving average of
+	// their duration, against 1 for the last one.
+	syncWeight = 7
+)
 
 // Node runs one member of a cluster. Its methods are safe for concurrent use.
 type Node[R any] struct {
@@ -39,6 +44,7 @@
 	snapshotIndex      uint64
 	bytesSinceSnapshot int
 	syncs              uint64
+	syncLatency        time.Duration
 	refusedMessages    uint64
 	tickTimes          []time.Time
 	tickCount          uint64
@@ -299,6 +305,7 @@
 // Status returns a copy of the state after the last iteration of the event loop.
 func (n *Node[R]) Status() Status {
 	s := *n.status.Load()
+	s.Age = n.cfg.Clock.Now().Sub(s.publishedAt)
 	if s.QuorumKnown {
 		s.QuorumAge = n.cfg.Clock.Now().Sub(s.QuorumAt)
 	}
--- a/consensus/node/types.go
+++ b/consensus/node/types.go
@@ -145,4 +145,14 @@
 	Syncs uint64
 	// Refused is the number of messages that the Core rejected since the start.
 	Refused uint64
+	// Age is the time since the event loop last published its state. It grows
+	// while a write to the storage or the state machine blocks the loop.
+	Age time.Duration
+	// SyncLatency is the moving average of the duration of a durable write.
+	SyncLatency time.Duration
+	// Stopped is set once the event loop has terminated. The node then has the
+	// role Follower and knows no leader.
+	Stopped bool
+
+	publishedAt time.Time
 }
--- a/consensus/storage/disk.go
+++ b/consensus/storage/disk.go
@@ -37,6 +37,8 @@
 	ident   identity
 	binding bootstrap.Binding
 	meta    logMeta
+	// fail, if set by a test, makes writes fail.
+	fail func(writePoint) error
 }
 
 // Open opens the storage in a directory, which it creates if it is missing. An
--- a/consensus/storage/storage.go
+++ b/consensus/storage/storage.go
@@ -7,8 +7,9 @@
 // # Caller duties
 //
 //   - One process opens a directory at a time; a second one gets ErrLocked.
-//   - After any error of Save or SaveBinding the node must stop: the state on
-//     disk is unknown until the directory is opened again.
+//   - After any error of Save or SaveBinding the node must stop and close the
+//     storage: the state on disk is unknown until Reopen has returned without
+//     error, or until the directory is opened by another process.
 //   - A directory must never be restored from a backup while its cluster exists:
 //     its node would forget votes and log entries that other nodes rely on.
 //     Empty the directory instead.
--- a/consensus/storage/write.go
+++ b/consensus/storage/write.go
@@ -15,11 +15,20 @@
 // snapshot file is synced before the transaction that refers to it.
 func (d *Disk) write(u consensus.Update, b *bootstrap.Binding) error {
 	if u.Snapshot != nil {
+		if err := d.at(beforeSnapshot); err != nil {
+			return err
+		}
 		if err := d.writeSnapshot(u.Snapshot); err != nil {
 			return err
 		}
+		if err := d.at(afterSnapshot); err != nil {
+			return err
+		}
 	}
 	next := d.meta.withUpdate(&u)
+	if err := d.at(beforeCommit); err != nil {
+		return err
+	}
 	err := d.db.Update(func(tx *bbolt.Tx) error {
 		meta := tx.Bucket(metaBucket)
 		if b != nil {
@@ -35,6 +44,9 @@
 	if err != nil {
 		return errors.Wrapf(ErrIO, "%s: %v", d.db.Path(), err)
 	}
+	if err := d.at(afterCommit); err != nil {
+		return err
+	}
 	d.meta = next
 	if u.Snapshot != nil {
 		return d.removeOldSnapshots()
@@ -42,6 +54,25 @@
 	return nil
 }
 
+// writePoint is a point of a write at which tests inject failures.
+type writePoint uint8
+
+const (
+	beforeSnapshot writePoint = iota
+	afterSnapshot
+	beforeCommit
+	afterCommit
+	writePoints
+)
+
+// at returns the error that a test injects at a point of a write.
+func (d *Disk) at(p writePoint) error {
+	if d.fail == nil {
+		return nil
+	}
+	return d.fail(p)
+}
+
 // withUpdate returns the metadata of the log after an update.
 func (m logMeta) withUpdate(u *consensus.Update) logMeta {
 	if u.HardState != nil {
--- a/daemon/controllog.go
+++ b/daemon/controllog.go
@@ -114,8 +114,10 @@
 	// jobsNews is closed at the next command of the jobs' state.
 	jobsNews chan struct{}
 	// current is set once a read of the log has shown that the applied state is
-	// not older than what this daemon showed before it started.
+	// not older than what this daemon showed before the log was started.
 	current bool
+	// generation counts the starts of the log.
+	generation int
 }
 
 func newControlLog(cluster string, holder *control.Holder, log zerolog.Logger) *controlLog {
@@ -179,14 +181,35 @@
 	return errors.Wrap(l.state.Restore(data), "control log")
 }
 
-// show puts the applied state in force, after a read of the log.
-func (l *controlLog) show() {
+// show puts the applied state in force after a read of the log, unless the log
+// was started again since the given generation.
+func (l *controlLog) show(generation int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if generation != l.generation {
+		return
+	}
 	l.current = true
 	l.offer()
 }
 
+// hide keeps the applied state from being put in force until show is called. It
+// is called before each start of the log.
+func (l *controlLog) hide() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.current = false
+	l.generation++
+}
+
+// hidden reports whether the applied state is not in force, and the generation
+// to pass to show.
+func (l *controlLog) hidden() (generation int, hidden bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.generation, !l.current
+}
+
 // delta returns what changed since a version.
 func (l *controlLog) delta(from uint64) *control.Delta {
 	l.mu.Lock()
--- a/daemon/controlplane.go
+++ b/daemon/controlplane.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 
 	"magnoliastand.example/api"
+	"magnoliastand.example/cluster"
 	"magnoliastand.example/control"
 	"magnoliastand.example/control/freshness"
 	"magnoliastand.example/daemon/settings"
@@ -49,7 +50,7 @@
 	clockTerm uint64
 }
 
-func newControlPlane(set settings.Settings, self dispatch.DaemonID, link *peerlink.Node, log zerolog.Logger) (*controlPlane, error) {
+func newControlPlane(set settings.Settings, self dispatch.DaemonID, link *peerlink.Node, logMetrics *cluster.Metrics, log zerolog.Logger) (*controlPlane, error) {
 	c := &controlPlane{
 		set:    set,
 		self:   self,
@@ -83,7 +84,7 @@
 		return c, nil
 	}
 	c.machine = newControlLog(set.Cluster, c.holder, log)
-	n, err := openLogNode(set.DataFolder, set.Name, set.AvailabilityZone, set.FirstVoters, c.peerNames(), link, c.machine, log)
+	n, err := openLogNode(set.DataFolder, set.Name, set.AvailabilityZone, set.FirstVoters, c.peerNames(), link, c.machine, logMetrics, log)
 	c.node = n
 	return c, err
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -8,9 +8,11 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 
 	"magnoliastand.example/api"
+	"magnoliastand.example/cluster"
 	"magnoliastand.example/control"
 	"magnoliastand.example/control/httpapi"
 	"magnoliastand.example/daemon/settings"
@@ -116,12 +118,13 @@
 
 // assemble makes the parts and joins them.
 func (d *Daemon) assemble() error {
-	plane, err := newControlPlane(d.set, d.self, d.link, d.log)
+	registry := prometheus.NewRegistry()
+	plane, err := newControlPlane(d.set, d.self, d.link, cluster.NewMetrics(registry), d.log)
 	if err != nil {
 		return err
 	}
 	d.control = plane
-	d.metrics = newMetrics(d.log, plane.objective)
+	d.metrics = newMetrics(d.log, registry, plane.objective)
 	d.metrics.watchLink(d.link)
 	d.link.Handle(methodBurn, d.handleBurn)
 	invariant.SetSink(d.metrics.sink(d.breachStop()))
--- a/daemon/lognode.go
+++ b/daemon/lognode.go
@@ -27,10 +27,11 @@
 }
 
 // openLogNode opens the log under the data folder.
-func openLogNode(dataFolder, self, zone string, voters, peers []string, link *peerlink.Node, machine *controlLog, log zerolog.Logger) (*logNode, error) {
+func openLogNode(dataFolder, self, zone string, voters, peers []string, link *peerlink.Node, machine *controlLog, metrics *cluster.Metrics, log zerolog.Logger) (*logNode, error) {
 	member, err := cluster.Open(cluster.Config[control.Result]{
 		Self: self, Zone: zone, DataFolder: dataFolder, Seeds: voters, Peers: peers, Form: true,
-		Voters: len(voters), Silence: voterSilence, Machine: machine, Link: link, Log: log,
+		Voters: len(voters), Silence: voterSilence, Machine: machine, BeforeStart: machine.hide, Link: link,
+		Metrics: metrics, Log: log,
 	})
 	if err != nil {
 		return nil, err
@@ -40,24 +41,24 @@
 
 // run takes part in the log until ctx ends or the log fails.
 func (n *logNode) run(ctx context.Context) error {
-	go n.readUntilCurrent(ctx)
+	go n.keepCurrent(ctx)
 	return n.member.Run(ctx)
 }
 
 // running returns the node once it has started.
 func (n *logNode) running() *node.Node[control.Result] { return n.member.Node() }
 
-// readUntilCurrent puts the applied state in force once a read of the log has
-// shown that it is current.
-func (n *logNode) readUntilCurrent(ctx context.Context) {
+// keepCurrent puts the applied state in force once a read of the log has shown
+// that it is current, again after each start of the log.
+func (n *logNode) keepCurrent(ctx context.Context) {
 	for ctx.Err() == nil {
-		if started := n.running(); started != nil {
+		generation, hidden := n.machine.hidden()
+		if started := n.running(); started != nil && hidden {
 			readCtx, cancel := context.WithTimeout(ctx, readTimeout)
 			err := started.ReadIndex(readCtx)
 			cancel()
 			if err == nil {
-				n.machine.show()
-				return
+				n.machine.show(generation)
 			}
 		}
 		sleepCtx(ctx, pollBackoff)
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -34,9 +34,9 @@
 // metricsNamespace prefixes every metric.
 const metricsNamespace = "magnoliastand"
 
-func newMetrics(log zerolog.Logger, objective func(string) (api.QueueObjective, bool)) *metrics {
+func newMetrics(log zerolog.Logger, registry *prometheus.Registry, objective func(string) (api.QueueObjective, bool)) *metrics {
 	m := &metrics{
-		registry:  prometheus.NewRegistry(),
+		registry:  registry,
 		accepted:  counterVec("requests_accepted_total", "Requests accepted for a queue.", "queue"),
 		ended:     counterVec("requests_ended_total", "Requests ended, by run state and problem code.", "queue", "run", "code"),
 		attempts:  counterVec("attempts_total", "Attempts sent to endpoints, by outcome.", "queue", "outcome"),
--- a/daemon/operatorservice.go
+++ b/daemon/operatorservice.go
@@ -89,8 +89,10 @@
 
 // catchUp polls until the view in force has at least the version.
 func (c *controlPlane) catchUp(ctx context.Context, version uint64) error {
-	if c.node != nil && c.leads() {
-		c.machine.show()
+	if c.node != nil {
+		if generation, _ := c.machine.hidden(); c.leads() {
+			c.machine.show(generation)
+		}
 	}
 	for c.holder.View().Version() < version {
 		if ctx.Err() != nil {
