driver, plan: remote factor and pace of machine orders come from the settings

Cause: workload/plan took 1.5 for work away from its data, where deployments have 1.5, 2 and 3; the limit of the machine service was not read, so bursts of moves were refused as busy and tried again after 400 ms. Ruled out: reading the document for it (the service's limit is not in it).

--- a/driver/driver.go
+++ b/driver/driver.go
@@ -227,8 +227,9 @@
 	d.needsPlan = false
 	p := plan.Tasks(&plan.Input{
 		State: d.state, Now: now, Condition: func(worker string) plan.Condition { return d.condition(worker, begun) }, Tickets: d.tickets,
-		NotBefore: func(t workload.TaskRef) workload.Millis { return d.notBefore[t] },
-		FailedOn:  func(t workload.TaskRef) string { return d.failedOn[t] },
+		NotBefore:    func(t workload.TaskRef) workload.Millis { return d.notBefore[t] },
+		FailedOn:     func(t workload.TaskRef) string { return d.failedOn[t] },
+		RemoteFactor: d.cfg.RemoteFactor,
 	})
 	d.planAt, d.waiting = p.Wake, p.Waiting
 	for _, step := range p.Advice {
--- a/driver/fleet.go
+++ b/driver/fleet.go
@@ -4,6 +4,9 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
+	"golang.org/x/time/rate"
+
 	"magnoliastand.example/platform"
 	"magnoliastand.example/workload"
 	"magnoliastand.example/workload/plan"
@@ -20,6 +23,12 @@
 	machineTimeout = 2 * time.Second
 	// machineRetry is the delay after a failed call to the machine service.
 	machineRetry = 400 * time.Millisecond
+	// machineBusyRetry replaces machineRetry if the machine service did nothing
+	// because it receives too many orders.
+	machineBusyRetry = 100 * time.Millisecond
+	// orderBurst is the time for which orders to the machine service may exceed
+	// their rate.
+	orderBurst = 500 * time.Millisecond
 	// unknownWorkerGrace is how long an instance without a known worker is left
 	// untouched, because the list may be older than a worker that has just
 	// joined.
@@ -60,6 +69,8 @@
 	listing   bool
 	listOK    bool
 	trends    map[string]*plan.Trend
+	// orders paces the orders to the machine service.
+	orders *rate.Limiter
 	// leaving holds the workers whose instances the current wave has yet to take
 	// down.
 	leaving     map[string]bool
@@ -70,7 +81,22 @@
 }
 
 func newFleet(d *Driver) *fleet {
-	return &fleet{d: d, instances: map[string]*instance{}, byWorker: map[string]*instance{}, trends: map[string]*plan.Trend{}}
+	orders := rate.NewLimiter(rate.Inf, 0)
+	if perS := d.cfg.InstanceOrdersPerS; perS > 0 {
+		orders = rate.NewLimiter(rate.Limit(perS), max(1, int(perS*orderBurst.Seconds())))
+	}
+	return &fleet{
+		d: d, instances: map[string]*instance{}, byWorker: map[string]*instance{}, trends: map[string]*plan.Trend{},
+		orders: orders,
+	}
+}
+
+// machineRetryDelay returns how long to wait after a failed call to the machine service.
+func machineRetryDelay(err error) time.Duration {
+	if errors.Is(err, platform.ErrBusy) {
+		return machineBusyRetry
+	}
+	return machineRetry
 }
 
 // reserved reports whether a worker's instance is cordoned, moving or not up.
--- a/driver/pools.go
+++ b/driver/pools.go
@@ -21,7 +21,7 @@
 		f.beginMove(f.instances[m.Instance], m.To, now)
 	}
 	for _, i := range f.instances {
-		if i.moveTo != "" && !i.callInFlight && now.After(i.retryAt) {
+		if i.moveTo != "" && !i.callInFlight && now.After(i.retryAt) && f.orders.Allow() {
 			f.sendMove(i)
 		}
 	}
@@ -141,7 +141,7 @@
 		return
 	}
 	d.cfg.Logger.Warn().Err(err).Str("instance", i.Name).Str("to", to).Msg("move not carried out")
-	i.retryAt = time.Now().Add(machineRetry)
+	i.retryAt = time.Now().Add(machineRetryDelay(err))
 	var refusal *platform.Refusal
 	if errors.As(err, &refusal) {
 		i.moveTo = ""
--- a/driver/types.go
+++ b/driver/types.go
@@ -73,7 +73,13 @@
 	Instances Instances
 	// AdviceAddress and MachineAddress are empty if the service does not exist.
 	AdviceAddress, MachineAddress string
-	Timing                        Timing
+	// InstanceOrdersPerS bounds the orders to the machine service; 0 means no
+	// limit.
+	InstanceOrdersPerS float64
+	// RemoteFactor is the multiple of its run time that a task takes outside the
+	// rack of its data.
+	RemoteFactor float64
+	Timing       Timing
 	// ReportTo is the address to which workers send their announcements.
 	ReportTo string
 	Metrics  *Metrics
--- a/driver/wave.go
+++ b/driver/wave.go
@@ -178,7 +178,9 @@
 	if left > 0 && (blocked || now.Sub(in.cordonAt) < f.evacuationTimeout(w, now)) {
 		return
 	}
-	f.startUpkeep(w, in, now)
+	if f.orders.Allow() {
+		f.startUpkeep(w, in, now)
+	}
 }
 
 // evacuateRun stops a run if it is long-running or checkpointing, and reports
@@ -264,7 +266,7 @@
 		return
 	}
 	d.cfg.Logger.Warn().Err(err).Str("instance", in.Name).Int64("wave", wave).Msg("failed to start upkeep")
-	in.retryAt = time.Now().Add(machineRetry)
+	in.retryAt = time.Now().Add(machineRetryDelay(err))
 	var refusal *platform.Refusal
 	if !errors.As(err, &refusal) {
 		return // the upkeep may have started; the order is repeated until it is answered
--- a/system/core.go
+++ b/system/core.go
@@ -66,7 +66,8 @@
 	c := &core{settings: settings, log: log, link: link, member: member, agent: agent}
 	c.leader = &leader{member: member, replica: replica, log: log, relay: orders, driverConfig: driver.Config{
 		Name: settings.Name, Workers: orders, Advisor: client, Instances: client, AdviceAddress: settings.AdviceAddress,
-		MachineAddress: settings.InstancesAddress, Timing: settings.timing(), ReportTo: settings.OperatorsListen,
+		MachineAddress: settings.InstancesAddress, InstanceOrdersPerS: settings.InstanceOrdersPerS,
+		RemoteFactor: settings.RemoteFactor, Timing: settings.timing(), ReportTo: settings.OperatorsListen,
 		Metrics: driver.NewMetrics(registry), Logger: log,
 	}}
 	c.registerHandlers()
--- a/system/settings.go
+++ b/system/settings.go
@@ -55,9 +55,24 @@
 	AdviceAddress     string  `yaml:"advice_address"`
 	InstancesAddress  string  `yaml:"instances_address"`
 	RetryAfterSeconds int     `yaml:"retry_after_s"`
-	LogLevel          string  `yaml:"log_level"`
+	// InstanceOrdersPerS is how many orders a second the machine service accepts
+	// from all daemons together; 0 means no limit.
+	InstanceOrdersPerS float64 `yaml:"instance_orders_per_s"`
+	// RemoteFactor is the multiple of its run time that a task takes outside the
+	// rack of its data.
+	RemoteFactor float64 `yaml:"remote_factor"`
+	LogLevel     string  `yaml:"log_level"`
+	// LogBytesPerSecond bounds the volume of routine log lines.
+	LogBytesPerSecond int `yaml:"log_bytes_per_s"`
 }
 
+// Defaults of Settings.
+const (
+	defaultRemoteFactor = 1.5
+	// defaultLogBytesPerSecond is about 1,300 lines a second.
+	defaultLogBytesPerSecond = 256 << 10
+)
+
 // LoadSettings reads and validates a settings file. Unknown fields are ignored.
 func LoadSettings(file string) (Settings, error) {
 	var s Settings
@@ -71,6 +86,12 @@
 	if err := s.validate().Err(); err != nil {
 		return s, errors.Wrapf(ErrSettings, "%s: %v", file, err)
 	}
+	if s.RemoteFactor == 0 {
+		s.RemoteFactor = defaultRemoteFactor
+	}
+	if s.LogBytesPerSecond == 0 {
+		s.LogBytesPerSecond = defaultLogBytesPerSecond
+	}
 	return s, nil
 }
 
@@ -101,6 +122,15 @@
 	if s.AnnounceMS < 1 || s.MaxLeaseMS < 1 || s.GraceS <= 0 || s.CatchUpS <= 0 {
 		f.Add("announce_ms", "and max_lease_ms, grace_s and catch_up_s must be above 0")
 	}
+	if s.InstanceOrdersPerS < 0 {
+		f.Add("instance_orders_per_s", "%g is below 0", s.InstanceOrdersPerS)
+	}
+	if s.RemoteFactor != 0 && s.RemoteFactor < 1 {
+		f.Add("remote_factor", "%g is below 1", s.RemoteFactor)
+	}
+	if s.LogBytesPerSecond < 0 {
+		f.Add("log_bytes_per_s", "%d is below 0", s.LogBytesPerSecond)
+	}
 	return f
 }
 
--- a/system/settings_test.go
+++ b/system/settings_test.go
@@ -70,3 +70,20 @@
 		t.Errorf("missing file: error %v, want ErrSettings", err)
 	}
 }
+
+func TestSettingsOfTheMachineServiceAndLog(t *testing.T) {
+	s, err := load(t, sampleSettings)
+	if err != nil || s.RemoteFactor != defaultRemoteFactor || s.LogBytesPerSecond != defaultLogBytesPerSecond || s.InstanceOrdersPerS != 0 {
+		t.Errorf("defaults: %+v, %v", s, err)
+	}
+	s, err = load(t, sampleSettings+"remote_factor: 3\nlog_bytes_per_s: 1000\ninstance_orders_per_s: 310.5\n")
+	if err != nil || s.RemoteFactor != 3 || s.LogBytesPerSecond != 1000 || s.InstanceOrdersPerS != 310.5 {
+		t.Errorf("set: %+v, %v", s, err)
+	}
+	_, err = load(t, sampleSettings+"remote_factor: 0.5\nlog_bytes_per_s: -1\ninstance_orders_per_s: -2\n")
+	for _, field := range []string{"remote_factor", "log_bytes_per_s", "instance_orders_per_s"} {
+		if !errors.Is(err, ErrSettings) || !strings.Contains(err.Error(), field) {
+			t.Errorf("error %v does not name %s", err, field)
+		}
+	}
+}
--- a/workload/plan/plan.go
+++ b/workload/plan/plan.go
@@ -57,6 +57,9 @@
 	NotBefore func(task workload.TaskRef) workload.Millis
 	// FailedOn returns the worker on which a task last failed, or "".
 	FailedOn func(task workload.TaskRef) string
+	// RemoteFactor is the multiple of its run time that a task takes outside the
+	// rack of its data. It is also the penalty of such a worker.
+	RemoteFactor float64
 }
 
 // Plan is the result of Tasks.
@@ -188,7 +191,7 @@
 		return c
 	}
 	c.priority = q.Priority
-	objective := workload.Millis(q.Stretch*float64(j.CriticalPath())) + q.Target
+	objective := q.Objective(j)
 	c.due = j.Submitted + objective
 	switch {
 	case j.Spec.StartAt != 0 || j.Spec.LongRunning():
@@ -376,7 +379,7 @@
 		if tickets != nil && tickets[h.worker.ID] == "" || !p.feasible(h, step, ref) {
 			continue
 		}
-		score := h.score(step, rack)
+		score := h.score(step, rack, p.in.RemoteFactor)
 		if h.worker.ID == failedOn {
 			score += failedWorkerPenalty
 		}
@@ -423,13 +426,13 @@
 // score rates a worker for a task of the step; lower is better. Workers with less
 // free capacity score lower, so that tasks are packed and other instances stay
 // empty and can be moved.
-func (h *host) score(step *workload.Step, rack string) float64 {
+func (h *host) score(step *workload.Step, rack string, remoteFactor float64) float64 {
 	score := h.penalty
 	if c := h.worker.Capacity.Processors; c > 0 {
 		score += float64(h.free.Processors) / float64(c)
 	}
 	if rack != "" && rack != h.rack() {
-		score += remoteRackPenalty
+		score += remoteFactor
 	}
 	if h.leaving && step.LongRunning {
 		score += leavingWorkerPenalty
--- a/workload/plan/plan_test.go
+++ b/workload/plan/plan_test.go
@@ -16,6 +16,8 @@
 	conditions map[string]plan.Condition
 	// failedOn is the worker on which every task last failed.
 	failedOn string
+	// remoteFactor is the run time of a task outside the rack of its data.
+	remoteFactor float64
 }
 
 func decodeJSONDocument(raw []byte) (workload.Document, error) {
@@ -26,7 +28,7 @@
 
 func newFixture(t *testing.T, limit workload.Size) *fixture {
 	t.Helper()
-	w := &fixture{t: t, state: workload.New(decodeJSONDocument), conditions: map[string]plan.Condition{}}
+	w := &fixture{t: t, state: workload.New(decodeJSONDocument), conditions: map[string]plan.Condition{}, remoteFactor: 2}
 	raw, err := json.Marshal(workload.Document{
 		Version: 1,
 		Pools:   []workload.Pool{{Name: "p"}, {Name: "o"}},
@@ -68,9 +70,10 @@
 func (w *fixture) plan(now workload.Millis) plan.Plan {
 	return plan.Tasks(&plan.Input{
 		State: w.state, Now: now, Condition: func(id string) plan.Condition { return w.conditions[id] },
-		Tickets:   func(workload.TaskRef) (map[string]string, bool) { return nil, false },
-		NotBefore: func(workload.TaskRef) workload.Millis { return 0 },
-		FailedOn:  func(workload.TaskRef) string { return w.failedOn },
+		Tickets:      func(workload.TaskRef) (map[string]string, bool) { return nil, false },
+		NotBefore:    func(workload.TaskRef) workload.Millis { return 0 },
+		FailedOn:     func(workload.TaskRef) string { return w.failedOn },
+		RemoteFactor: w.remoteFactor,
 	})
 }
 
@@ -403,7 +406,7 @@
 }
 
 func BenchmarkTasksWithBacklog(b *testing.B) {
-	w := &fixture{t: &testing.T{}, state: workload.New(decodeJSONDocument), conditions: map[string]plan.Condition{}}
+	w := &fixture{t: &testing.T{}, state: workload.New(decodeJSONDocument), conditions: map[string]plan.Condition{}, remoteFactor: 2}
 	raw, _ := json.Marshal(workload.Document{Version: 1, Pools: []workload.Pool{{Name: "p"}}, Queues: []workload.Queue{{Name: "q", Pool: "p", MaxAttempts: 3, Stretch: 1, Target: 100}}})
 	w.apply(workload.Command{PutDocument: &workload.PutDocument{Raw: raw}}, 0)
 	for i := range 80 {
@@ -417,3 +420,23 @@
 		w.plan(10)
 	}
 }
+
+// TestRemoteFactorWeighsDataRackAgainstLoad has two workers that are free but for
+// the rack of the data, and a nearly full one in that rack. Work away from its
+// data is only worth it if it takes little longer there.
+func TestRemoteFactorWeighsDataRackAgainstLoad(t *testing.T) {
+	for factor, want := range map[float64]string{1: "far", 3: "near"} {
+		w := newFixture(t, workload.Size{})
+		w.addWorker("far", 4000, "a", "r1")
+		w.addWorker("near", 4000, "a", "r2")
+		w.conditions["near"] = plan.Condition{Usable: true, Penalty: 2}
+		s := step(1, 1000)
+		s.DataRack = "r2"
+		w.addJob("j", "q", 0, s)
+		w.remoteFactor = factor
+		p := w.plan(0)
+		if len(p.Assign) != 1 || p.Assign[0].Worker != want {
+			t.Errorf("factor %g: assigned %+v, want %s", factor, p.Assign, want)
+		}
+	}
+}
