Logs: whole lines in atomic writes, routine lines bounded, drops counted

Change: one queue in bytes, writes of whole lines up to PIPE_BUF, what a failed or partial write left is written again. Below warn a line is routine: it is dropped first when the output is slow, and its volume is bounded by log_bytes_per_s. Drops are counted in magnoliastand_log_lines_dropped_total and told by a line. Ends of runs that are done are logged once a step; failed, lapsed and lost runs, jobs that failed or are late and requests without an answer are logged at warn.

--- a/cmd/magnoliastand/roles.go
+++ b/cmd/magnoliastand/roles.go
@@ -2,17 +2,14 @@
 
 import (
 	"context"
-	"fmt"
-	"io"
 	"os"
 	"os/signal"
 	"runtime/debug"
 	"syscall"
-	"time"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
-	"github.com/rs/zerolog/diode"
 
 	"magnoliastand.example/invariant"
 	"magnoliastand.example/system"
@@ -21,9 +18,6 @@
 const (
 	// settingsVariable names the settings file on the users' platform.
 	settingsVariable = envPrefix + "_CONFIG"
-	// logBuffer bounds the lines that wait for the standard output; more are
-	// dropped and counted.
-	logBuffer = 4096
 	// gcPercent lets the heap grow further between two collections than by
 	// default, within the memory limit, because processor time is scarcer than memory.
 	gcPercent = 200
@@ -33,12 +27,12 @@
 )
 
 // runRole runs a role until ctx ends.
-type runRole func(ctx context.Context, set system.Settings, log zerolog.Logger, reload <-chan system.Settings) error
+type runRole func(ctx context.Context, set system.Settings, registry *prometheus.Registry, log zerolog.Logger, reload <-chan system.Settings) error
 
 func coreCommand(s streams) *ffcli.Command {
 	return roleCommand(s, "core", "Runs a daemon with a disk: a member of the log that serves workers and operators.",
-		func(ctx context.Context, set system.Settings, log zerolog.Logger, _ <-chan system.Settings) error {
-			return system.RunCore(ctx, set, log)
+		func(ctx context.Context, set system.Settings, registry *prometheus.Registry, log zerolog.Logger, _ <-chan system.Settings) error {
+			return system.RunCore(ctx, set, registry, log)
 		})
 }
 
@@ -70,8 +64,11 @@
 	if err != nil {
 		return &exitError{code: exitUsage, err: err}
 	}
-	log, closeLog := boundedLogger(s.out, set.LogLevel, set.Name)
-	defer closeLog()
+	lines := newLineWriter(s.out, set.Name, set.LogBytesPerSecond)
+	defer lines.Close()
+	log := newLogger(lines, set.LogLevel).With().Str("daemon", set.Name).Logger()
+	registry := prometheus.NewRegistry()
+	registry.MustRegister(lines.Collectors()...)
 	invariant.SetSink(func(b invariant.Breach) {
 		log.Error().Str("invariant", string(b.Invariant)).Str("detail", b.Detail).Msg("invariant broken")
 	})
@@ -82,22 +79,5 @@
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
 	defer signal.Stop(hup)
-	return run(ctx, set, log, system.WatchSettings(ctx, file, hup, log))
-}
-
-// boundedLogger returns a logger that never blocks: lines that the output does
-// not take in time are dropped, and their number is written. The function that
-// it returns writes the lines that still wait.
-func boundedLogger(w io.Writer, level, name string) (zerolog.Logger, func()) {
-	batch := newBatchWriter(w)
-	writer := diode.NewWriter(batch, logBuffer, 0, func(missed int) {
-		_, _ = fmt.Fprintf(batch, `{"level":"warn","daemon":%q,"dropped":%d,"message":"log lines dropped"}`+"\n", name, missed)
-	})
-	log := newLogger(writer, level).With().Str("daemon", name).Logger()
-	return log, func() {
-		const drainTime = 50 * time.Millisecond // for the lines of the stop
-		time.Sleep(drainTime)
-		_ = writer.Close()
-		_ = batch.Flush()
-	}
+	return run(ctx, set, registry, log, system.WatchSettings(ctx, file, hup, log))
 }
--- a/driver/run.go
+++ b/driver/run.go
@@ -263,8 +263,7 @@
 	}
 	d.forgetRun(r)
 	d.cfg.Metrics.Ends.WithLabelValues(o.String()).Inc()
-	d.cfg.Logger.Info().Str("task", r.ref.String()).Int64("run", r.number).Str("worker", r.worker).
-		Stringer("outcome", o).Str("reason", reason).Uint64("term", d.cfg.Term).Msg("run ended")
+	d.logEnd(r, o, reason)
 	if o == workload.OutcomeNotRun {
 		d.notBefore[r.ref] = nowMillis() + retryDelay
 	}
@@ -275,11 +274,45 @@
 		}
 	}
 	if job.State != before && job.State.Finished() {
-		d.cfg.Logger.Info().Str("job", job.ID).Stringer("state", job.State).Msg("job finished")
+		d.logFinished(job)
 		d.stopJob(job, job.State.String())
 	}
 }
 
+// logEnd logs the end of a run. Runs that are done are logged once for their step
+// or, with the last step, for the job.
+func (d *Driver) logEnd(r *run, o workload.Outcome, reason string) {
+	if o != workload.OutcomeDone {
+		event := d.cfg.Logger.Info()
+		if o != workload.OutcomeStopped && o != workload.OutcomeNotRun {
+			event = d.cfg.Logger.Warn()
+		}
+		event.Str("task", r.ref.String()).Int64("run", r.number).Str("worker", r.worker).
+			Stringer("outcome", o).Str("reason", reason).Uint64("term", d.cfg.Term).Msg("run ended")
+		return
+	}
+	if r.job.StepDone(r.ref.Occurrence, r.ref.Step) {
+		d.cfg.Logger.Info().Str("job", r.job.ID).Int("occurrence", r.ref.Occurrence).Int("step", r.ref.Step).
+			Int64("age_ms", nowMillis()-r.job.Submitted).Uint64("term", d.cfg.Term).Msg("step done")
+	}
+}
+
+// logFinished logs the end of a job. A job that failed or missed its latency
+// objective is not routine.
+func (d *Driver) logFinished(j *workload.Job) {
+	age := j.Ended - j.Submitted
+	event, objective := d.cfg.Logger.Info(), workload.Millis(0)
+	if q, ok := d.state.Queue(j.Queue); ok {
+		objective = q.Objective(j)
+	}
+	late := j.Spec.StartAt == 0 && objective > 0 && age > objective
+	if j.State == workload.JobFailed || late {
+		event = d.cfg.Logger.Warn()
+	}
+	event.Str("job", j.ID).Str("queue", j.Queue).Str("team", j.Team).Stringer("state", j.State).Int64("age_ms", age).
+		Int64("objective_ms", objective).Bool("late", late).Uint64("term", d.cfg.Term).Msg("job finished")
+}
+
 // ackEnd records that an end is committed and may be acknowledged to its worker.
 func (d *Driver) ackEnd(s *session, number int64) {
 	if s == nil || number <= s.ackable {
--- a/system/core.go
+++ b/system/core.go
@@ -37,9 +37,9 @@
 	agent    *relay.Agent
 }
 
-// RunCore runs a core daemon until ctx ends.
-func RunCore(ctx context.Context, settings Settings, log zerolog.Logger) error {
-	registry := prometheus.NewRegistry()
+// RunCore runs a core daemon until ctx ends. It registers its metrics with
+// registry and serves all of them.
+func RunCore(ctx context.Context, settings Settings, registry *prometheus.Registry, log zerolog.Logger) error {
 	link, err := newPeerNode(&settings, log)
 	if err != nil {
 		return err
--- a/system/edge.go
+++ b/system/edge.go
@@ -49,13 +49,12 @@
 
 // RunEdge runs an edge daemon until ctx ends. Seeds in the settings received on
 // reload are added; their other fields take effect at the next start only.
-func RunEdge(ctx context.Context, settings Settings, log zerolog.Logger, reload <-chan Settings) error {
+func RunEdge(ctx context.Context, settings Settings, registry *prometheus.Registry, log zerolog.Logger, reload <-chan Settings) error {
 	link, err := newPeerNode(&settings, log)
 	if err != nil {
 		return err
 	}
 	defer link.Close()
-	registry := prometheus.NewRegistry()
 	e := &edge{
 		settings: settings, log: log, link: link, finder: cluster.NewFinder(link, settings.seedPeerAddresses(), log),
 		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
@@ -133,7 +132,11 @@
 	e.requests.WithLabelValues(r.Verb.String(), resp.Answer.String()).Inc()
 	e.duration.WithLabelValues(r.Verb.String()).Observe(elapsed.Seconds())
 	if r.Verb != workload.VerbState || resp.Answer != workload.AnswerOK {
-		e.log.Info().Str("host", r.Host).Str("path", r.Path).Stringer("verb", r.Verb).Stringer("answer", resp.Answer).
+		event := e.log.Info()
+		if resp.Answer == workload.AnswerNotRun || resp.Answer == workload.AnswerUnknown {
+			event = e.log.Warn()
+		}
+		event.Str("host", r.Host).Str("path", r.Path).Stringer("verb", r.Verb).Stringer("answer", resp.Answer).
 			Str("reason", resp.Reason).Int64("version", resp.Version).Str("leader", leader).Int("attempts", attempts).
 			Dur("took", elapsed).Msg("request answered")
 	}
--- a/workload/plan/plan.go
+++ b/workload/plan/plan.go
@@ -15,9 +15,6 @@
 // A penalty of 1 equals the difference between a worker whose processors are all
 // free and one that has none free.
 const (
-	// remoteRackPenalty keeps tasks in the rack of their data; in other racks they
-	// take 1.5 times as long.
-	remoteRackPenalty = 1.5
 	// interferencePenalty keeps filling and serving tasks on separate workers where
 	// possible.
 	interferencePenalty = 1.0
--- a/workload/types.go
+++ b/workload/types.go
@@ -68,6 +68,12 @@
 	Advice *AdvicePolicy
 }
 
+// Objective returns the time from submission within which a job of the queue
+// should finish.
+func (q *Queue) Objective(j *Job) Millis {
+	return Millis(q.Stretch*float64(j.criticalPath)) + q.Target
+}
+
 // Pool is a set of workers that serve the same queues.
 type Pool struct {
 	Name           string
@@ -313,6 +319,12 @@
 	return true
 }
 
+// StepDone reports whether all tasks of a step are done. It is false once the job
+// is finished.
+func (j *Job) StepDone(occurrence, step int) bool {
+	return !j.State.Finished() && j.unfinished[occurrence][step] == 0
+}
+
 // Wave is a maintenance wave over a list of instances.
 type Wave struct {
 	ID        int64    `cbor:"1,keyasint"`
