consensus/node: a batch is appended only in the term of the leader that made it

A daemon that lost and regained its leadership within the 25 ms between two looks at it could append a batch of its earlier driver, which rests on a state without the entries of the term between; the driver of the new term would not know of it, and its own commands would be rejected. Ruled out: the orders of that driver (each is checked against the lease and the term before it is sent). Change: ProposeInTerm; the event loop rejects a proposal for another term. Result: TestProposalOfEarlierTermIsNotAppended; with Propose in place of ProposeInTerm the entry is appended and the test fails.

--- a/consensus/core.go
+++ b/consensus/core.go
@@ -90,6 +90,9 @@
 	return c, nil
 }
 
+// Term returns the node's current term.
+func (c *Core) Term() uint64 { return c.term }
+
 // Leads reports whether the node is the leader in its current term.
 func (c *Core) Leads() bool { return c.role == Leader }
 
--- a/consensus/node/loop.go
+++ b/consensus/node/loop.go
@@ -89,6 +89,10 @@
 		n.startRead(c)
 		return
 	case callPropose:
+		if c.term != 0 && c.term != n.core.Term() {
+			c.answer(&consensus.NotLeaderError{})
+			return
+		}
 		index, term, err = n.core.Propose(c.data)
 	case callHandover:
 		_, err := n.core.Handover()
--- a/consensus/node/node.go
+++ b/consensus/node/node.go
@@ -63,9 +63,11 @@
 
 // call is a request to the event loop, which answers it exactly once.
 type call[R any] struct {
-	ctx    context.Context
-	kind   callKind
-	data   []byte
+	ctx  context.Context
+	kind callKind
+	data []byte
+	// term is the only term in which a proposal may be appended; 0 means any.
+	term   uint64
 	change consensus.Change
 	reply  chan outcome[R]
 }
@@ -193,6 +195,13 @@
 	return n.call(call[R]{ctx: ctx, kind: callPropose, data: data})
 }
 
+// ProposeInTerm is Propose for a caller that acts as the leader of a term. If the
+// node does not lead that term, the error matches consensus.ErrNotLeader and the
+// data is not appended.
+func (n *Node[R]) ProposeInTerm(ctx context.Context, term uint64, data []byte) (R, error) {
+	return n.call(call[R]{ctx: ctx, kind: callPropose, data: data, term: term})
+}
+
 // ReadIndex returns once the local state machine includes every entry that was
 // committed on any node before the call. It works on every node that can reach
 // the leader, and waits until there is one. Errors are ErrStopped,
--- a/consensus/node/node_test.go
+++ b/consensus/node/node_test.go
@@ -147,3 +147,40 @@
 		t.Error("no other node became leader")
 	})
 }
+
+// TestProposalOfEarlierTermIsNotAppended lets a leader lose and regain its
+// leadership. What it prepared as the leader of the earlier term may rest on a
+// state that the entries of the term between have changed.
+func TestProposalOfEarlierTermIsNotAppended(t *testing.T) {
+	runWithFakeClock(t, func(t *testing.T, ctx context.Context, c *cluster) {
+		startThreeNodes(c)
+		old := c.waitForLeader()
+		term := old.node.Status().Term
+		if _, err := old.node.ProposeInTerm(ctx, term, []byte("first")); err != nil {
+			t.Fatal(err)
+		}
+		c.setIsolated(old.name, true)
+		next := c.waitForLeader()
+		proposeRange(t, ctx, next, 0, 3)
+		c.setIsolated(old.name, false)
+		if err := old.node.WaitApplied(ctx, next.node.Status().Applied); err != nil {
+			t.Fatal(err)
+		}
+		for lead := next; lead != old; {
+			c.setIsolated(lead.name, true)
+			successor := c.waitForLeader()
+			c.setIsolated(lead.name, false)
+			lead = successor
+		}
+		if old.node.Status().Term <= term {
+			t.Fatalf("term %d, led term %d before", old.node.Status().Term, term)
+		}
+		before := len(old.recorder.list())
+		if _, err := old.node.ProposeInTerm(ctx, term, []byte("late")); !errors.Is(err, consensus.ErrNotLeader) {
+			t.Errorf("proposal of term %d: error %v, want ErrNotLeader", term, err)
+		}
+		if err := old.node.ReadIndex(ctx); err != nil || len(old.recorder.list()) != before {
+			t.Errorf("%d entries, had %d; %v", len(old.recorder.list()), before, err)
+		}
+	})
+}
--- a/driver/driver.go
+++ b/driver/driver.go
@@ -195,7 +195,7 @@
 	ctx, cancel := context.WithTimeout(d.ctx, proposeTimeout)
 	defer cancel()
 	begun := time.Now()
-	results, err := d.cfg.Log.Propose(ctx, data)
+	results, err := d.cfg.Log.Propose(ctx, d.cfg.Term, data)
 	if err != nil {
 		d.cfg.Logger.Warn().Err(err).Uint64("term", d.cfg.Term).Dur("age", time.Since(begun)).Msg("batch not committed")
 		d.cancel()
--- a/driver/testenv_test.go
+++ b/driver/testenv_test.go
@@ -33,14 +33,14 @@
 	own uint64
 }
 
-func (l *termLog) Propose(_ context.Context, data []byte) ([]error, error) {
+func (l *termLog) Propose(_ context.Context, term uint64, data []byte) ([]error, error) {
 	b, err := workload.DecodeBatch(data)
 	if err != nil {
 		return nil, err
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.term != l.own {
+	if l.term != l.own || term != l.own {
 		return nil, errors.New("another daemon leads")
 	}
 	return l.state.Apply(b), nil
--- a/driver/types.go
+++ b/driver/types.go
@@ -24,8 +24,9 @@
 
 // Log commits batches of commands.
 type Log interface {
-	// Propose returns the error of each command once the batch is applied.
-	Propose(ctx context.Context, data []byte) ([]error, error)
+	// Propose appends a batch in the given term only, and returns the error of each
+	// command once the batch is applied.
+	Propose(ctx context.Context, term uint64, data []byte) ([]error, error)
 	// IsLeader reports whether this daemon is certain to be the leader of the
 	// given term.
 	IsLeader(term uint64) bool
--- a/system/leader.go
+++ b/system/leader.go
@@ -38,8 +38,8 @@
 }
 
 // Propose implements driver.Log.
-func (l *leader) Propose(ctx context.Context, data []byte) ([]error, error) {
-	return l.member.Node().Propose(ctx, data)
+func (l *leader) Propose(ctx context.Context, term uint64, data []byte) ([]error, error) {
+	return l.member.Node().ProposeInTerm(ctx, term, data)
 }
 
 // IsLeader implements driver.Log.
