plan: pools are sized by the work that arrives, not only by tasks that wait

Ruled out: the machine service (its limit is 310 orders a second), the connections to it, the time from move to first task (0.25 s). Change: plan.Load adds up the declared work of accepted jobs over 0.25, 0.5 and 1 s, corrected by the run times that each queue's tasks have shown; the largest rate less its random variation times the run time (Little's law), beside the lasting tasks, is a lower bound of what the pool needs.

--- a/driver/driver.go
+++ b/driver/driver.go
@@ -296,6 +296,10 @@
 	maps.DeleteFunc(d.failedOn, func(t workload.TaskRef, _ string) bool { return inactive(t) })
 	maps.DeleteFunc(d.moves, func(t workload.TaskRef, _ int) bool { return inactive(t) })
 	maps.DeleteFunc(d.advice, func(t workload.TaskRef, _ *advice) bool { return inactive(t) })
+	maps.DeleteFunc(d.fleet.runTimes, func(queue string, _ *runTimes) bool {
+		_, known := d.state.Queue(queue)
+		return !known
+	})
 	var old []string
 	limit := nowMillis() - d.cfg.Timing.KeepFinished.Milliseconds()
 	for id, j := range d.state.Jobs() {
@@ -387,6 +391,7 @@
 		answer(resp, nil)
 		return
 	}
+	_, known := d.state.Job(t.Job)
 	c := workload.Command{Submit: &workload.Submit{ID: t.Job, Queue: t.Queue.Name, Team: t.Team, Spec: *r.Spec}}
 	err := d.apply(c, func() { answer(resp, nil) })
 	if err != nil {
@@ -394,6 +399,9 @@
 		answer(resp, nil)
 		return
 	}
+	if j, ok := d.state.Job(t.Job); ok && !known {
+		d.fleet.recordArrival(j)
+	}
 	d.cfg.Logger.Info().Str("job", t.Job).Str("queue", t.Queue.Name).Str("team", t.Team).
 		Int64("version", resp.Version).Int("steps", len(r.Spec.Steps)).Msg("job submitted")
 }
--- a/driver/fleet.go
+++ b/driver/fleet.go
@@ -69,6 +69,10 @@
 	listing   bool
 	listOK    bool
 	trends    map[string]*plan.Trend
+	// loads is the work that arrives for each pool, and runTimes the observed run
+	// times of each queue's tasks.
+	loads    map[string]*plan.Load
+	runTimes map[string]*runTimes
 	// orders paces the orders to the machine service.
 	orders *rate.Limiter
 	// leaving holds the workers whose instances the current wave has yet to take
@@ -87,7 +91,7 @@
 	}
 	return &fleet{
 		d: d, instances: map[string]*instance{}, byWorker: map[string]*instance{}, trends: map[string]*plan.Trend{},
-		orders: orders,
+		loads: map[string]*plan.Load{}, runTimes: map[string]*runTimes{}, orders: orders,
 	}
 }
 
--- a/driver/pools.go
+++ b/driver/pools.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"magnoliastand.example/platform"
+	"magnoliastand.example/workload"
 	"magnoliastand.example/workload/plan"
 )
 
@@ -42,6 +43,7 @@
 		}
 	}
 	f.updateTrends(in.Pools, now)
+	f.addArriving(in.Pools, now)
 	for _, i := range f.instances {
 		in.Instances = append(in.Instances, f.poolInstance(i, in.Pools, now))
 	}
@@ -76,6 +78,40 @@
 	}
 }
 
+// recordArrival records an accepted job for the load of its pool.
+func (f *fleet) recordArrival(j *workload.Job) {
+	pool := f.d.state.PoolOf(j)
+	l := f.loads[pool]
+	if l == nil {
+		l = &plan.Load{}
+		f.loads[pool] = l
+	}
+	l.Add(nowMillis(), &j.Spec, f.runTimes[j.Queue].factor())
+}
+
+// addArriving adds the load of each pool to its demand.
+func (f *fleet) addArriving(pools map[string]plan.PoolDemand, now time.Time) {
+	for _, j := range f.d.state.Active() {
+		if !j.Spec.LongRunning() {
+			continue
+		}
+		pool := f.d.state.PoolOf(j)
+		if demand, ok := pools[pool]; ok {
+			demand.Lasting = demand.Lasting.Add(j.ReservedByLongRunning())
+			pools[pool] = demand
+		}
+	}
+	for name, l := range f.loads {
+		demand, ok := pools[name]
+		if !ok {
+			delete(f.loads, name)
+			continue
+		}
+		demand.Arriving = l.Expect(now.UnixMilli())
+		pools[name] = demand
+	}
+}
+
 func (f *fleet) poolInstance(i *instance, pools map[string]plan.PoolDemand, now time.Time) plan.PoolInstance {
 	d := f.d
 	session := d.sessions[i.Worker]
--- a/driver/run.go
+++ b/driver/run.go
@@ -251,6 +251,9 @@
 func (d *Driver) endRun(r *run, o workload.Outcome, checkpoint string, number int64, reason string) {
 	job := r.job
 	before := job.State
+	if o == workload.OutcomeDone {
+		d.observeRunTime(r)
+	}
 	end := &workload.End{
 		Task: r.ref, Run: r.number, Worker: r.worker, Incarnation: r.incarnation, Outcome: o,
 		Checkpoint: checkpoint, Number: number,
--- a/workload/plan/pools.go
+++ b/workload/plan/pools.go
@@ -41,6 +41,17 @@
 	// Rising is the growth expected before an instance ordered now becomes
 	// available.
 	Rising workload.Size
+	// Lasting is the part of Running that long-running tasks reserve.
+	Lasting workload.Size
+	// Arriving is what the work that arrives at the present rate will occupy.
+	Arriving workload.Size
+}
+
+// total returns the resources that the pool needs: what runs, waits and is
+// expected to grow, or what the arriving work occupies beside long-running tasks
+// if that is more.
+func (d *PoolDemand) total() workload.Size {
+	return d.Running.Add(d.Waiting).Add(d.Rising).Max(d.Lasting.Add(d.Arriving))
 }
 
 // PoolInput is the input of Moves.
@@ -128,7 +139,7 @@
 // one more instance.
 func (p *poolState) requiredInstances(unit workload.Size) int {
 	n := 0
-	want := p.demand.Running.Add(p.demand.Waiting).Add(p.demand.Rising)
+	want := p.demand.total()
 	for _, dim := range [...][2]int64{
 		{want.Processors, unit.Processors}, {want.MemoryMB, unit.MemoryMB}, {want.Accelerators, unit.Accelerators},
 	} {
--- a/workload/types.go
+++ b/workload/types.go
@@ -319,6 +319,26 @@
 	return true
 }
 
+// ReservedByLongRunning returns what the assigned long-running tasks of a job
+// reserve.
+func (j *Job) ReservedByLongRunning() Size {
+	var sum Size
+	for k := range j.Tasks {
+		for st := range j.Tasks[k] {
+			step := &j.Spec.Steps[st]
+			if !step.LongRunning {
+				continue
+			}
+			for i := range j.Tasks[k][st] {
+				if j.Tasks[k][st][i].State == TaskAssigned {
+					sum = sum.Add(step.Reserved())
+				}
+			}
+		}
+	}
+	return sum
+}
+
 // StepDone reports whether all tasks of a step are done. It is false once the job
 // is finished.
 func (j *Job) StepDone(occurrence, step int) bool {
