consensus: the lease of a leader holds over restarts of voters and transfers

Ruled out: persisting the time of the last acknowledgement (a sync for each heartbeat). Change: a node that starts from a disk of an earlier term grants no vote for one election timeout, except in a transfer; a leader has no lease from the request to take over until an election timeout later. The scripted scenario "commit only in own term" ticked one node only, so its restarted voters never left the new abstention; it now lets all tick first, and still must fail without its safeguard and pass with it.

--- a/consensus/core.go
+++ b/consensus/core.go
@@ -25,6 +25,12 @@
 	now             uint64
 	elapsed         int
 	electionTimeout int
+	// abstainUntil is the tick until which a restarted node grants no votes. It may
+	// have acknowledged a leader just before the restart, whose lease still holds.
+	abstainUntil uint64
+	// transferUntil is the tick until which a leader that asked another node to
+	// take over has no lease, because it may have a successor already.
+	transferUntil uint64
 
 	// votes and campaignTick are set on a candidate. campaignTick is the tick at
 	// which the last campaign started.
@@ -86,6 +92,9 @@
 		vote: st.HardState.Vote,
 	}
 	c.out.savedState = st.HardState
+	if st.HardState.Term > initialTerm {
+		c.abstainUntil = uint64(cfg.ElectionTicks)
+	}
 	c.becomeFollower(c.term, None)
 	return c, nil
 }
--- a/consensus/election.go
+++ b/consensus/election.go
@@ -3,8 +3,8 @@
 import "magnoliastand.example/invariant"
 
 // hasLease reports whether this node has heard from a leader, or as leader from a
-// quorum, within the minimum election timeout. While it holds, the node does not
-// grant votes to other candidates.
+// quorum, within the minimum election timeout, or may have before a restart. While
+// it holds, the node does not grant votes to other candidates.
 func (c *Core) hasLease() bool {
 	if c.cfg.disabled.leaderLease {
 		return false
@@ -12,6 +12,9 @@
 	if c.role == Leader {
 		return c.quorumTicks() < uint64(c.cfg.ElectionTicks)
 	}
+	if c.now < c.abstainUntil {
+		return true
+	}
 	return c.leader != None && c.elapsed < c.cfg.ElectionTicks
 }
 
@@ -128,6 +131,7 @@
 	c.round = 0
 	c.heartbeatDue = true
 	c.pendingBytes = 0
+	c.transferUntil = 0
 	for _, e := range c.log.between(c.log.commit, c.log.last()) {
 		c.pendingBytes += len(e.Data)
 	}
@@ -171,7 +175,7 @@
 		c.send(Message{Type: MsgPreVoteResp, To: m.From, Term: m.Term})
 		return
 	}
-	removed := c.hasLease() && !isMember(c.log.membersAt(c.log.commit), m.From)
+	removed := c.leader != None && c.hasLease() && !isMember(c.log.membersAt(c.log.commit), m.From)
 	c.send(Message{Type: MsgPreVoteResp, To: m.From, Reject: true, Removed: removed})
 }
 
--- a/consensus/leadership_transfer.go
+++ b/consensus/leadership_transfer.go
@@ -2,7 +2,9 @@
 
 // Handover transfers the leadership to a voter that holds the complete log, and
 // returns the ID of that voter. The leader continues until its successor is
-// elected; if the message is lost or the election fails, it remains leader.
+// elected, but without a lease, because the successor does not wait for it to end;
+// if the message is lost or the election fails, it remains leader and has a lease
+// again after the minimum election timeout.
 // Errors match ErrNotLeader, or ErrNotCaughtUp if no other responding voter holds
 // the complete log.
 func (c *Core) Handover() (NodeID, error) {
@@ -14,6 +16,7 @@
 		p := c.peers[id]
 		if p != nil && p.match == c.log.last() && c.recentlyActive(id) {
 			c.send(Message{Type: MsgTimeoutNow, To: id})
+			c.transferUntil = c.now + uint64(c.cfg.ElectionTicks)
 			return id, nil
 		}
 	}
--- a/consensus/membership.go
+++ b/consensus/membership.go
@@ -126,7 +126,8 @@
 	Removed bool
 	// QuorumTicks is the number of ticks since a quorum is known to have
 	// recognized this leader. It is valid only if QuorumKnown is set, which
-	// means that the node is leader and has committed an entry of its term.
+	// means that the node is leader, has committed an entry of its term and is not
+	// transferring its leadership.
 	QuorumTicks uint64
 	QuorumKnown bool
 	// Peers is set on the leader only.
@@ -144,7 +145,7 @@
 	if c.role != Leader {
 		return s
 	}
-	s.QuorumKnown = c.log.commit >= c.termStart
+	s.QuorumKnown = c.log.commit >= c.termStart && c.now >= c.transferUntil
 	s.QuorumTicks = c.quorumTicks()
 	for _, m := range s.Members {
 		ps := PeerStatus{Member: m, SilentTicks: c.ticksSinceAck(m.ID), CaughtUp: c.caughtUp(m.ID)}
--- a/consensus/safeguard_test.go
+++ b/consensus/safeguard_test.go
@@ -163,6 +163,8 @@
 			s.start(s.nodes[i])
 		}
 	}
+	// The restarted nodes abstain until then.
+	s.runInOrder(consensus.DefaultElectionTicks, s.nodes, func(consensus.Message) bool { return true })
 	s.runInOrder(40, s.nodes[:1], func(m consensus.Message) bool {
 		return m.To > 3 || m.To == 3 && m.Type == consensus.MsgAppend && m.Index == 2
 	})
--- a/consensus/types.go
+++ b/consensus/types.go
@@ -139,13 +139,16 @@
 		len(r.Committed) == 0 && len(r.Reads) == 0
 }
 
+// initialTerm is the term of a new cluster, which has no leader.
+const initialTerm = 1
+
 // InitialState returns the state with which every initial voter of a new cluster
 // starts. All initial voters must pass the same members, in any order.
 func InitialState(members []Member) State {
 	members = slices.Clone(members)
 	sortMembers(members)
-	s := &Snapshot{SnapshotMeta: SnapshotMeta{Index: 1, Term: 1, Members: members, Sum: xxhash.Sum64(nil)}}
-	return State{HardState: HardState{Term: 1, Commit: 1}, Snapshot: s}
+	s := &Snapshot{SnapshotMeta: SnapshotMeta{Index: 1, Term: initialTerm, Members: members, Sum: xxhash.Sum64(nil)}}
+	return State{HardState: HardState{Term: initialTerm, Commit: 1}, Snapshot: s}
 }
 
 // State is the persisted state of a node. The zero value is the state of a new
