plan: jobs that have begun finish first; on time needs a margin

Cause: under overload jobs were taken in the order of their deadlines until the declared time was all that was left, so many used capacity and just missed their objective, and steps of wide jobs waited for each other. Change: among jobs of one timeliness and priority those that have begun come first; a job counts as late unless it has a margin beyond the declared time.

--- a/workload/plan/plan.go
+++ b/workload/plan/plan.go
@@ -27,6 +27,13 @@
 	// expiryFactor is the multiple of its latency objective after which a job no
 	// longer has any value.
 	expiryFactor = 3
+	// A job counts as late unless it has marginPercent percent more than the
+	// declared time of its remaining steps, and startDelay milliseconds until its
+	// tasks start: the slowest task of a step takes longer than declared, and a job
+	// that just misses its objective has used capacity for nothing. The margin is
+	// at most half of the time that the objective leaves beyond the declared time.
+	marginPercent = 20
+	startDelay    = 100
 )
 
 // Condition is the leader's observation of a worker.
@@ -142,15 +149,18 @@
 	job        *workload.Job
 	priority   int
 	timeliness timeliness
+	// begun is set if tasks of the job are assigned or done.
+	begun bool
 	// overShare is set if the team uses more than its fair share.
 	overShare bool
 	due       workload.Millis
 }
 
 // runnable returns the jobs with assignable tasks in planning order: by timeliness,
-// then queue priority, then teams within their fair share before others, then the
-// deadline of the latency objective. Under overload this order sacrifices some
-// jobs instead of delaying all of them beyond their objectives.
+// then queue priority, then jobs that have begun before others, then teams within
+// their fair share before others, then the deadline of the latency objective. Under
+// overload this order sacrifices some jobs, those that have used no capacity yet,
+// instead of delaying all of them beyond their objectives.
 func (p *planner) runnable() []candidate {
 	var out []candidate
 	waiting := map[string]bool{}
@@ -166,7 +176,7 @@
 	}
 	slices.SortFunc(out, func(a, b candidate) int {
 		return cmp.Or(cmp.Compare(a.timeliness, b.timeliness), cmp.Compare(a.priority, b.priority),
-			compareBool(a.overShare, b.overShare), cmp.Compare(a.due, b.due), cmp.Compare(a.job.ID, b.job.ID))
+			compareBool(!a.begun, !b.begun), compareBool(a.overShare, b.overShare), cmp.Compare(a.due, b.due), cmp.Compare(a.job.ID, b.job.ID))
 	})
 	return out
 }
@@ -182,7 +192,7 @@
 }
 
 func (p *planner) candidate(j *workload.Job) candidate {
-	c := candidate{job: j, timeliness: onTime, due: j.Submitted + j.CriticalPath()}
+	c := candidate{job: j, timeliness: onTime, begun: j.Begun(), due: j.Submitted + j.CriticalPath()}
 	q, ok := p.in.State.Queue(j.Queue)
 	if !ok {
 		return c
@@ -194,12 +204,18 @@
 	case j.Spec.StartAt != 0 || j.Spec.LongRunning():
 	case p.in.Now > j.Submitted+expiryFactor*objective:
 		c.timeliness = expired
-	case p.in.Now+j.Remaining() > c.due:
+	case p.in.Now+j.Remaining()+margin(j, objective) > c.due:
 		c.timeliness = late
 	}
 	return c
 }
 
+// margin returns the time that a job needs beyond the declared time of its
+// remaining steps to count as on time.
+func margin(j *workload.Job, objective workload.Millis) workload.Millis {
+	return min(j.Remaining()*marginPercent/100+startDelay, max(0, objective-j.CriticalPath())/2)
+}
+
 // usableHosts returns the usable workers of a pool, sorted by id.
 func (p *planner) usableHosts(pool string) []*host {
 	hosts, known := p.hosts[pool]
--- a/workload/types.go
+++ b/workload/types.go
@@ -305,6 +305,10 @@
 // Assigned returns the number of tasks that have a current run.
 func (j *Job) Assigned() int { return j.assigned }
 
+// Begun reports whether a task of the job has a current run, or a step of the
+// critical path is done.
+func (j *Job) Begun() bool { return j.assigned > 0 || j.Remaining() < j.criticalPath }
+
 // CriticalPath returns the declared run time along the critical path of the job's
 // steps.
 func (j *Job) CriticalPath() Millis { return j.criticalPath }
