cluster, system: daemons leave a leader that falls silent

Ruled out: the election (0.61 s, as before). Change: a leader query has 250 ms; a request to a leader is given up, with an unknown outcome, once another one is known, and repeated there (it is idempotent by its id).

--- a/cluster/finder.go
+++ b/cluster/finder.go
@@ -18,14 +18,18 @@
 	// searchInterval is the interval between leader queries while no leader is
 	// known.
 	searchInterval = 100 * time.Millisecond
+	// queryTimeout bounds a leader query: several round trips between zones and a
+	// daemon pause of 100 ms. A leader that does not answer may have a successor.
+	queryTimeout = 250 * time.Millisecond
 	// leaderFreshness is how long a leader's last confirmation remains valid.
 	leaderFreshness = 2 * time.Second
 )
 
 // Finder tracks the leader on behalf of a daemon that is not a member.
 type Finder struct {
-	link *peerlink.Node
-	log  zerolog.Logger
+	// query asks a daemon for the leader.
+	query func(ctx context.Context, name string) (leadReply, error)
+	log   zerolog.Logger
 
 	mu          sync.Mutex
 	candidates  []string
@@ -37,7 +41,15 @@
 
 // NewFinder returns a finder that initially queries the seeds.
 func NewFinder(link *peerlink.Node, seeds []string, log zerolog.Logger) *Finder {
-	return &Finder{link: link, candidates: slices.Clone(seeds), log: log, changed: make(chan struct{})}
+	query := func(ctx context.Context, name string) (reply leadReply, err error) {
+		err = link.Call(ctx, name, methodLead, leadQuery{}, &reply)
+		return reply, err
+	}
+	return newFinder(query, seeds, log)
+}
+
+func newFinder(query func(context.Context, string) (leadReply, error), seeds []string, log zerolog.Logger) *Finder {
+	return &Finder{query: query, candidates: slices.Clone(seeds), log: log, changed: make(chan struct{})}
 }
 
 // Run queries for the leader until ctx ends.
@@ -125,10 +137,10 @@
 
 // queryLeader queries one daemon and reports whether it is the leader.
 func (f *Finder) queryLeader(ctx context.Context, name string) bool {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
 	defer cancel()
-	var reply leadReply
-	if err := f.link.Call(ctx, name, methodLead, leadQuery{}, &reply); err != nil {
+	reply, err := f.query(ctx, name)
+	if err != nil {
 		return false
 	}
 	f.mu.Lock()
--- /dev/null
+++ b/cluster/finder_test.go
@@ -0,0 +1,63 @@
+package cluster
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+)
+
+// fakeCore is a core daemon as a Finder sees it.
+type fakeCore struct {
+	// silent daemons answer no query.
+	silent bool
+	leader string
+	term   uint64
+}
+
+// TestFinderLeavesSilentLeader suspends the leader of term 1. The others elect a
+// leader of term 2 after 600 ms. A daemon must know it soon afterwards, although
+// queries to the first leader get no answer.
+func TestFinderLeavesSilentLeader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cores := map[string]*fakeCore{"a": {leader: "a", term: 1}, "b": {leader: "a", term: 1}, "c": {leader: "a", term: 1}}
+		var mu sync.Mutex
+		f := newFinder(func(ctx context.Context, name string) (leadReply, error) {
+			time.Sleep(3 * time.Millisecond)
+			mu.Lock()
+			c := *cores[name]
+			mu.Unlock()
+			if c.silent {
+				<-ctx.Done()
+				return leadReply{}, ctx.Err()
+			}
+			return leadReply{Leader: c.leader, Term: c.term, Members: []string{"a", "b", "c"}}, nil
+		}, []string{"a", "b", "c"}, zerolog.Nop())
+		ctx, stop := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() { defer close(done); f.Run(ctx) }()
+		time.Sleep(3 * time.Second)
+		if name, _ := f.Leader(); name != "a" || !f.HasLeader() {
+			t.Fatalf("leader %q, want a", name)
+		}
+		mu.Lock()
+		cores["a"].silent = true
+		mu.Unlock()
+		time.Sleep(600 * time.Millisecond)
+		mu.Lock()
+		for _, name := range []string{"b", "c"} {
+			cores[name].leader, cores[name].term = "b", 2
+		}
+		mu.Unlock()
+		const within = 300 * time.Millisecond
+		time.Sleep(within)
+		if name, _ := f.Leader(); name != "b" || !f.HasLeader() {
+			t.Errorf("leader %q %s after its election, want b", name, within)
+		}
+		stop()
+		<-done
+	})
+}
--- a/system/edge.go
+++ b/system/edge.go
@@ -158,7 +158,7 @@
 		if leader != "" {
 			attempts++
 			var resp workload.Response
-			if resp, err = e.attempt(ctx, leader, r); err == nil {
+			if resp, err = e.attempt(ctx, leader, changed, r); err == nil {
 				return resp, leader, attempts
 			}
 			outcomeUnknown = outcomeUnknown || mayHaveRun(err)
@@ -193,9 +193,18 @@
 	}
 }
 
-func (e *edge) attempt(ctx context.Context, leader string, r *workload.Request) (workload.Response, error) {
+// attempt calls a leader. It gives up once another leader is known, because the
+// former one may be suspended or cut off; its outcome is then unknown.
+func (e *edge) attempt(ctx context.Context, leader string, changed <-chan struct{}, r *workload.Request) (workload.Response, error) {
 	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
 	defer cancel()
+	go func() {
+		select {
+		case <-changed:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
 	var resp workload.Response
 	err := e.link.Call(ctx, leader, methodRequest, r, &resp)
 	return resp, err
--- a/system/edge_test.go
+++ b/system/edge_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 
@@ -109,6 +110,27 @@
 	}
 }
 
+// TestEdgeLeavesSuspendedLeader lets the leader receive a request and answer
+// nothing. Once another leader is known, the request must be answered by that one.
+func TestEdgeLeavesSuspendedLeader(t *testing.T) {
+	received := make(chan struct{})
+	old := fakeLeader(t, func(ctx context.Context, _ peerlink.Identity, _ []byte) (any, error) {
+		close(received)
+		<-ctx.Done()
+		return nil, ctx.Err()
+	})
+	e := testEdge(t, old)
+	for !e.Ready() {
+		time.Sleep(time.Millisecond)
+	}
+	changed := make(chan struct{})
+	go func() { <-received; close(changed) }()
+	_, err := e.attempt(t.Context(), old, changed, &workload.Request{Verb: workload.VerbSubmit, Path: "/q/1"})
+	if !errors.Is(err, context.Canceled) || !mayHaveRun(err) {
+		t.Errorf("error %v; want a canceled call that may have run", err)
+	}
+}
+
 func TestEdgeWithoutLeaderRefuses(t *testing.T) {
 	e := testEdge(t, "127.0.0.1:1")
 	resp := e.Serve(t.Context(), &workload.Request{Verb: workload.VerbSubmit}, 200*time.Millisecond)
