driver: a new leader knows the load of its pools

Change: a new driver takes the jobs accepted within the last second before the change from the state, as if no time had passed since the last one.

--- a/driver/driver.go
+++ b/driver/driver.go
@@ -73,6 +73,7 @@
 		needsPlan: true, lastPrune: time.Now(),
 	}
 	d.fleet = newFleet(d)
+	d.fleet.inheritLoads(nowMillis())
 	for id, w := range d.state.Workers() {
 		d.sessions[id] = d.newSession(w)
 		for ref, j := range d.state.Runs(id) {
--- a/driver/pools.go
+++ b/driver/pools.go
@@ -1,7 +1,9 @@
 package driver
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -80,13 +82,36 @@
 
 // recordArrival records an accepted job for the load of its pool.
 func (f *fleet) recordArrival(j *workload.Job) {
+	f.loadOf(j).Add(nowMillis(), &j.Spec, f.runTimes[j.Queue].factor())
+}
+
+// loadOf returns the load of the pool that runs a job.
+func (f *fleet) loadOf(j *workload.Job) *plan.Load {
 	pool := f.d.state.PoolOf(j)
 	l := f.loads[pool]
 	if l == nil {
 		l = &plan.Load{}
 		f.loads[pool] = l
 	}
-	l.Add(nowMillis(), &j.Spec, f.runTimes[j.Queue].factor())
+	return l
+}
+
+// inheritLoads records the jobs accepted last under an earlier leader as if no
+// time had passed since the last one, so that the change of leader does not look
+// like the end of the demand.
+func (f *fleet) inheritLoads(now workload.Millis) {
+	var recent []*workload.Job
+	var last workload.Millis
+	for _, j := range f.d.state.Active() {
+		recent = append(recent, j)
+		last = max(last, j.Submitted)
+	}
+	slices.SortFunc(recent, func(a, b *workload.Job) int { return cmp.Compare(a.Submitted, b.Submitted) })
+	for _, j := range recent {
+		if last-j.Submitted <= plan.LoadMemory {
+			f.loadOf(j).Add(now-(last-j.Submitted), &j.Spec, 1)
+		}
+	}
 }
 
 // addArriving adds the load of each pool to its demand.
--- a/workload/plan/load.go
+++ b/workload/plan/load.go
@@ -9,7 +9,10 @@
 // loadWindows are the times in milliseconds over which the rate of arriving work
 // is measured. The short ones show a rise early, the long ones with less
 // variation.
-var loadWindows = [...]workload.Millis{250, 500, 1000}
+var loadWindows = [...]workload.Millis{250, 500, LoadMemory}
+
+// LoadMemory is the time in milliseconds for which a Load remembers arrivals.
+const LoadMemory workload.Millis = 1000
 
 // minArrivals is the number of jobs below which a window shows no rate.
 const minArrivals = 8
@@ -53,9 +56,8 @@
 // Expect returns the resources that work arriving at the present rate occupies,
 // less the random variation of the rate: the largest value that any window shows.
 func (l *Load) Expect(now workload.Millis) workload.Size {
-	longest := loadWindows[len(loadWindows)-1]
 	old := 0
-	for old < len(l.arrivals) && l.arrivals[old].at <= now-longest {
+	for old < len(l.arrivals) && l.arrivals[old].at <= now-LoadMemory {
 		old++
 	}
 	l.arrivals = l.arrivals[old:]
