driver: a log line on the demand of each pool every 2 s

Why an instance moved could not be told from the log: the inputs of the plan were not in it. One line a pool every 2 s gives ready and idle instances and what runs, lasts, waits and arrives.

--- a/driver/fleet.go
+++ b/driver/fleet.go
@@ -66,9 +66,11 @@
 	byWorker  map[string]*instance
 	listedAt  time.Time
 	plannedAt time.Time
-	listing   bool
-	listOK    bool
-	trends    map[string]*plan.Trend
+	// poolsLoggedAt is when the demand of the pools was logged last.
+	poolsLoggedAt time.Time
+	listing       bool
+	listOK        bool
+	trends        map[string]*plan.Trend
 	// loads is the work that arrives for each pool, and runTimes the observed run
 	// times of each queue's tasks.
 	loads    map[string]*plan.Load
--- a/driver/pools.go
+++ b/driver/pools.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -13,6 +14,9 @@
 	"magnoliastand.example/workload/plan"
 )
 
+// poolLogInterval is the interval between log lines on the demand of each pool.
+const poolLogInterval = 2 * time.Second
+
 // joinTime is how long a moved worker takes to announce itself, have its lists
 // read and receive its first task.
 const joinTime = 400 * time.Millisecond
@@ -20,6 +24,10 @@
 // moveInstances executes the moves that the planner proposes.
 func (f *fleet) moveInstances(now time.Time) {
 	in := f.poolInput(now)
+	if now.Sub(f.poolsLoggedAt) >= poolLogInterval {
+		f.poolsLoggedAt = now
+		f.logPools(in)
+	}
 	for _, m := range plan.Moves(in) {
 		f.beginMove(f.instances[m.Instance], m.To, now)
 	}
@@ -80,6 +88,27 @@
 	}
 }
 
+// logPools writes one line per pool that has instances or demand: the inputs of
+// its moves, in thousandths of a processor.
+func (f *fleet) logPools(in *plan.PoolInput) {
+	ready := map[string]int{}
+	idle := map[string]int{}
+	for i := range in.Instances {
+		if p := &in.Instances[i]; p.Ready {
+			ready[p.Pool]++
+			if p.Movable {
+				idle[p.Pool]++
+			}
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(in.Pools)) {
+		d := in.Pools[name]
+		f.d.cfg.Logger.Info().Str("pool", name).Int("ready", ready[name]).Int("idle", idle[name]).
+			Int64("running", d.Running.Processors).Int64("lasting", d.Lasting.Processors).Int64("waiting", d.Waiting.Processors).
+			Int64("rising", d.Rising.Processors).Int64("arriving", d.Arriving.Processors).Uint64("term", f.d.cfg.Term).Msg("pool demand")
+	}
+}
+
 // recordArrival records an accepted job for the load of its pool.
 func (f *fleet) recordArrival(j *workload.Job) {
 	f.loadOf(j).Add(nowMillis(), &j.Spec, f.runTimes[j.Queue].factor())
