plan: the growth of the arriving work is extrapolated to the end of a move

Change: the growth between the two halves of the last second, less its random variation, is projected to the time at which an ordered instance takes work, at most by the rate itself.

--- a/driver/pools.go
+++ b/driver/pools.go
@@ -155,13 +155,14 @@
 			pools[pool] = demand
 		}
 	}
+	ahead := (f.d.cfg.Timing.Migrate + joinTime).Milliseconds()
 	for name, l := range f.loads {
 		demand, ok := pools[name]
 		if !ok {
 			delete(f.loads, name)
 			continue
 		}
-		demand.Arriving = l.Expect(now.UnixMilli())
+		demand.Arriving = l.Expect(now.UnixMilli(), ahead)
 		pools[name] = demand
 	}
 }
--- a/workload/plan/load.go
+++ b/workload/plan/load.go
@@ -14,6 +14,9 @@
 // LoadMemory is the time in milliseconds for which a Load remembers arrivals.
 const LoadMemory workload.Millis = 1000
 
+// maxGrowth bounds the growth that is expected, as a multiple of the present rate.
+const maxGrowth = 1
+
 // minArrivals is the number of jobs below which a window shows no rate.
 const minArrivals = 8
 
@@ -53,15 +56,16 @@
 	}
 }
 
-// Expect returns the resources that work arriving at the present rate occupies,
-// less the random variation of the rate: the largest value that any window shows.
-func (l *Load) Expect(now workload.Millis) workload.Size {
+// Expect returns the resources that arriving work will occupy when the given time
+// in milliseconds has passed: at the present rate, less its random variation, as
+// the window that shows the largest value has it, plus the growth of the rate.
+func (l *Load) Expect(now, ahead workload.Millis) workload.Size {
 	old := 0
 	for old < len(l.arrivals) && l.arrivals[old].at <= now-LoadMemory {
 		old++
 	}
 	l.arrivals = l.arrivals[old:]
-	var most, sum workload.Size
+	var rate, sum workload.Size
 	next := len(l.arrivals)
 	for _, window := range loadWindows {
 		for next > 0 && l.arrivals[next-1].at > now-window {
@@ -69,12 +73,44 @@
 			sum = sum.Add(l.arrivals[next].work)
 		}
 		if n := len(l.arrivals) - next; n >= minArrivals {
-			share := (1 - 1/math.Sqrt(float64(n))) / float64(window)
-			most = most.Max(workload.Size{
-				Processors: int64(float64(sum.Processors) * share), MemoryMB: int64(float64(sum.MemoryMB) * share),
-				Accelerators: int64(float64(sum.Accelerators) * share),
-			})
+			rate = rate.Max(scale(sum, (1-1/math.Sqrt(float64(n)))/float64(window)))
+		}
+	}
+	growth := l.growth(now, ahead)
+	limit := scale(rate, maxGrowth)
+	return rate.Add(workload.Size{
+		Processors: min(growth.Processors, limit.Processors), MemoryMB: min(growth.MemoryMB, limit.MemoryMB),
+		Accelerators: min(growth.Accelerators, limit.Accelerators),
+	})
+}
+
+// growth extrapolates the growth of the rate between the two halves of the
+// remembered time, less its random variation.
+func (l *Load) growth(now, ahead workload.Millis) workload.Size {
+	const half = LoadMemory / 2
+	var before, after, squares [3]float64
+	for _, a := range l.arrivals {
+		work := [3]float64{float64(a.work.Processors), float64(a.work.MemoryMB), float64(a.work.Accelerators)}
+		for i, w := range work {
+			squares[i] += w * w
+			if a.at > now-half {
+				after[i] += w
+			} else {
+				before[i] += w
+			}
 		}
 	}
-	return most
+	// The rate of the second half is that of its middle.
+	factor := float64(ahead+half/2) / float64(half*half)
+	var grown [3]int64
+	for i := range grown {
+		grown[i] = int64(max(0, after[i]-before[i]-math.Sqrt(squares[i])) * factor)
+	}
+	return workload.Size{Processors: grown[0], MemoryMB: grown[1], Accelerators: grown[2]}
+}
+
+func scale(s workload.Size, by float64) workload.Size {
+	return workload.Size{
+		Processors: int64(float64(s.Processors) * by), MemoryMB: int64(float64(s.MemoryMB) * by), Accelerators: int64(float64(s.Accelerators) * by),
+	}
 }
