Handlers: a panic ends the call or request, not the process

Cause (story: one malformed message or unexpected error took a whole process down): a panic in the handler of a peer call or notification ended the daemon; in an HTTP handler net/http kept the process, but nothing counted it and the log had no request. Ruled out: an error answer to the HTTP caller (the request may have run). Change: peerlink recovers, answers a call with outcome-unknown, drops a notification; the servers of the roles recover, log once with method and path and close the connection. Both are counted.

--- a/peerlink/errors.go
+++ b/peerlink/errors.go
@@ -31,6 +31,9 @@
 	CodeBusy          = "busy"
 	CodeUnknownMethod = "unknown-method"
 	CodeInternal      = "internal"
+	// CodeOutcomeUnknown means that the handler failed unexpectedly; the call may
+	// have been carried out.
+	CodeOutcomeUnknown = "outcome-unknown"
 )
 
 // RemoteError is an error reply to a call, as received by the caller.
--- a/peerlink/inlink.go
+++ b/peerlink/inlink.go
@@ -120,9 +120,7 @@
 func (l *inLink) dispatch(wg *sync.WaitGroup, f frame) {
 	switch f.Kind {
 	case frameNotify:
-		if h, ok := l.node.notifiers[f.Method]; ok {
-			h(l.peer, f.Payload)
-		}
+		l.notify(f)
 	case frameCall:
 		select {
 		case l.callSlots <- struct{}{}:
@@ -137,8 +135,29 @@
 	}
 }
 
-func (l *inLink) handle(f frame) frame {
-	reply := frame{Kind: frameReply, Seq: f.Seq}
+// notify passes a notification to its handler. A handler that panics drops the
+// notification.
+func (l *inLink) notify(f frame) {
+	defer func() {
+		if r := recover(); r != nil {
+			l.node.reportPanic(l.peer, f.Method, r)
+		}
+	}()
+	if h, ok := l.node.notifiers[f.Method]; ok {
+		h(l.peer, f.Payload)
+	}
+}
+
+// handle passes a call to its handler and returns the reply. After a panic of the
+// handler the outcome of the call is unknown.
+func (l *inLink) handle(f frame) (reply frame) {
+	defer func() {
+		if r := recover(); r != nil {
+			l.node.reportPanic(l.peer, f.Method, r)
+			reply = frame{Kind: frameReply, Seq: f.Seq, Error: &wireError{Code: CodeOutcomeUnknown, Detail: "handler of " + f.Method + " failed"}}
+		}
+	}()
+	reply = frame{Kind: frameReply, Seq: f.Seq}
 	h, ok := l.node.handlers[f.Method]
 	if !ok {
 		reply.Error = &wireError{Code: CodeUnknownMethod, Detail: f.Method}
--- a/peerlink/node.go
+++ b/peerlink/node.go
@@ -12,6 +12,7 @@
 	"context"
 	"crypto/tls"
 	"net/http"
+	"runtime/debug"
 	"sync"
 	"time"
 
@@ -109,6 +110,14 @@
 // HandleNotify registers the handler of a notification method.
 func (n *Node) HandleNotify(method string, h NotifyHandler) { n.notifiers[method] = h }
 
+// reportPanic logs and counts the panic of a handler. It ends the call or
+// notification, not the process.
+func (n *Node) reportPanic(peer Identity, method string, cause any) {
+	n.stats.handlerPanics.Add(1)
+	n.cfg.Log.Error().Str("peer", peer.Name).Str("method", method).Interface("cause", cause).
+		Bytes("stack", debug.Stack()).Msg("handler panicked")
+}
+
 // Self returns the node's own identity.
 func (n *Node) Self() Identity { return n.cfg.Self }
 
--- a/peerlink/node_test.go
+++ b/peerlink/node_test.go
@@ -209,3 +209,28 @@
 		}
 	}
 }
+
+// TestHandlerPanicEndsCallOnly lets handlers of a call and of a notification panic.
+// The caller must learn that the call may have run, and the link must go on.
+func TestHandlerPanicEndsCallOnly(t *testing.T) {
+	addresses := map[string]string{}
+	a, b := testNode(t, "a", "c", testSecret, addresses), testNode(t, "b", "c", testSecret, addresses)
+	crash := func() { panic("unexpected") }
+	b.Handle("crash", func(context.Context, Identity, []byte) (any, error) { crash(); return nil, nil })
+	b.HandleNotify("crash", func(Identity, []byte) { crash() })
+	b.Handle("works", func(context.Context, Identity, []byte) (any, error) { return echoMessage{Text: "yes"}, nil })
+	serveNode(t, a, addresses)
+	serveNode(t, b, addresses)
+	var remote *RemoteError
+	if err := a.Call(t.Context(), "b", "crash", echoMessage{}, nil); !errors.As(err, &remote) || remote.Code != CodeOutcomeUnknown {
+		t.Errorf("error %v, want code %s", err, CodeOutcomeUnknown)
+	}
+	a.Notify("b", "crash", echoMessage{})
+	var reply echoMessage
+	if err := a.Call(t.Context(), "b", "works", echoMessage{}, &reply); err != nil || reply.Text != "yes" {
+		t.Errorf("reply %q, %v", reply.Text, err)
+	}
+	for b.Stats().HandlerPanics < 2 {
+		time.Sleep(time.Millisecond)
+	}
+}
--- a/peerlink/stats.go
+++ b/peerlink/stats.go
@@ -7,6 +7,7 @@
 	framesSent, bytesSent         atomic.Int64
 	framesReceived, bytesReceived atomic.Int64
 	framesDropped, peersRefused   atomic.Int64
+	handlerPanics                 atomic.Int64
 }
 
 // StatsSnapshot is a copy of the counters.
@@ -14,6 +15,9 @@
 	FramesSent, BytesSent         int64
 	FramesReceived, BytesReceived int64
 	FramesDropped, PeersRefused   int64
+	// HandlerPanics is the number of calls and notifications whose handler
+	// panicked.
+	HandlerPanics int64
 }
 
 func (s *Stats) addSent(n int) {
@@ -37,5 +41,6 @@
 		BytesReceived:  s.bytesReceived.Load(),
 		FramesDropped:  s.framesDropped.Load(),
 		PeersRefused:   s.peersRefused.Load(),
+		HandlerPanics:  s.handlerPanics.Load(),
 	}
 }
--- a/system/core.go
+++ b/system/core.go
@@ -40,7 +40,7 @@
 // RunCore runs a core daemon until ctx ends. It registers its metrics with
 // registry and serves all of them.
 func RunCore(ctx context.Context, settings Settings, registry *prometheus.Registry, log zerolog.Logger) error {
-	link, err := newPeerNode(&settings, log)
+	link, err := newPeerNode(&settings, registry, log)
 	if err != nil {
 		return err
 	}
@@ -101,7 +101,7 @@
 func (c *core) serve(ctx context.Context, registry *prometheus.Registry) error {
 	runCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	servers := newServers(c.log)
+	servers := newServers(c.log, registry)
 	servers.add("peers", c.settings.peerListenAddress(), c.link.Handler())
 	servers.add("operators", c.settings.OperatorsListen, platform.NewControl(c))
 	servers.addMetrics(&c.settings, registry)
--- a/system/edge.go
+++ b/system/edge.go
@@ -50,7 +50,7 @@
 // RunEdge runs an edge daemon until ctx ends. Seeds in the settings received on
 // reload are added; their other fields take effect at the next start only.
 func RunEdge(ctx context.Context, settings Settings, registry *prometheus.Registry, log zerolog.Logger, reload <-chan Settings) error {
-	link, err := newPeerNode(&settings, log)
+	link, err := newPeerNode(&settings, registry, log)
 	if err != nil {
 		return err
 	}
@@ -69,7 +69,7 @@
 }
 
 func (e *edge) serve(ctx context.Context, registry *prometheus.Registry, reload <-chan Settings) error {
-	s := newServers(e.log)
+	s := newServers(e.log, registry)
 	callers := s.add("callers", e.settings.CallersListen, platform.NewIngress(e))
 	s.add("ready", e.settings.ReadyListen, platform.NewReady(e))
 	s.addMetrics(&e.settings, registry)
--- a/system/message.go
+++ b/system/message.go
@@ -28,7 +28,7 @@
 	codeUnavailable = "unavailable"
 	codeInvalid     = "invalid"
 	codeNotFound    = "not-found"
-	codeUnknown     = "outcome-unknown"
+	codeUnknown     = peerlink.CodeOutcomeUnknown
 )
 
 // documentMessage carries the original bytes of a document.
--- a/system/server.go
+++ b/system/server.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"strconv"
 	"sync"
 	"time"
@@ -34,22 +35,30 @@
 )
 
 // newPeerNode returns the daemon's node of the peer links.
-func newPeerNode(settings *Settings, log zerolog.Logger) (*peerlink.Node, error) {
+func newPeerNode(settings *Settings, registry *prometheus.Registry, log zerolog.Logger) (*peerlink.Node, error) {
 	var incarnation [incarnationIDBytes]byte
 	_, _ = rand.Read(incarnation[:]) // crypto/rand.Read never returns an error
-	return peerlink.New(peerlink.Config{
+	link, err := peerlink.New(peerlink.Config{
 		Self: peerlink.Identity{
 			Cluster: clusterName, Name: settings.peerAddress(), Incarnation: hex.EncodeToString(incarnation[:]), Zone: settings.Zone},
 		Secret: []byte(settings.PeerSecret), NamesAreAddresses: true, PingInterval: peerPingInterval, Log: log,
 		OnDown: func(peer string) { log.Warn().Str("peer", peer).Msg("peer link lost") },
 	})
+	if err != nil {
+		return nil, err
+	}
+	registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Name: "magnoliastand_peer_handler_panics_total", Help: "Calls and notifications of peers whose handler panicked."},
+		func() float64 { return float64(link.Stats().HandlerPanics) }))
+	return link, nil
 }
 
 // servers is the set of HTTP servers of a daemon.
 type servers struct {
-	log  zerolog.Logger
-	list []*server
-	wg   sync.WaitGroup
+	log    zerolog.Logger
+	panics *prometheus.CounterVec
+	list   []*server
+	wg     sync.WaitGroup
 }
 
 type server struct {
@@ -57,12 +66,37 @@
 	http *http.Server
 }
 
-func newServers(log zerolog.Logger) *servers { return &servers{log: log} }
+func newServers(log zerolog.Logger, registry *prometheus.Registry) *servers {
+	s := &servers{log: log, panics: prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "magnoliastand_handler_panics_total", Help: "Requests whose handler panicked."}, []string{"server"})}
+	registry.MustRegister(s.panics)
+	return s
+}
+
+// recoverPanics ends the request whose handler panics, not the process. The
+// connection is closed without an answer, because the request may have run.
+func (s *servers) recoverPanics(name string, h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		defer func() {
+			cause := recover()
+			if cause == nil {
+				return
+			}
+			if err, ok := cause.(error); !ok || !errors.Is(err, http.ErrAbortHandler) {
+				s.panics.WithLabelValues(name).Inc()
+				s.log.Error().Str("server", name).Str("method", r.Method).Str("path", r.URL.Path).Interface("cause", cause).
+					Bytes("stack", debug.Stack()).Msg("handler panicked")
+			}
+			panic(http.ErrAbortHandler)
+		}()
+		h.ServeHTTP(w, r)
+	})
+}
 
 // add creates a server. The server is not started if the address is empty.
 func (s *servers) add(name, address string, h http.Handler) *http.Server {
 	srv := &http.Server{
-		Addr: address, Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		Addr: address, Handler: s.recoverPanics(name, h), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 	}
 	if address != "" {
 		s.list = append(s.list, &server{name: name, http: srv})
