--- a/system/server_test.go
+++ b/system/server_test.go
@@ -18,8 +18,7 @@
 	h := s.recoverPanics("callers", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		if first {
 			first = false
-			var m map[string]int
-			m["x"] = 1
+			panic("unexpected")
 		}
 		w.WriteHeader(http.StatusNoContent)
 	}))
