cluster: a member stops cleanly while its disk is full; backoff over quick failures

Found by reading: a stop during the wait for the storage started the log again on the closed disk, so Run returned an error; and a disk that fails again right after it was opened was tried every 250 ms, with a line each time. Change: Run ends once its context has; the backoff goes on if the storage fails again within 10 s. Result: TestMemberStopsWhileDiskIsFull, race detector, green.

--- a/cluster/member.go
+++ b/cluster/member.go
@@ -84,6 +84,10 @@
 	// yieldedAt is when this daemon last gave up leadership for its slow disk.
 	// It is used by maintainMembership only.
 	yieldedAt time.Time
+	// reopenedAt and reopenDelay are the time of the last recovery of the storage
+	// and the delay before it. They are used by Run only.
+	reopenedAt  time.Time
+	reopenDelay time.Duration
 }
 
 // Open opens the log in the data folder and registers the peer link handlers.
@@ -125,7 +129,7 @@
 		if !errors.Is(err, node.ErrStorage) || ctx.Err() != nil {
 			return err
 		}
-		if err := m.awaitStorage(ctx, err); err != nil {
+		if err := m.awaitStorage(ctx, err); err != nil || ctx.Err() != nil {
 			return err
 		}
 	}
--- a/cluster/recovery.go
+++ b/cluster/recovery.go
@@ -12,9 +12,11 @@
 
 const (
 	// reopenBackoff is the delay before the storage is opened again after a
-	// failed write. It doubles up to maxReopenBackoff.
+	// failed write. It doubles up to maxReopenBackoff, also if the storage fails
+	// again within stableTime after it was opened.
 	reopenBackoff    = 250 * time.Millisecond
 	maxReopenBackoff = 2 * time.Second
+	stableTime       = 10 * time.Second
 	// maxStatusAge is the age of the log's status from which on its event loop
 	// counts as blocked by a write: ten ticks, the shortest election timeout.
 	maxStatusAge = 10 * logTick
@@ -37,9 +39,13 @@
 	failed := time.Now()
 	m.cfg.Metrics.StorageFailed.Set(1)
 	m.cfg.Log.Error().Err(cause).Msg("storage failed: this daemon neither votes nor leads until the disk can be written again")
-	for backoff := reopenBackoff; ; backoff = min(2*backoff, maxReopenBackoff) {
+	if time.Since(m.reopenedAt) > stableTime {
+		m.reopenDelay = 0
+	}
+	for {
+		m.reopenDelay = min(max(2*m.reopenDelay, reopenBackoff), maxReopenBackoff)
 		select {
-		case <-time.After(backoff):
+		case <-time.After(m.reopenDelay):
 		case <-ctx.Done():
 			return nil
 		}
@@ -48,6 +54,7 @@
 			m.mu.Lock()
 			m.disk = disk
 			m.mu.Unlock()
+			m.reopenedAt = time.Now()
 			m.cfg.Metrics.StorageFailed.Set(0)
 			m.cfg.Log.Info().Dur("failed_for", time.Since(failed)).Msg("storage works again: this daemon takes part in the log")
 			return nil
--- a/cluster/recovery_test.go
+++ b/cluster/recovery_test.go
@@ -94,3 +94,25 @@
 	default:
 	}
 }
+
+// TestMemberStopsWhileDiskIsFull stops a member whose disk is full: that is no
+// failure of the process.
+func TestMemberStopsWhileDiskIsFull(t *testing.T) {
+	full := map[*Member[int]]*atomic.Bool{}
+	prepareMember = func(m *Member[int]) { full[m] = letDiskFill(m) }
+	defer func() { prepareMember = nil }()
+	all, _ := formCluster(t, 3)
+	waitFor(t, "a leader", func() bool { return leaderOf(all) != nil })
+	d := all[0]
+	full[d.member].Store(true)
+	waitFor(t, "the storage has failed", func() bool {
+		if leader := leaderOf(all); leader != nil {
+			_, _ = leader.member.Node().Propose(t.Context(), []byte("x")) // a write for every member
+		}
+		return testutil.ToFloat64(d.member.cfg.Metrics.StorageFailed) == 1
+	})
+	d.stop()
+	if err := <-d.ended; err != nil {
+		t.Errorf("Run returned: %v", err)
+	}
+}
