--- a/driver/testenv_test.go
+++ b/driver/testenv_test.go
@@ -6,6 +6,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -24,6 +25,10 @@
 	mu    sync.Mutex
 	term  uint64
 	state *workload.State
+	// leaseLost makes IsLeader report that no leader is certain.
+	leaseLost atomic.Bool
+	// committing, if set, is called with each batch before it is committed.
+	committing func(*workload.Batch)
 }
 
 // termLog is the log as seen by the leader of one term. It rejects proposals once
@@ -38,6 +43,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if l.committing != nil {
+		l.committing(b)
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.term != l.own || term != l.own {
@@ -49,7 +57,7 @@
 func (l *memoryLog) IsLeader(term uint64) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.term == term
+	return l.term == term && !l.leaseLost.Load()
 }
 
 func (l *memoryLog) read(f func(*workload.State)) {
