plan: a load forgets also when nobody asks for it

Found by reading: arrivals were removed by Expect only, which a driver without a machine service never calls, so every accepted job stayed in memory. Change: Add forgets too. What Expect returns is unchanged.

--- a/workload/plan/load.go
+++ b/workload/plan/load.go
@@ -52,19 +52,28 @@
 		work = work.Add(workload.Size{Processors: need.Processors * n, MemoryMB: need.MemoryMB * n, Accelerators: need.Accelerators * n})
 	}
 	if work != (workload.Size{}) {
+		l.forget(at)
 		l.arrivals = append(l.arrivals, arrival{at, work})
 	}
 }
 
-// Expect returns the resources that arriving work will occupy when the given time
-// in milliseconds has passed: at the present rate, less its random variation, as
-// the window that shows the largest value has it, plus the growth of the rate.
-func (l *Load) Expect(now, ahead workload.Millis) workload.Size {
+// Len returns the number of remembered arrivals.
+func (l *Load) Len() int { return len(l.arrivals) }
+
+// forget removes the arrivals older than LoadMemory.
+func (l *Load) forget(now workload.Millis) {
 	old := 0
 	for old < len(l.arrivals) && l.arrivals[old].at <= now-LoadMemory {
 		old++
 	}
 	l.arrivals = l.arrivals[old:]
+}
+
+// Expect returns the resources that arriving work will occupy when the given time
+// in milliseconds has passed: at the present rate, less its random variation, as
+// the window that shows the largest value has it, plus the growth of the rate.
+func (l *Load) Expect(now, ahead workload.Millis) workload.Size {
+	l.forget(now)
 	var rate, sum workload.Size
 	next := len(l.arrivals)
 	for _, window := range loadWindows {
--- a/workload/plan/load_test.go
+++ b/workload/plan/load_test.go
@@ -90,6 +90,18 @@
 	}
 }
 
+// TestLoadForgetsWithoutBeingAsked adds jobs for a minute without asking for the
+// load, as a driver without a machine service does. Memory must stay bounded.
+func TestLoadForgetsWithoutBeingAsked(t *testing.T) {
+	var l plan.Load
+	for at := range workload.Millis(60_000) {
+		l.Add(at, quickSpec(), 1)
+	}
+	if n := l.Len(); n > int(plan.LoadMemory) {
+		t.Errorf("%d jobs remembered, %d came within the time of the memory", n, plan.LoadMemory)
+	}
+}
+
 func TestLoadFollowsObservedRunTimes(t *testing.T) {
 	var once, twice plan.Load
 	for at := range workload.Millis(250) {
