consensus/node: a failed node no longer reports itself leader to the caller it fails

Ruled out: a second node or a reopened log (the disk was still full). Change: the status is published first.

--- a/consensus/node/loop.go
+++ b/consensus/node/loop.go
@@ -13,8 +13,8 @@
 func (n *Node[R]) run() {
 	ticks, stopTicks := n.cfg.Clock.NewTicker(n.cfg.TickPeriod)
 	defer close(n.done)
-	defer n.publishStopped()
 	defer n.failPending()
+	defer n.publishStopped() // before a caller learns of the failure
 	defer stopTicks()
 	for {
 		select {
