--- a/driver/pools.go
+++ b/driver/pools.go
@@ -88,8 +88,8 @@
 	}
 }
 
-// logPools writes one line per pool that has instances or demand: the inputs of
-// its moves, in thousandths of a processor.
+// logPools writes one line per pool with the inputs of its moves, in thousandths of
+// a processor.
 func (f *fleet) logPools(in *plan.PoolInput) {
 	ready := map[string]int{}
 	idle := map[string]int{}
