relay: an agent accepts no order once it is closed

Cause: handleOrders looked at the agent's context and added to the wait group later; Close could cancel and return in between, and the orders of the batch were carried out by an agent that counted as closed. Ruled out: a fault of the test's cleanup; Close runs in the same way when a daemon stops. Change: accepting a batch and closing exclude each other. Test: TestCloseWaitsForBatch suspends a batch between the two; without the lock it fails and the race detector reports the same pair.

--- a/relay/age_test.go
+++ b/relay/age_test.go
@@ -29,6 +29,41 @@
 func (l *stubLink) Handle(m string, h peerlink.CallHandler)         { l.handlers[m] = h }
 func (l *stubLink) HandleNotify(m string, h peerlink.NotifyHandler) { l.notifiers[m] = h }
 
+// TestCloseWaitsForBatch closes an agent that is accepting a batch. Close may
+// return only after the orders of the batch.
+func TestCloseWaitsForBatch(t *testing.T) {
+	from := peerlink.Identity{Name: "leader", Incarnation: "1"}
+	payload, err := cbor.Marshal(orderBatch{Orders: []*order{{Seq: 7, Timeout: 1000, Hold: &platform.HoldOrder{}}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	link := &stubLink{map[string]peerlink.CallHandler{}, map[string]peerlink.NotifyHandler{}, make(chan []*outcome, 1)}
+	workers := &holdCounter{}
+	agent := NewAgent(link, workers, zerolog.Nop())
+	agent.mu.Lock() // suspends the batch after it was found to be in time
+	accepted, closed := make(chan struct{}), make(chan struct{})
+	go func() { defer close(accepted); link.notifiers[methodOrders](from, payload) }()
+	for agent.closeMu.TryLock() {
+		agent.closeMu.Unlock()
+		time.Sleep(time.Millisecond)
+	}
+	go func() { defer close(closed); agent.Close() }()
+	select {
+	case <-closed:
+		t.Error("Close returned while a batch was being accepted")
+	case <-time.After(50 * time.Millisecond):
+	}
+	agent.mu.Unlock()
+	<-accepted
+	<-closed
+	executed := workers.executed
+	link.notifiers[methodOrders](from, payload)
+	time.Sleep(20 * time.Millisecond)
+	if executed != 1 || workers.executed != executed {
+		t.Errorf("%d orders executed, %d in all, want 1 and none after Close", executed, workers.executed)
+	}
+}
+
 // holdCounter counts the holds that it executes.
 type holdCounter struct {
 	platform.Workers
--- a/relay/agent.go
+++ b/relay/agent.go
@@ -30,6 +30,11 @@
 	cancel  context.CancelFunc
 	wg      sync.WaitGroup
 
+	// closeMu orders Close against the batches that are being accepted. closed is
+	// set by Close; no order is accepted afterwards.
+	closeMu sync.RWMutex
+	closed  bool
+
 	draining     atomic.Bool
 	inFlight     atomic.Int64
 	mu           sync.Mutex
@@ -83,8 +88,12 @@
 	}
 }
 
-// Close cancels the calls in progress and waits for them to return.
+// Close cancels the calls in progress and waits for them to return. Orders that
+// arrive later are dropped.
 func (a *Agent) Close() {
+	a.closeMu.Lock()
+	a.closed = true
+	a.closeMu.Unlock()
 	a.cancel()
 	a.wg.Wait()
 }
@@ -96,7 +105,9 @@
 		a.log.Warn().Err(err).Str("peer", from.Name).Msg("cannot decode batch of orders")
 		return
 	}
-	if a.ctx.Err() != nil {
+	a.closeMu.RLock()
+	defer a.closeMu.RUnlock()
+	if a.closed {
 		return
 	}
 	replies := a.replyBatcher(from.Name)
