driver, cluster: no test waits without a bound, and one waits for no time window

Cause: TestNoOrderForJobThatFailedMeanwhile counted on a second worker joining within the 150 ms of the third attempt. With 200 ms of delay put there it hangs each time: the job has failed before the other task is assigned, and the test waits for that assignment for ever. Ruled out: 168 runs of the other tests and 120 of the two, beside 14 and 40 others, hung in none; the time window was not hit there. Change: the test ends the runs itself; waits of driver and cluster end after a minute with the name of what was waited for.

--- a/cluster/cluster_test.go
+++ b/cluster/cluster_test.go
@@ -95,12 +95,16 @@
 	return d
 }
 
-// waitFor polls until ok returns true or the test times out.
+// waitLimit bounds each wait of a test, also on a busy machine.
+const waitLimit = time.Minute
+
+// waitFor polls until ok returns true and fails the test after waitLimit.
 func waitFor(t *testing.T, what string, ok func() bool) {
 	t.Helper()
+	limit := time.After(waitLimit)
 	for !ok() {
 		select {
-		case <-t.Context().Done():
+		case <-limit:
 			t.Fatalf("timed out waiting for: %s", what)
 		case <-time.After(5 * time.Millisecond):
 		}
@@ -163,7 +167,7 @@
 	old.member.Node().Stop()
 	select {
 	case <-old.ended:
-	case <-t.Context().Done():
+	case <-time.After(waitLimit):
 		t.Fatal("member still running after its log stopped")
 	}
 	waitFor(t, "finder has another leader", func() bool {
--- a/driver/order_test.go
+++ b/driver/order_test.go
@@ -66,15 +66,24 @@
 	}
 	w.startLeader()
 	w.putDocument()
-	w.worker("w1", "p", 150*time.Millisecond).SetFaults(platformtest.Faults{FailAll: true})
+	failing := w.worker("w1", "p", time.Hour) // the test ends its runs
 	w.waitFor("worker registered", func() bool { return w.workerCount() == 1 })
-	elsewhere := step(1)
+	first, elsewhere := step(1), step(1)
+	first.Estimate = workload.Millis(time.Hour / time.Millisecond) // no progress is expected
 	elsewhere.Requires = "b"
-	w.submit(jobID(0), step(1), elsewhere)
-	w.waitFor("two runs failed", func() bool { return w.ends(workload.OutcomeFailed) == 2 })
+	w.submit(jobID(0), first, elsewhere)
+	const attempts = 3
+	for n := range attempts {
+		w.waitFor("attempt begun", func() bool { return len(failing.History()) == n+1 })
+		if n < attempts-1 {
+			failing.EndAll("failed")
+			w.waitFor("attempt failed", func() bool { return w.ends(workload.OutcomeFailed) == float64(n+1) })
+		}
+	}
 	other := w.workerOf(&platformtest.Worker{ID: "w2", Pool: "p", RunTime: 10 * time.Millisecond, Labels: []string{"b"}})
 	<-committing
-	w.waitFor("the last attempt failed", func() bool { return w.ends(workload.OutcomeFailed) == 3 })
+	failing.EndAll("failed")
+	w.waitFor("the last attempt failed", func() bool { return w.ends(workload.OutcomeFailed) == attempts })
 	close(release)
 	w.waitFor("job failed", func() bool { return w.state(jobID(0)) == workload.JobFailed })
 	w.waitFor("the other task ended, or began", func() bool {
--- a/driver/testenv_test.go
+++ b/driver/testenv_test.go
@@ -305,12 +305,16 @@
 	return state
 }
 
-// waitFor polls until ok returns true or the test times out.
+// waitLimit bounds each wait of a test, also on a busy machine.
+const waitLimit = time.Minute
+
+// waitFor polls until ok returns true and fails the test after waitLimit.
 func (w *testEnv) waitFor(what string, ok func() bool) {
 	w.t.Helper()
+	limit := time.After(waitLimit)
 	for !ok() {
 		select {
-		case <-w.t.Context().Done():
+		case <-limit:
 			w.t.Fatalf("timed out waiting for: %s", what)
 		case <-time.After(2 * time.Millisecond):
 		}
