--- a/driver/peak_test.go
+++ b/driver/peak_test.go
@@ -11,7 +11,9 @@
 	"github.com/rs/zerolog"
 
 	"magnoliastand.example/driver"
+	"magnoliastand.example/peerlink/peerlinktest"
 	"magnoliastand.example/platform"
+	"magnoliastand.example/relay"
 	"magnoliastand.example/workload"
 )
 
@@ -94,11 +96,39 @@
 // BenchmarkPeak measures the leader's CPU cost of running tasks, without network
 // calls: jobs of 8 tasks on 300 workers. Each iteration is one job.
 func BenchmarkPeak(b *testing.B) {
+	benchmarkPeak(b, func(w platform.Workers) platform.Workers { return w })
+}
+
+// BenchmarkPeakThroughAgents is BenchmarkPeak with orders that go through the
+// agents of two other daemons, whose cost is included.
+func BenchmarkPeakThroughAgents(b *testing.B) {
+	benchmarkPeak(b, func(w platform.Workers) platform.Workers {
+		leader := peerlinktest.NewNode(b, "")
+		var peers []relay.Peer
+		for range 2 {
+			node := peerlinktest.NewNode(b, "")
+			b.Cleanup(relay.NewAgent(node, w, zerolog.Nop()).Close)
+			peers = append(peers, relay.Peer{Name: node.Self().Name})
+		}
+		r := relay.New(relay.Config{
+			Link: leader, Direct: w, Self: relay.Peer{Name: leader.Self().Name}, Log: zerolog.Nop(),
+			Metrics: relay.NewMetrics(prometheus.NewRegistry()), Peers: func() []relay.Peer { return peers },
+		})
+		ctx, stop := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() { defer close(done); r.Run(ctx) }()
+		b.Cleanup(func() { stop(); <-done })
+		return r
+	})
+}
+
+func benchmarkPeak(b *testing.B, through func(platform.Workers) platform.Workers) {
+	b.Helper()
 	const workers, tasks, jobsUnderWay = 300, 8, 150
 	log := &memoryLog{state: workload.New(platform.DecodeDocument), term: 1}
 	d := driver.New(driver.Config{
 		Name: "d", Term: 1, State: workload.New(platform.DecodeDocument), Log: &termLog{log, 1},
-		Workers: &inMemoryWorkers{runTime: 500 * time.Millisecond, workers: map[string]*inMemoryWorker{}},
+		Workers: through(&inMemoryWorkers{runTime: 500 * time.Millisecond, workers: map[string]*inMemoryWorker{}}),
 		Metrics: driver.NewMetrics(prometheus.NewRegistry()), Logger: zerolog.Nop(),
 		Timing: driver.Timing{MaxLease: 6 * time.Second, Announce: time.Hour, KeepFinished: time.Minute},
 	})
