driver, relay: a panic ends the driver or the order, not the process

Cause: the driver's event loop, its calls to workers and the agent's orders ran without a guard, so one malformed value ended a core process: a batch with an empty order, sent to an agent, did (nil pointer in handleOrders). Ruled out: going on after a panic of an event; the leader's copy of the state may be changed in part by then. Change: a driver that panics logs the cause, counts it (magnoliastand_driver_panics_total) and stops; its successor starts from the committed state, after a delay that doubles while panics follow each other. An order that panics has an unknown outcome; an empty one is dropped. Tests of the driver fail if any driver of theirs panicked, so that a breached invariant is still seen. Tests: TestPanicStopsDriverNotProcess and TestMalformedOrderEndsAlone; both end the test process without the guards.

--- a/driver/driver.go
+++ b/driver/driver.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"runtime/debug"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -41,7 +42,9 @@
 	cancel context.CancelFunc
 	inbox  chan event
 	done   chan struct{}
-	wg     sync.WaitGroup
+	// panicked is set once an event or a call has panicked.
+	panicked atomic.Bool
+	wg       sync.WaitGroup
 	// idle passes calls to the goroutines of async that have nothing to do, whose
 	// number is idling.
 	idle   chan func()
@@ -90,7 +93,8 @@
 	return d
 }
 
-// Run processes events until ctx ends, leadership is lost or the log fails.
+// Run processes events until ctx ends, leadership is lost, the log fails or an
+// event or a call panics; see Panicked.
 func (d *Driver) Run(ctx context.Context) {
 	defer close(d.done)
 	ticker := time.NewTicker(tickInterval)
@@ -99,23 +103,47 @@
 		d.cancel()
 		d.wg.Wait()
 	}()
-	for d.ctx.Err() == nil {
-		select {
-		case ev := <-d.inbox:
-			ev()
-			d.drain()
-		case <-ticker.C:
-			d.tick()
-		case <-ctx.Done():
-			return
-		case <-d.ctx.Done():
-			return
-		}
-		d.plan()
-		d.flush()
+	for d.ctx.Err() == nil && ctx.Err() == nil {
+		d.step(ctx, ticker.C)
 	}
 }
 
+// step waits for an event or a tick and processes it.
+func (d *Driver) step(ctx context.Context, tick <-chan time.Time) {
+	defer d.stopOnPanic()
+	select {
+	case ev := <-d.inbox:
+		ev()
+		d.drain()
+	case <-tick:
+		d.tick()
+	case <-ctx.Done():
+		return
+	case <-d.ctx.Done():
+		return
+	}
+	d.plan()
+	d.flush()
+}
+
+// stopOnPanic, when deferred, turns a panic into a stop of the driver, whose copy
+// of the state may be changed in part. What was not committed is lost, as when the
+// log fails.
+func (d *Driver) stopOnPanic() {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	d.panicked.Store(true)
+	d.cfg.Metrics.Panics.Inc()
+	d.cfg.Logger.Error().Uint64("term", d.cfg.Term).Interface("cause", cause).Bytes("stack", debug.Stack()).
+		Msg("driver panicked; its successor starts from the committed state")
+	d.cancel()
+}
+
+// Panicked reports whether the driver stopped because an event or a call panicked.
+func (d *Driver) Panicked() bool { return d.panicked.Load() }
+
 // Done is closed once the driver has stopped.
 func (d *Driver) Done() <-chan struct{} { return d.done }
 
@@ -152,6 +180,7 @@
 	default:
 	}
 	d.wg.Go(func() {
+		defer d.stopOnPanic()
 		f()
 		for d.idling.Add(1) <= maxIdle {
 			select {
--- a/driver/metrics.go
+++ b/driver/metrics.go
@@ -15,6 +15,8 @@
 	// StartDelaySeconds measures the time from a job's submission to the order
 	// of its first run.
 	StartDelaySeconds prometheus.Histogram
+	// Panics counts drivers that stopped because an event or a call panicked.
+	Panics prometheus.Counter
 }
 
 // NewMetrics creates the metrics and registers them with r.
@@ -32,7 +34,9 @@
 		StartDelaySeconds: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "magnoliastand_start_delay_seconds", Help: "Time from a submission to the first order.",
 			Buckets: prometheus.ExponentialBuckets(0.005, 2, 12)}),
+		Panics: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "magnoliastand_driver_panics_total", Help: "Drivers stopped by a panic."}),
 	}
-	r.MustRegister(m.Orders, m.Ends, m.Decisions, m.CommitSeconds, m.StartDelaySeconds)
+	r.MustRegister(m.Orders, m.Ends, m.Decisions, m.CommitSeconds, m.StartDelaySeconds, m.Panics)
 	return m
 }
--- a/driver/order_test.go
+++ b/driver/order_test.go
@@ -1,6 +1,7 @@
 package driver_test
 
 import (
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -93,3 +94,35 @@
 		t.Errorf("runs %+v of a job that had failed", runs)
 	}
 }
+
+// TestPanicStopsDriverNotProcess makes an event, and a call to a worker, panic. The
+// driver stops; the next one, started from the committed state, completes the job.
+func TestPanicStopsDriverNotProcess(t *testing.T) {
+	for _, where := range []string{"event", "call"} {
+		t.Run(where, func(t *testing.T) {
+			w := newTestEnv(t)
+			w.panics = 1
+			if where == "call" {
+				var panicked atomic.Bool
+				w.startFault = func(_ int64, err error) error {
+					if panicked.CompareAndSwap(false, true) {
+						panic("start")
+					}
+					return err
+				}
+			}
+			w.startLeader()
+			w.putDocument()
+			w.worker("w1", "p", 10*time.Millisecond)
+			w.waitFor("worker registered", func() bool { return w.workerCount() == 1 })
+			failed := w.current()
+			w.submit(jobID(0), step(2))
+			w.log.panics.Store(where == "event")
+			w.waitFor("driver stopped", failed.Panicked)
+			<-failed.Done()
+			w.startLeader()
+			w.waitFor("job completed", func() bool { return w.state(jobID(0)) == workload.JobCompleted })
+			w.checkConsistency()
+		})
+	}
+}
--- a/driver/testenv_test.go
+++ b/driver/testenv_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/testutil"
 	"github.com/rs/zerolog"
 
 	"magnoliastand.example/driver"
@@ -27,6 +28,8 @@
 	state *workload.State
 	// leaseLost makes IsLeader report that no leader is certain.
 	leaseLost atomic.Bool
+	// panics makes the next call of IsLeader panic.
+	panics atomic.Bool
 	// committing, if set, is called with each batch before it is committed.
 	committing func(*workload.Batch)
 }
@@ -55,6 +58,9 @@
 }
 
 func (l *memoryLog) IsLeader(term uint64) bool {
+	if l.panics.CompareAndSwap(true, false) {
+		panic("IsLeader")
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.term == term && !l.leaseLost.Load()
@@ -79,6 +85,8 @@
 	// ticket is the ticket that workers require with each start.
 	ticket string
 
+	// panics is the number of drivers that a test makes panic.
+	panics float64
 	// lease is the maximum lease of workers and drivers started from now on.
 	lease time.Duration
 	// orders sends orders to the workers.
@@ -115,6 +123,11 @@
 	}
 	w.orders = faultyWorkers{w.client, w}
 	t.Cleanup(w.client.Close)
+	t.Cleanup(func() {
+		if got := testutil.ToFloat64(w.metrics.Panics); got != w.panics {
+			t.Errorf("%g drivers panicked, want %g", got, w.panics)
+		}
+	})
 	w.control = httptest.NewServer(platform.NewControl(w))
 	t.Cleanup(w.control.Close)
 	return w
--- a/relay/age_test.go
+++ b/relay/age_test.go
@@ -10,6 +10,7 @@
 
 	"magnoliastand.example/peerlink"
 	"magnoliastand.example/platform"
+	"magnoliastand.example/workload"
 )
 
 // stubLink is a Link that passes the outcomes an agent sends to a channel.
@@ -64,6 +65,38 @@
 	}
 }
 
+// panickingWorkers panics on a stop.
+type panickingWorkers struct{ holdCounter }
+
+func (w *panickingWorkers) Stop(context.Context, platform.Endpoint, workload.TaskRef, int64, uint64) error {
+	panic("stop")
+}
+
+// TestMalformedOrderEndsAlone sends a batch with an empty order, one that is no
+// call, and one whose call panics. The order after them is executed.
+func TestMalformedOrderEndsAlone(t *testing.T) {
+	link := &stubLink{map[string]peerlink.CallHandler{}, map[string]peerlink.NotifyHandler{}, make(chan []*outcome, 1)}
+	workers := &panickingWorkers{}
+	agent := NewAgent(link, workers, zerolog.Nop())
+	defer agent.Close()
+	payload, err := cbor.Marshal(orderBatch{Orders: []*order{
+		nil, {Seq: 1, Timeout: 1000}, {Seq: 2, Timeout: 1000, Stop: &stopOrder{}}, {Seq: 3, Timeout: 1000, Hold: &platform.HoldOrder{}},
+	}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	link.notifiers[methodOrders](peerlink.Identity{Name: "leader", Incarnation: "1"}, payload)
+	got := map[uint64]failure{}
+	for len(got) < 3 {
+		for _, o := range <-link.sent {
+			got[o.Seq] = o.Failure
+		}
+	}
+	if got[1] != notSent || got[2] != noAnswer || got[3] != succeeded {
+		t.Errorf("outcomes %v, want not-sent, no-answer, ok", got)
+	}
+}
+
 // holdCounter counts the holds that it executes.
 type holdCounter struct {
 	platform.Workers
--- a/relay/agent.go
+++ b/relay/agent.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -112,6 +113,10 @@
 	}
 	replies := a.replyBatcher(from.Name)
 	for _, o := range batch.Orders {
+		if o == nil {
+			a.log.Warn().Str("peer", from.Name).Msg("batch with an empty order; the order is dropped")
+			continue
+		}
 		if a.inFlight.Add(1) > maxInFlight || a.draining.Load() {
 			a.inFlight.Add(-1)
 			replies.add(&outcome{Seq: o.Seq, Failure: notSent, Detail: "agent is full or draining"})
@@ -125,11 +130,24 @@
 			}
 			ctx, cancel := context.WithTimeout(a.ctx, time.Duration(o.Timeout)*time.Millisecond)
 			defer cancel()
-			replies.add(o.execute(ctx, a.workers))
+			replies.add(a.execute(ctx, o))
 		})
 	}
 }
 
+// execute calls the worker of an order. A call that panics may have reached the
+// worker.
+func (a *Agent) execute(ctx context.Context, o *order) (out *outcome) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			a.log.Error().Str("worker", o.Worker.ID).Interface("cause", cause).Bytes("stack", debug.Stack()).
+				Msg("order panicked; its outcome is unknown")
+			out = &outcome{Seq: o.Seq, Failure: noAnswer, Detail: "order panicked"}
+		}
+	}()
+	return o.execute(ctx, a.workers)
+}
+
 // replyBatcher returns the batcher that sends outcomes to a daemon.
 func (a *Agent) replyBatcher(peer string) *batcher[*outcome] {
 	a.mu.Lock()
--- a/system/leader.go
+++ b/system/leader.go
@@ -21,6 +21,10 @@
 	// catchUpTimeout bounds the linearizable read by which a new leader makes sure
 	// that it has applied all committed entries.
 	catchUpTimeout = 2 * time.Second
+	// maxRestartDelay bounds the delay before a driver that panicked is replaced. The
+	// delay starts with leadershipPollInterval and doubles with each panic until a
+	// driver has led for longer than maxRestartDelay.
+	maxRestartDelay = time.Second
 )
 
 // leader runs a driver while this daemon is the leader, and serves the calls that
@@ -51,31 +55,39 @@
 // run runs a driver for each term in which this daemon is the leader, until ctx
 // ends.
 func (l *leader) run(ctx context.Context) {
+	delay := leadershipPollInterval
 	for ctx.Err() == nil {
 		if term, ok := l.member.Lease(); ok {
-			l.runTerm(ctx, term)
+			start := time.Now()
+			panicked := l.runTerm(ctx, term)
+			if time.Since(start) > maxRestartDelay {
+				delay = leadershipPollInterval
+			}
+			if panicked {
+				delay = min(2*delay, maxRestartDelay)
+			}
 		}
 		select {
-		case <-time.After(leadershipPollInterval):
+		case <-time.After(delay):
 		case <-ctx.Done():
 		}
 	}
 }
 
-// runTerm runs a driver for one term.
-func (l *leader) runTerm(ctx context.Context, term uint64) {
+// runTerm runs a driver for one term and reports whether it panicked.
+func (l *leader) runTerm(ctx context.Context, term uint64) bool {
 	start := time.Now()
 	readCtx, cancel := context.WithTimeout(ctx, catchUpTimeout)
 	err := l.member.Node().ReadIndex(readCtx)
 	cancel()
 	if err != nil || !l.IsLeader(term) {
 		l.log.Warn().Err(err).Uint64("term", term).Msg("leadership not assumed: state not up to date or lease lost")
-		return
+		return false
 	}
 	state, err := l.replica.clone()
 	if err != nil {
 		l.log.Error().Err(err).Msg("failed to copy the committed state")
-		return
+		return false
 	}
 	cfg := l.driverConfig
 	cfg.Term, cfg.State, cfg.Log = term, state, l
@@ -92,6 +104,7 @@
 	background.Wait()
 	l.setDriver(nil, 0)
 	l.log.Info().Uint64("term", term).Dur("led", time.Since(start)).Msg("leadership ended")
+	return d.Panicked()
 }
 
 // watchLeadership stops the driver once the term has changed or this daemon is no
