driver: the leader says when it handles its events late

Cause: a leader at its peak showed only by its effects, late starts and late ends; no line and no metric told that events waited for it.

--- a/driver/driver.go
+++ b/driver/driver.go
@@ -68,6 +68,7 @@
 	fleet     *fleet
 	lastPrune time.Time
 	waiting   map[string]workload.Size
+	lag       lag
 }
 
 // New returns a driver for one term. cfg.State is a copy of the committed state;
@@ -337,6 +338,7 @@
 	for _, s := range d.sessions {
 		d.checkSession(s, now)
 	}
+	d.sampleLag(now)
 	d.retryRuns(now)
 	d.fleet.tick(now)
 	if now.Sub(d.lastPrune) >= pruneInterval {
--- a/driver/metrics.go
+++ b/driver/metrics.go
@@ -15,6 +15,8 @@
 	// StartDelaySeconds measures the time from a job's submission to the order
 	// of its first run.
 	StartDelaySeconds prometheus.Histogram
+	// EventLagSeconds is how long the latest sampled event waited for the driver.
+	EventLagSeconds prometheus.Gauge
 	// Panics counts drivers that stopped because an event or a call panicked.
 	Panics prometheus.Counter
 }
@@ -34,9 +36,11 @@
 		StartDelaySeconds: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "magnoliastand_start_delay_seconds", Help: "Time from a submission to the first order.",
 			Buckets: prometheus.ExponentialBuckets(0.005, 2, 12)}),
+		EventLagSeconds: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "magnoliastand_event_lag_seconds", Help: "Time that the latest sampled event waited for the leader."}),
 		Panics: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "magnoliastand_driver_panics_total", Help: "Drivers stopped by a panic."}),
 	}
-	r.MustRegister(m.Orders, m.Ends, m.Decisions, m.CommitSeconds, m.StartDelaySeconds, m.Panics)
+	r.MustRegister(m.Orders, m.Ends, m.Decisions, m.CommitSeconds, m.StartDelaySeconds, m.EventLagSeconds, m.Panics)
 	return m
 }
