--- a/cmd/magnoliastand/main.go
+++ b/cmd/magnoliastand/main.go
@@ -11,6 +11,7 @@
 	"syscall"
 
 	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
 )
 
 // Exit codes of every verb.
@@ -38,7 +39,11 @@
 	return &exitError{code: exitUsage, err: errors.Errorf(format, args...)}
 }
 
+// logTimeFormat gives log times in milliseconds.
+const logTimeFormat = "2006-01-02T15:04:05.000Z07:00"
+
 func main() {
+	zerolog.TimeFieldFormat = logTimeFormat
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	code := run(ctx, os.Args[1:], os.Stdout, os.Stderr)
 	stop()
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -174,6 +174,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, o := range batch {
+		if o == nil {
+			continue
+		}
 		if ch := r.pending[o.Seq]; ch != nil {
 			delete(r.pending, o.Seq)
 			ch <- o
