workload, driver: a departed worker is not registered again by a late announcement

Cause: a departure removed the worker from the state, so an announcement of the same incarnation that was delayed on its way registered it again, at the same leader and at the next one, and tasks were assigned to a process that had ended. Ruled out: a memory of the leader alone, which ends with the leader; the sequence number of announcements, which is not replicated. Change: departures are part of the replicated state for 30 s of the leader's clock; later incarnations are not kept out. Tests: TestDepartedWorkerStaysOut (fails before, for both leaders), TestDepartedWorkerIsRemembered. TestSilentWorkerKeepsRunsUntilLeaseExpiry is new for a guard that no test missed: without the lease in checkSession the tests of silent workers and of random faults were green.

--- a/driver/driver_test.go
+++ b/driver/driver_test.go
@@ -467,6 +467,33 @@
 // TestRandomFaults submits jobs while workers lose orders, stop answering, crash
 // and restart, and the leader changes. Fixed seeds select the faults. Consistency
 // is checked against the run histories of the workers.
+// TestDepartedWorkerStaysOut delivers an announcement of a worker, delayed on its
+// way, after the worker has departed, to the same leader and to the next one.
+func TestDepartedWorkerStaysOut(t *testing.T) {
+	w := newTestEnv(t)
+	w.startLeader()
+	w.putDocument()
+	announcement := &platform.Announcement{Sequence: 1, Clock: 1, Worker: workload.Worker{
+		ID: "w1", Incarnation: 7, Pool: "p", Address: "127.0.0.1:1", Capacity: workload.Size{Processors: 1000, MemoryMB: 100},
+	}}
+	if _, err := w.current().Announce(t.Context(), announcement); err != nil {
+		t.Fatal(err)
+	}
+	if err := w.current().Depart(t.Context(), &platform.Departure{Worker: "w1", Incarnation: 7}); err != nil {
+		t.Fatal(err)
+	}
+	for _, leader := range []string{"same leader", "next leader"} {
+		delayed := *announcement
+		if _, err := w.current().Announce(t.Context(), &delayed); err != nil {
+			t.Fatal(err)
+		}
+		if n := w.workerCount(); n != 0 {
+			t.Errorf("%s: the departed worker is registered again", leader)
+		}
+		w.startLeader()
+	}
+}
+
 func TestRandomFaults(t *testing.T) {
 	for _, seed := range []uint64{1, 2, 3, 4} {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
--- a/driver/session.go
+++ b/driver/session.go
@@ -138,7 +138,7 @@
 	s := d.sessions[id]
 	stale := known != nil && (a.Worker.Incarnation < known.Incarnation ||
 		a.Worker.Incarnation == known.Incarnation && s != nil && a.Sequence <= s.sequence)
-	if stale || d.addressTaken(&a.Worker) {
+	if stale || d.state.HasDeparted(id, a.Worker.Incarnation) || d.addressTaken(&a.Worker) {
 		then(nil)
 		return
 	}
@@ -225,10 +225,14 @@
 	d.stopUntracked(s, r.ref, r.number)
 }
 
+// reasonDeparted is the reason of loseWorker for a worker that announced its end.
+const reasonDeparted = "departed"
+
 // loseWorker commits that an incarnation of a worker no longer runs anything.
 func (d *Driver) loseWorker(id string, incarnation workload.Millis, reason string, then func()) {
 	outstanding := d.runsOn(id, incarnation)
-	err := d.apply(workload.Command{MarkWorkerLost: &workload.MarkWorkerLost{Worker: id, Incarnation: incarnation}}, func() {
+	lost := &workload.MarkWorkerLost{Worker: id, Incarnation: incarnation, Departed: reason == reasonDeparted}
+	err := d.apply(workload.Command{MarkWorkerLost: lost}, func() {
 		d.cfg.Logger.Info().Str("worker", id).Int64("incarnation", incarnation).Str("reason", reason).
 			Int("runs", len(outstanding)).Msg("worker lost")
 		if then != nil {
--- /dev/null
+++ b/driver/session_test.go
@@ -0,0 +1,53 @@
+package driver
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+
+	"magnoliastand.example/workload"
+)
+
+// TestSilentWorkerKeepsRunsUntilLeaseExpiry has a worker with a run that has been
+// silent for longer than requestedLease, but may hold a lease that a start order
+// without an answer extended.
+func TestSilentWorkerKeepsRunsUntilLeaseExpiry(t *testing.T) {
+	state := workload.New(func(raw []byte) (d workload.Document, err error) { return d, json.Unmarshal(raw, &d) })
+	raw, err := json.Marshal(workload.Document{
+		Version: 1, Pools: []workload.Pool{{Name: "p"}}, Queues: []workload.Queue{{Name: "q", Pool: "p", MaxAttempts: 2}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	size := workload.Size{Processors: 1, MemoryMB: 1}
+	for _, c := range []workload.Command{
+		{PutDocument: &workload.PutDocument{Raw: raw}},
+		{Register: &workload.Worker{ID: "w", Incarnation: 1, Pool: "p", Address: "a", Capacity: size}},
+		{Submit: &workload.Submit{ID: "j", Queue: "q", Spec: workload.Spec{Repeat: 1, Steps: []workload.Step{{Count: 1, Need: size}}}}},
+		{Assign: &workload.Assign{Task: workload.TaskRef{Job: "j"}, Run: 1, Worker: "w", Incarnation: 1}},
+	} {
+		if err := state.ApplyOne(&c, 0); err != nil {
+			t.Fatalf("%+v: %v", c, err)
+		}
+	}
+	d := New(Config{
+		State: state, Metrics: NewMetrics(prometheus.NewRegistry()), Logger: zerolog.Nop(),
+		Timing: Timing{MaxLease: time.Minute, Announce: time.Second},
+	})
+	now := time.Now()
+	s := d.sessions["w"]
+	s.failures, s.holdInFlight = 1, true
+	s.lastContact, s.leaseExpiry = now.Add(-2*requestedLease), now.Add(time.Millisecond)
+	d.checkSession(s, now)
+	if _, task := state.TaskOf(workload.TaskRef{Job: "j"}); task.State != workload.TaskAssigned || len(d.runs) != 1 {
+		t.Fatal("a run was given up while its worker may hold a lease")
+	}
+	s.leaseExpiry = now.Add(-time.Millisecond)
+	d.checkSession(s, now)
+	if _, task := state.TaskOf(workload.TaskRef{Job: "j"}); task.State != workload.TaskWaiting || len(d.runs) != 0 {
+		t.Error("the run was not given up after the lease had expired")
+	}
+}
--- a/workload/apply.go
+++ b/workload/apply.go
@@ -116,7 +116,7 @@
 // runs of the previous one as lost; an older incarnation is ignored.
 func (s *State) register(c *Worker, now Millis) error {
 	old := s.workers[c.ID]
-	if old != nil && c.Incarnation < old.Incarnation {
+	if old != nil && c.Incarnation < old.Incarnation || s.HasDeparted(c.ID, c.Incarnation) {
 		return nil
 	}
 	w := *c
@@ -133,6 +133,9 @@
 }
 
 func (s *State) markWorkerLost(c *MarkWorkerLost, now Millis) error {
+	if c.Departed {
+		s.addDeparture(departure{Worker: c.Worker, Incarnation: c.Incarnation, At: now})
+	}
 	w := s.workers[c.Worker]
 	if w == nil || w.Incarnation != c.Incarnation {
 		return nil
--- a/workload/command.go
+++ b/workload/command.go
@@ -65,6 +65,9 @@
 type MarkWorkerLost struct {
 	Worker      string `cbor:"1,keyasint"`
 	Incarnation Millis `cbor:"2,keyasint"`
+	// Departed is set if the incarnation has ended by its own word. It is not
+	// registered again.
+	Departed bool `cbor:"3,keyasint,omitempty"`
 }
 
 // Assign assigns the next run of a waiting task to a worker.
--- a/workload/fuzz_test.go
+++ b/workload/fuzz_test.go
@@ -29,6 +29,7 @@
 		{End: &workload.End{Task: task, Run: 1, Worker: "w", Incarnation: 1, Outcome: workload.OutcomeDone, Number: 1}},
 		{Cancel: &workload.Cancel{ID: "j"}},
 		{MarkWorkerLost: &workload.MarkWorkerLost{Worker: "w", Incarnation: 1}},
+		{MarkWorkerLost: &workload.MarkWorkerLost{Worker: "w", Incarnation: 2, Departed: true}},
 	}
 	for n := range commands {
 		data, err := workload.EncodeBatch(&workload.Batch{Now: 5, Commands: commands[:n+1]})
--- a/workload/state.go
+++ b/workload/state.go
@@ -37,6 +37,8 @@
 	jobs    map[string]*Job
 	workers map[string]*Worker
 	waves   map[int64]*Wave
+	// departures are in the order in which they were committed.
+	departures []departure
 
 	// The remaining fields are indexes derived from those above; snapshots omit
 	// them. runs, colocations and reserved are keyed by worker, poolMembers by pool,
@@ -48,6 +50,8 @@
 	teamUsage   map[string]Size
 	pending     map[string]int
 	active      map[string]*Job
+	// departed holds the latest incarnation of departures by worker.
+	departed map[string]Millis
 }
 
 // New returns an empty state.
@@ -64,6 +68,7 @@
 	s.runs, s.reserved, s.teamUsage = map[string]map[TaskRef]*Job{}, map[string]Size{}, map[string]Size{}
 	s.pending, s.active = map[string]int{}, map[string]*Job{}
 	s.colocations, s.poolMembers = map[string]Colocation{}, map[string][]*Worker{}
+	s.departures, s.departed = nil, map[string]Millis{}
 }
 
 // Version returns the version of the document, or 0 if there is none yet.
@@ -176,12 +181,14 @@
 	Jobs    []*Job    `cbor:"2,keyasint,omitempty"`
 	Workers []*Worker `cbor:"3,keyasint,omitempty"`
 	Waves   []*Wave   `cbor:"4,keyasint,omitempty"`
+	// Departures are read by builds that know them; others drop them.
+	Departures []departure `cbor:"5,keyasint,omitempty"`
 }
 
 // Snapshot encodes the state without its derived indexes. Jobs, workers and waves
 // are sorted, so that equal states have equal snapshots.
 func (s *State) Snapshot() ([]byte, error) {
-	snap := snapshot{Raw: s.raw}
+	snap := snapshot{Raw: s.raw, Departures: s.departures}
 	for _, id := range slices.Sorted(maps.Keys(s.jobs)) {
 		snap.Jobs = append(snap.Jobs, s.jobs[id])
 	}
@@ -212,6 +219,10 @@
 		}
 		s.setDocument(snap.Raw, doc)
 	}
+	s.departures = snap.Departures
+	for _, d := range s.departures {
+		s.departed[d.Worker] = max(s.departed[d.Worker], d.Incarnation)
+	}
 	for _, w := range snap.Workers {
 		s.setWorker(w)
 	}
--- a/workload/state_test.go
+++ b/workload/state_test.go
@@ -342,3 +342,49 @@
 		t.Fatal("derived counts differ")
 	}
 }
+
+// TestDepartedWorkerIsRemembered keeps departures over a snapshot and for 30 s, but
+// does not keep out a later incarnation.
+func TestDepartedWorkerIsRemembered(t *testing.T) {
+	s := newState(t)
+	register := func(incarnation workload.Millis) {
+		t.Helper()
+		mustApply(t, s, workload.Command{Register: &workload.Worker{ID: "w", Incarnation: incarnation, Pool: "counter", Address: "a"}})
+	}
+	depart := func(worker string, incarnation, now workload.Millis) {
+		t.Helper()
+		c := workload.Command{MarkWorkerLost: &workload.MarkWorkerLost{Worker: worker, Incarnation: incarnation, Departed: true}}
+		if err := s.ApplyOne(&c, now); err != nil {
+			t.Fatal(err)
+		}
+	}
+	register(5)
+	depart("w", 5, 1000)
+	register(5)
+	if len(s.Workers()) != 0 || !s.HasDeparted("w", 5) || s.HasDeparted("w", 6) {
+		t.Fatal("a departed worker is registered again")
+	}
+	data, err := s.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := s.Restore(data); err != nil {
+		t.Fatal(err)
+	}
+	register(5)
+	if len(s.Workers()) != 0 {
+		t.Error("a departed worker is registered again after a restart")
+	}
+	register(6)
+	if len(s.Workers()) != 1 {
+		t.Error("the next incarnation of a departed worker is kept out")
+	}
+	depart("other", 1, 31_000)
+	if !s.HasDeparted("w", 5) {
+		t.Error("a departure is forgotten after 30 s")
+	}
+	depart("other", 2, 31_001)
+	if s.HasDeparted("w", 5) || !s.HasDeparted("other", 2) {
+		t.Error("a departure is kept for more than 30 s, or too short")
+	}
+}
