plan: comments on the hosts' slice and the team's limit

Cause: read as a newcomer, nothing said why pointers into the slice of hosts stay valid and what admits compares. Change: two comments. Result: no code changes.

--- a/workload/plan/plan.go
+++ b/workload/plan/plan.go
@@ -111,6 +111,7 @@
 	used, limit workload.Size
 }
 
+// admits reports whether one more task of a step is within the team's limit.
 func (t *teamUsage) admits(step *workload.Step) bool {
 	return t.used.Add(step.Need).WithinLimit(t.limit)
 }
@@ -243,7 +244,7 @@
 	pool = &poolHosts{name: name}
 	p.pools[name] = pool
 	workers := p.in.State.PoolWorkers(name)
-	hosts := make([]host, 0, len(workers))
+	hosts := make([]host, 0, len(workers)) // never grows, so that pointers into it stay valid
 	pool.hosts = make([]*host, 0, len(workers))
 	for _, w := range workers {
 		if w.Draining || w.Lost {
