Review case: two machines of a wave are down though one may be

A script: an order for an upkeep is carried out late, its giver is killed, and the next leader orders another upkeep without knowing of it. LIMIT breaks.

--- a/review/standin/calls.go
+++ b/review/standin/calls.go
@@ -145,6 +145,11 @@
 	return a
 }
 
+// quiet gets a job's state without a line in the record.
+func (c *client) quiet(front, path string) string {
+	return string(c.call(time.Second, "GET", front, host, path, map[string]string{"Authorization": "Bearer " + c.key}, nil).body)
+}
+
 // job is a job of one step.
 func job(spec string, count int, estimate time.Duration) map[string]any {
 	return map[string]any{"spec": spec, "steps": []any{map[string]any{"count": count, "cpu": 500, "mem_mb": 256, "estimate_ms": estimate.Milliseconds()}}}
--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -96,3 +96,152 @@
 	}
 	s.rec.finish(exitHeld, "held: %s", a.body)
 }
+
+// deadly: a subtask crashes each executor that starts it, after six seconds of work.
+func deadly(s *stage) {
+	const id = "00000000000000d4"
+	const lives = 6 * time.Second
+	mine := func(task string) bool { return strings.HasPrefix(task, id) }
+	work := func(task string, _ int64) (time.Duration, string) {
+		if mine(task) {
+			return 8 * time.Second, "done"
+		}
+		return 300 * time.Millisecond, "done"
+	}
+	s.begin(3, 2, 3, false, &config{version: 1, services: []string{"svc-a"}, routes: []route{{"r-a", "/a/", "svc-a", 3}},
+		keys: map[string][]string{"t1": {"key-1"}}}, work)
+	c := s.client("key-1")
+	front := s.dep.front(s.dep.edges[0])
+	if a := c.do("POST", front, "/a/"+id, job("deadly", 1, 8*time.Second)); a.status != 200 {
+		s.rec.finish(exitNotRun, "the job was not accepted")
+	}
+	// all holds every life of an executor, alive the present ones.
+	all, alive := append([]*executor{}, s.executors...), append([]*executor{}, s.executors...)
+	begun, crashes, after := 0, 0, 0
+	counted := map[*executor]int{}
+	for end := time.Now().Add(85 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		for at, e := range alive {
+			if e == nil {
+				continue
+			}
+			starts := e.starts()
+			for _, st := range starts[counted[e]:] {
+				if mine(st.task) {
+					begun++
+					if crashes >= 3 {
+						after++
+					}
+				}
+			}
+			counted[e] = len(starts)
+			if n := len(starts); s.trouble && n > 0 && mine(starts[n-1].task) && starts[n-1].how == "" && time.Since(starts[n-1].at) >= lives {
+				crashes++
+				s.rec.note("executor %s crashes under %s run %d: crash %d", e.id, starts[n-1].task, starts[n-1].run, crashes)
+				e.crash()
+				alive[at] = nil
+				name, old := len(all)+10, e
+				all = append(all, nil)
+				time.AfterFunc(2*time.Second, func() { s.rebirths <- rebirth{at, s.reborn(old, executorName(name))} })
+			}
+		}
+		select {
+		case b := <-s.rebirths:
+			alive[b.at] = b.executor
+			s.rec.note("executor %s is there in its place", b.executor.id)
+		default:
+		}
+		if after >= 3 {
+			s.rec.finish(exitBroken, "BUDGET: a subtask was started %d times after three executors had crashed under it (%d starts, %d crashes)", after, begun, crashes)
+		}
+		if a := c.quiet(front, "/a/"+id); strings.Contains(a, "failed") || strings.Contains(a, "completed") {
+			s.rec.finish(exitHeld, "held: %s after %d starts and %d crashes", a, begun, crashes)
+		}
+	}
+	s.rec.finish(exitHeld, "held: %d starts, %d crashes in the time", begun, crashes)
+}
+
+// upkeeps: an order for an upkeep is carried out late, and its giver is killed meanwhile.
+func upkeeps(s *stage) {
+	s.cloud = &cloud{rec: s.rec}
+	const id = "00000000000000e5"
+	work := quick
+	names := []string{"m-a", "m-b", "m-c", "m-d"}
+	s.cloud.replace = func(m *machine) *executor {
+		s.lives++
+		return s.add(100+s.lives, "svc-a", work)
+	}
+	most := 0
+	s.cloud.begun = func(m *machine, down int) {
+		most = max(most, down+1)
+		s.rec.note("cloud: upkeep of %s begins while %d machines of the wave are down for theirs", m.name, down)
+	}
+	s.begin(3, 2, 4, false, &config{version: 1, services: []string{"svc-a"}, routes: []route{{"r-a", "/a/", "svc-a", 3}},
+		keys: map[string][]string{"t1": {"key-1"}}}, work)
+	s.cloud.mu.Lock()
+	for n, e := range s.executors {
+		s.cloud.machines = append(s.cloud.machines, &machine{name: names[n], pool: "svc-a", state: "up", executor: e, done: map[int64]bool{}})
+	}
+	s.cloud.mu.Unlock()
+	time.Sleep(3 * time.Second)
+	c := s.client("key-1")
+	if a := c.do("POST", s.dep.front(s.dep.edges[0]), "/a/"+id, job("work", 1, 300*time.Millisecond)); a.status != 200 {
+		s.rec.finish(exitNotRun, "the job was not accepted")
+	}
+	if !await(3*time.Second, func() bool { return len(s.startsOf(id)) > 0 }) {
+		s.rec.finish(exitNotRun, "the job did not start")
+	}
+	// The machine that is at work stands first in the wave's list.
+	busy := s.startsOf(id)[0].executor
+	order := []string{}
+	for n, e := range s.executors[:4] {
+		if e.id == busy {
+			order = append([]string{names[n]}, order...)
+		} else {
+			order = append(order, names[n])
+		}
+	}
+	killed := make(chan struct{})
+	if s.trouble {
+		taken := false
+		s.cloud.mu.Lock()
+		s.cloud.hold = func(m *machine, carryOut func()) bool {
+			s.cloud.mu.Lock()
+			defer s.cloud.mu.Unlock()
+			if taken {
+				return false
+			}
+			taken = true
+			time.AfterFunc(2100*time.Millisecond, carryOut)
+			go func() {
+				s.killLeader()
+				close(killed)
+			}()
+			return true
+		}
+		s.cloud.mu.Unlock()
+	}
+	wave := map[string]any{"wave": 1, "machines": order, "within_s": 40, "max_count": 1}
+	if a := s.op.order(10*time.Second, "wave 1", "POST", "/wave-start", wave); a.status != 200 {
+		s.rec.finish(exitNotRun, "the wave got no confirmation")
+	}
+	if s.trouble {
+		select {
+		case <-killed:
+		case <-time.After(20 * time.Second):
+			s.rec.finish(exitNotRun, "no upkeep was ordered")
+		}
+	}
+	await(60*time.Second, func() bool {
+		time.Sleep(500 * time.Millisecond)
+		s.cloud.mu.Lock()
+		broken := most > 1
+		s.cloud.mu.Unlock()
+		return broken || strings.Contains(string(s.op.order(5*time.Second, "state of wave 1", "GET", "/wave-get/1", nil).body), "completed")
+	})
+	s.cloud.mu.Lock()
+	defer s.cloud.mu.Unlock()
+	if most > 1 {
+		s.rec.finish(exitBroken, "LIMIT: %d machines of a wave with max_count 1 were down for their upkeep at once", most)
+	}
+	s.rec.finish(exitHeld, "held: at most %d machine was down", most)
+}
--- a/review/standin/executor.go
+++ b/review/standin/executor.go
@@ -49,8 +49,10 @@
 func (e *executor) clock() int64 { return 1000 + time.Since(e.begun).Milliseconds() }
 
 // listen starts the executor on a loopback address.
-func (e *executor) listen(ip string) {
-	l, err := net.Listen("tcp", ip+":0")
+func (e *executor) listen(ip string) { e.listenAt(ip + ":0") }
+
+func (e *executor) listenAt(address string) {
+	l, err := net.Listen("tcp", address)
 	e.rec.must(err)
 	e.address, e.begun, e.born = l.Addr().String(), time.Now(), time.Now().UnixMilli()
 	e.running, e.highest, e.percent = map[string]*start{}, map[string]int64{}, map[string]int64{}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"strings"
 	"syscall"
 	"time"
 )
@@ -17,6 +18,9 @@
 	dep       *deployment
 	trap      trap
 	executors []*executor
+	cloud     *cloud
+	rebirths  chan rebirth
+	lives     int
 	op        *operator
 	cfg       *config
 }
@@ -24,6 +28,8 @@
 var cases = map[string]func(*stage){
 	"refused": refused,
 	"readded": readded,
+	"deadly":  deadly,
+	"upkeeps": upkeeps,
 }
 
 func main() {
@@ -31,7 +37,7 @@
 		fmt.Fprintln(os.Stderr, "usage: standin CASE RECORD")
 		os.Exit(exitNotRun)
 	}
-	s := &stage{rec: newRecord(os.Args[2]), trouble: os.Getenv("TROUBLE") != "0"}
+	s := &stage{rec: newRecord(os.Args[2]), rebirths: make(chan rebirth, 16), trouble: os.Getenv("TROUBLE") != "0"}
 	stop := make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
 	go func() {
@@ -54,6 +60,9 @@
 			newProxy(s.rec, s.dep.peer(c), s.dep.inner(c), &s.trap)
 		}
 	}
+	if s.cloud != nil {
+		s.dep.cloud = s.cloud.listen(s.dep.net + ".251")
+	}
 	s.dep.startAll()
 	s.op = &operator{caller: newCaller(), rec: s.rec, controls: s.dep.controls()}
 	s.cfg = cfg
@@ -87,7 +96,7 @@
 func (s *stage) add(n int, service string, work func(task string, run int64) (time.Duration, string)) *executor {
 	e := &executor{rec: s.rec, id: executorName(n), service: service, zone: fmt.Sprintf("z%d", n%3), labels: []string{"a", fmt.Sprintf("r1-%d", n/4)},
 		cpu: 32000, mem: 65536, work: work, controls: s.dep.controls()}
-	e.listen(fmt.Sprintf("%s.%d", s.dep.net, 201+n))
+	e.listen(fmt.Sprintf("%s.%d", s.dep.net, 151+n%100))
 	s.executors = append(s.executors, e)
 	return e
 }
@@ -106,3 +115,38 @@
 }
 
 func (s *stage) client(key string) *client { return &client{caller: newCaller(), rec: s.rec, key: key} }
+
+// rebirth is a new life of the executor at an index.
+type rebirth struct {
+	at       int
+	executor *executor
+}
+
+// reborn starts another executor at the address of one that has crashed.
+func (s *stage) reborn(old *executor, id string) *executor {
+	e := &executor{rec: s.rec, id: id, service: old.service, zone: old.zone, labels: old.labels, cpu: old.cpu, mem: old.mem,
+		work: old.work, controls: old.controls}
+	e.listenAt(old.address)
+	return e
+}
+
+// killLeader kills the core that leads and starts it again after three and a half seconds,
+// which is the longest time of the site's node_kill.
+func (s *stage) killLeader() {
+	for _, c := range s.dep.cores {
+		raw, err := os.ReadFile(c.log)
+		if err != nil {
+			continue
+		}
+		taken, ended := strings.LastIndex(string(raw), "lead taken"), strings.LastIndex(string(raw), "leadership ended")
+		if taken > ended {
+			s.dep.signal(c, syscall.SIGKILL)
+			time.AfterFunc(3500*time.Millisecond, func() {
+				s.rec.note("%s starts again", c.name)
+				s.dep.start(c)
+			})
+			return
+		}
+	}
+	s.rec.note("no core says that it leads")
+}
