Review case: a machine is taken down with a subtask at work

A script: while the list of machines can't be read, an executor comes back under another id; the machine counts as empty and is taken down for its upkeep. AVAIL breaks.

--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -245,3 +245,97 @@
 	}
 	s.rec.finish(exitHeld, "held: at most %d machine was down", most)
 }
+
+// blind: the list of machines can't be read for five seconds, and an executor crashes
+// meanwhile and comes back under another id. A wave is started.
+func blind(s *stage) {
+	const id, count = "00000000000000f6", 8
+	s.cloud = &cloud{rec: s.rec}
+	lasting := func(string, int64) (time.Duration, string) { return 0, "" }
+	names := []string{"m-a", "m-b", "m-c", "m-d", "m-e", "m-f", "m-g", "m-h"}
+	s.cloud.replace = func(*machine) *executor {
+		s.lives++
+		return s.add(100+s.lives, "svc-a", lasting)
+	}
+	s.cloud.begun = func(*machine, int) {}
+	broken := ""
+	s.begin(3, 2, count, false, &config{version: 1, services: []string{"svc-a"}, routes: []route{{"r-a", "/a/", "svc-a", 3}},
+		keys: map[string][]string{"t1": {"key-1"}}}, lasting)
+	s.cloud.mu.Lock()
+	for n, e := range s.executors {
+		s.cloud.machines = append(s.cloud.machines, &machine{name: names[n], pool: "svc-a", state: "up", executor: e, done: map[int64]bool{}})
+	}
+	// atWork tells which subtasks run, other than on one executor.
+	atWork := func(but *executor) int {
+		n := 0
+		for _, m := range s.cloud.machines {
+			if m.executor != nil && m.executor != but {
+				n += m.executor.atWork()
+			}
+		}
+		return n
+	}
+	s.cloud.ended = func(m *machine, e *executor) {
+		mine, others := e.atWork(), atWork(e)
+		s.rec.note("cloud: the order ends %d subtask at work on %s; %d of the other %d of its step are at work", mine, m.name, others, count-1)
+		if mine > 0 && count-1-others >= 1 {
+			broken = m.name
+		}
+	}
+	s.cloud.mu.Unlock()
+	time.Sleep(3 * time.Second)
+	c := s.client("key-1")
+	spec := map[string]any{"spec": "lasting", "steps": []any{map[string]any{"count": count, "cpu": 500, "mem_mb": 256, "estimate_ms": 1000,
+		"long_running": true, "anti_affinity": 1, "max_unavailable": 1}}}
+	if a := c.do("POST", s.dep.front(s.dep.edges[0]), "/a/"+id, spec); a.status != 200 {
+		s.rec.finish(exitNotRun, "the job was not accepted")
+	}
+	everyone := func() bool {
+		s.cloud.mu.Lock()
+		defer s.cloud.mu.Unlock()
+		return atWork(nil) == count
+	}
+	if !await(10*time.Second, everyone) {
+		s.rec.finish(exitNotRun, "not all subtasks came to work")
+	}
+	time.Sleep(5 * time.Second)
+	if s.trouble {
+		s.cloud.mu.Lock()
+		s.cloud.busy = true
+		m := s.cloud.machines[0]
+		s.cloud.mu.Unlock()
+		s.rec.note("cloud: busy for five seconds")
+		time.AfterFunc(5*time.Second, func() {
+			s.cloud.mu.Lock()
+			defer s.cloud.mu.Unlock()
+			s.cloud.busy = false
+			s.rec.note("cloud: answers again")
+		})
+		time.Sleep(100 * time.Millisecond)
+		s.rec.note("executor %s on %s crashes", m.executor.id, m.name)
+		old := m.executor
+		old.crash()
+		time.Sleep(400 * time.Millisecond)
+		e := s.reborn(old, executorName(99))
+		s.cloud.mu.Lock()
+		m.executor = e
+		s.cloud.mu.Unlock()
+		s.rec.note("executor %s is there in its place", e.id)
+		time.Sleep(500 * time.Millisecond)
+	}
+	wave := map[string]any{"wave": 1, "machines": names[:2], "within_s": 40, "max_count": 2}
+	if a := s.op.order(10*time.Second, "wave 1", "POST", "/wave-start", wave); a.status != 200 {
+		s.rec.finish(exitNotRun, "the wave got no confirmation")
+	}
+	await(45*time.Second, func() bool {
+		time.Sleep(500 * time.Millisecond)
+		return strings.Contains(string(s.op.order(5*time.Second, "state of wave 1", "GET", "/wave-get/1", nil).body), "completed")
+	})
+	time.Sleep(time.Second)
+	s.cloud.mu.Lock()
+	defer s.cloud.mu.Unlock()
+	if broken != "" {
+		s.rec.finish(exitBroken, "AVAIL: the upkeep of %s ended a subtask at work while another of its step was away, with max_unavailable 1", broken)
+	}
+	s.rec.finish(exitHeld, "held")
+}
--- a/review/standin/cloud.go
+++ b/review/standin/cloud.go
@@ -24,6 +24,10 @@
 	machines []*machine
 	// hold, if set, takes an order that is to be carried out late and gets no answer.
 	hold func(m *machine, carryOut func()) bool
+	// busy, while set, makes the service refuse every call with 503.
+	busy bool
+	// ended is called, locked, with the machine whose executor an order has just ended.
+	ended func(m *machine, e *executor)
 	// replace starts the executor that joins after an upkeep or a move.
 	replace func(m *machine) *executor
 	// begun is called, locked, when an upkeep begins, with the machines down for theirs before.
@@ -48,6 +52,10 @@
 	time.Sleep(listTime)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.busy {
+		answerJSON(w, 503, map[string]any{})
+		return
+	}
 	rows := []any{}
 	for _, m := range c.machines {
 		id, zone := "", "z0"
@@ -88,8 +96,12 @@
 			m = known
 		}
 	}
-	hold := c.hold
+	hold, busy := c.hold, c.busy
 	c.mu.Unlock()
+	if busy {
+		answerJSON(w, 503, map[string]any{})
+		return
+	}
 	if m == nil {
 		answerJSON(w, 400, map[string]any{})
 		return
@@ -139,7 +151,11 @@
 		m.state, m.pool = "moving", o.Pool
 	}
 	c.rec.note("cloud: %s of %s by %s with fence number %d (%s): begins", what, m.name, holder, fence, when)
-	m.executor.crash()
+	ended := m.executor
+	if c.ended != nil {
+		c.ended(m, ended)
+	}
+	ended.crash()
 	m.executor = nil
 	time.AfterFunc(away, func() {
 		e := c.replace(m)
--- a/review/standin/executor.go
+++ b/review/standin/executor.go
@@ -232,6 +232,9 @@
 	running := []any{}
 	for task, s := range e.running {
 		percent := 100
+		if time.Since(s.at) < startup {
+			percent = 0
+		}
 		if took, _ := e.work(task, s.run); took > 0 {
 			percent = int(min(99, 100*time.Since(s.at)/took))
 		}
@@ -352,3 +355,19 @@
 }
 
 func executorName(n int) string { return fmt.Sprintf("i-%08x", 0x7f3a0000+n) }
+
+// startup is how long a lasting subtask takes until it is at work.
+const startup = 300 * time.Millisecond
+
+// atWork counts the lasting subtasks that are at work.
+func (e *executor) atWork() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	n := 0
+	for _, s := range e.running {
+		if time.Since(s.at) >= startup {
+			n++
+		}
+	}
+	return n
+}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -30,6 +30,7 @@
 	"readded": readded,
 	"deadly":  deadly,
 	"upkeeps": upkeeps,
+	"blind":   blind,
 }
 
 func main() {
