--- a/driver/driver_test.go
+++ b/driver/driver_test.go
@@ -5,7 +5,6 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
-	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -392,11 +391,7 @@
 	w := newTestEnv(t)
 	service := newFleetOf(t, w, 4, &platformtest.Worker{RunTime: time.Hour, Lasting: true})
 	service.Away = time.Hour // the first instance taken down never returns
-	// Without a standby pool, idle instances stay in their pool.
-	without := strings.NewReplacer(`"version":1`, `"version":2`, `,{"name":"spare","standby":true}`, "").Replace(document)
-	if err := w.current().PutDocument(t.Context(), []byte(without)); err != nil {
-		t.Fatal(err)
-	}
+	w.putDocumentWithoutStandby()
 	lasting := step(2)
 	lasting.LongRunning, lasting.MaxUnavailable, lasting.AntiAffinity = true, 1, 1
 	w.submit("0000000000000001", lasting)
--- a/driver/fleet.go
+++ b/driver/fleet.go
@@ -33,6 +33,10 @@
 	// untouched, because the list may be older than a worker that has just
 	// joined.
 	unknownWorkerGrace = 3 * time.Second
+	// departedLists is the number of lists in succession that lack an instance once it has
+	// left the fleet. One is not enough: the pages of a list are read one after the other,
+	// and entries may change places meanwhile.
+	departedLists = 2
 	// maxReportAge is the age of a worker's list beyond which its tasks do not
 	// count as available.
 	maxReportAge = 2 * time.Second
@@ -58,6 +62,8 @@
 	// upkeepOrderedAt is set when an upkeep is ordered and cleared when a list
 	// shows the instance up again.
 	upkeepOrderedAt time.Time
+	// missing counts the latest lists, in succession, that lack the instance.
+	missing int
 }
 
 // fleet tracks the instances. Maintenance waves are in wave.go, moves between
@@ -66,13 +72,20 @@
 	d         *Driver
 	instances map[string]*instance
 	byWorker  map[string]*instance
+	// listedAt is when a list was last requested.
 	listedAt  time.Time
 	plannedAt time.Time
 	// poolsLoggedAt is when the demand of the pools was logged last.
 	poolsLoggedAt time.Time
 	listing       bool
-	listOK        bool
-	trends        map[string]*plan.Trend
+	// asked is when each of the latest lists that were received was requested, oldest
+	// first, at most departedLists of them. No instance is known before the first one.
+	asked []time.Time
+	// wave is the ID of the wave in progress, and waveSince when this driver first saw
+	// it as such.
+	wave      int64
+	waveSince time.Time
+	trends    map[string]*plan.Trend
 	// loads is the work that arrives for each pool, and runTimes the observed run
 	// times of each queue's tasks.
 	loads    map[string]*plan.Load
@@ -121,7 +134,7 @@
 	if now.Sub(f.listedAt) >= listInterval && !f.listing {
 		f.list(now)
 	}
-	if !f.listOK {
+	if len(f.asked) == 0 {
 		return
 	}
 	f.advanceWave(now)
@@ -163,16 +176,34 @@
 		if known.Worker != in.Worker {
 			known.unknownWorkerSince = time.Time{}
 		}
-		known.Instance, known.full = in, known.full.Max(in.Capacity)
+		known.Instance, known.full, known.missing = in, known.full.Max(in.Capacity), 0
 		seen[in.Name] = known
+	}
+	for name, known := range f.instances {
+		if seen[name] != nil {
+			continue
+		}
+		if known.missing++; known.missing < departedLists {
+			seen[name] = known
+		}
+	}
+	for _, in := range seen {
 		if in.Worker != "" {
-			byWorker[in.Worker] = known
+			byWorker[in.Worker] = in
 		}
 	}
-	f.instances, f.byWorker, f.listOK = seen, byWorker, true
+	f.instances, f.byWorker = seen, byWorker
+	f.asked = append(f.asked, asked)
+	f.asked = f.asked[max(0, len(f.asked)-departedLists):]
 	f.d.needsPlan = true
 }
 
+// hasDeparted reports whether an instance has left the fleet, as far as lists show that
+// were all requested after a time at which it was part of it.
+func (f *fleet) hasDeparted(name string, since time.Time) bool {
+	return f.instances[name] == nil && len(f.asked) == departedLists && f.asked[0].After(since)
+}
+
 // runsKnown reports whether all runs on an instance are known: its worker has a
 // session, it is in a standby pool and hosts no worker, or no worker has appeared
 // within unknownWorkerGrace.
--- a/driver/testenv_test.go
+++ b/driver/testenv_test.go
@@ -394,6 +394,16 @@
 	}
 }
 
+// putDocumentWithoutStandby replaces the document by one without a standby pool: idle
+// instances stay in their pool.
+func (w *testEnv) putDocumentWithoutStandby() {
+	w.t.Helper()
+	without := strings.NewReplacer(`"version":1`, `"version":2`, `,{"name":"spare","standby":true}`, "").Replace(document)
+	if err := w.current().PutDocument(w.t.Context(), []byte(without)); err != nil {
+		w.t.Fatal(err)
+	}
+}
+
 func step(count int) workload.Step {
 	return workload.Step{Count: count, Need: workload.Size{Processors: 1000, MemoryMB: 100}, Estimate: 50}
 }
--- a/driver/wave.go
+++ b/driver/wave.go
@@ -27,6 +27,9 @@
 		f.relocationDemand = nil
 		return
 	}
+	if f.wave != wave.ID {
+		f.wave, f.waveSince = wave.ID, now
+	}
 	f.removeDeparted(wave)
 	f.cordon(wave, now)
 	f.markLeaving(wave)
@@ -111,10 +114,13 @@
 	return next
 }
 
-// removeDeparted removes instances from a wave that are no longer in the fleet.
+// removeDeparted removes instances from a wave that have left the fleet since it was
+// started. Lists that were requested before may be older than the instance.
 func (f *fleet) removeDeparted(w *workload.Wave) {
 	for _, name := range w.Instances {
-		if f.instances[name] == nil && w.IsPending(name) {
+		if w.IsPending(name) && f.hasDeparted(name, f.waveSince) {
+			f.d.cfg.Logger.Info().Str("instance", name).Int64("wave", w.ID).Time("first_list", f.asked[0]).
+				Time("last_list", f.asked[len(f.asked)-1]).Msg("instance left the fleet before its upkeep")
 			f.commit(&workload.Upkeep{Wave: w.ID, Instance: name, Left: true})
 		}
 	}
