Fix LOST: definitions that unfinished jobs need outlive the document

Cause: the state looked up attempts, advice, priority, objective, pool and team limit in the newest document. A queue that is not there counted as one that allows a single attempt.

Retained queues take no requests, retained teams have no keys. A task that has failed as often as a new document allows fails its job; before, it stayed as it was for good. Entries of earlier builds are applied as before (Batch.Retains).

--- a/driver/advice.go
+++ b/driver/advice.go
@@ -64,7 +64,7 @@
 		return
 	}
 	j, _ := d.state.TaskOf(step)
-	q, ok := d.state.Queue(j.Queue)
+	q, ok := d.state.QueueOf(j)
 	if !ok || q.Advice == nil {
 		return
 	}
--- a/driver/crash.go
+++ b/driver/crash.go
@@ -228,9 +228,13 @@
 		if !ok {
 			continue
 		}
-		d.cfg.Metrics.GivenUp.Inc()
-		d.cfg.Logger.Warn().Str("job", g.Task.Job).Str("task", g.Task.String()).Int("crashes", g.Crashes).Uint64("term", d.cfg.Term).
-			Msg("task given up: workers crashed under it")
+		event := d.cfg.Logger.Warn().Str("job", g.Task.Job).Str("task", g.Task.String()).Uint64("term", d.cfg.Term)
+		if g.Crashes > 0 {
+			d.cfg.Metrics.GivenUp.Inc()
+			event.Int("crashes", g.Crashes).Msg("task given up: workers crashed under it")
+		} else {
+			event.Int64("version", d.state.Version()).Msg("task given up: it has failed as often as its queue allows now")
+		}
 		d.logFinished(j)
 		d.stopFailed(j)
 	}
--- a/driver/driver.go
+++ b/driver/driver.go
@@ -268,7 +268,7 @@
 	if d.committing || len(d.batch) == 0 {
 		return
 	}
-	b := &workload.Batch{Now: d.batchAt, Commands: d.batch, Settles: true}
+	b := workload.NewBatch(d.batchAt, d.batch)
 	data, err := workload.EncodeBatch(b)
 	if err != nil {
 		d.cfg.Logger.Error().Err(err).Msg("failed to encode batch; stopping the driver")
--- a/driver/driver_test.go
+++ b/driver/driver_test.go
@@ -208,6 +208,23 @@
 	}
 }
 
+// LOST: a job whose queue and pool were out of the document was given up at its first failed
+// run, and its workers' announcements were refused.
+func TestJobOfRemovedQueueGoesOn(t *testing.T) {
+	w := newTestEnv(t)
+	s := w.startWithWorker(300 * time.Millisecond)
+	s.SetFaults(platformtest.Faults{FailAll: true})
+	w.submit(jobID(0), step(1))
+	w.waitFor("task started", func() bool { return len(s.History()) == 1 })
+	if err := w.current().PutDocument(t.Context(), []byte(`{"version":2,"routes":[],"services":[],"tenants":[]}`)); err != nil {
+		t.Fatal(err)
+	}
+	w.waitFor("failed run", func() bool { return s.History()[0].How == "failed" })
+	s.SetFaults(platformtest.Faults{})
+	w.waitFor("job completed", func() bool { return w.state(jobID(0)) == workload.JobCompleted })
+	w.checkConsistency()
+}
+
 // newFleet starts n machines in pool p with a worker on each.
 func newFleet(t *testing.T, w *testEnv, n int) *platformtest.Machines {
 	t.Helper()
--- a/driver/run.go
+++ b/driver/run.go
@@ -212,7 +212,7 @@
 func (d *Driver) logFinished(j *workload.Job) {
 	age := j.Ended - j.Submitted
 	event, objective := d.cfg.Logger.Info(), workload.Millis(0)
-	if q, ok := d.state.Queue(j.Queue); ok {
+	if q, ok := d.state.QueueOf(j); ok {
 		objective = q.Objective(j)
 	}
 	late := j.Spec.StartAt == 0 && objective > 0 && age > objective
--- a/system/leader.go
+++ b/system/leader.go
@@ -118,7 +118,7 @@
 	if term != l.ledTerm {
 		return l.member.Node().ReadIndex(ctx)
 	}
-	data, err := workload.EncodeBatch(&workload.Batch{Settles: true})
+	data, err := workload.EncodeBatch(workload.NewBatch(0, nil))
 	if err != nil {
 		return err
 	}
--- a/workload/apply.go
+++ b/workload/apply.go
@@ -12,8 +12,8 @@
 // command. A command that returns an error leaves the state unchanged.
 func (s *State) Apply(b *Batch) []error {
 	errs := make([]error, len(b.Commands))
-	s.forgetful = !b.Settles
-	defer func() { s.forgetful = false }()
+	s.forgetful, s.discarding = !b.Settles, !b.Retains
+	defer func() { s.forgetful, s.discarding = false, false }()
 	for i := range b.Commands {
 		errs[i] = s.ApplyOne(&b.Commands[i], b.Now)
 	}
@@ -33,7 +33,7 @@
 func (s *State) applyCommand(c *Command, now Millis) error {
 	switch {
 	case c.PutDocument != nil:
-		return s.putDocument(c.PutDocument)
+		return s.putDocument(c.PutDocument, now)
 	case c.Submit != nil:
 		return s.submit(c.Submit, now)
 	case c.Cancel != nil:
@@ -64,13 +64,22 @@
 	return errors.Wrap(ErrMalformed, "empty command")
 }
 
-func (s *State) putDocument(c *PutDocument) error {
+func (s *State) putDocument(c *PutDocument, now Millis) error {
 	doc, err := s.decode(c.Raw)
 	if err != nil {
 		return errors.Wrap(ErrInvalidDocument, err.Error())
 	}
-	if doc.Version > s.doc.Version {
-		s.setDocument(c.Raw, doc)
+	if doc.Version <= s.doc.Version {
+		return nil
+	}
+	var kept retained
+	if !s.discarding {
+		kept = s.retainedBeside(&doc)
+	}
+	s.setDocument(c.Raw, doc)
+	s.retained = kept
+	if !s.discarding {
+		s.failExhausted(now)
 	}
 	return nil
 }
@@ -196,8 +205,13 @@
 	slices.SortFunc(refs, compareRefs)
 	for _, r := range refs {
 		j, t := s.TaskOf(r)
-		if t.Incarnation == incarnation {
-			s.endRun(r, j, t, OutcomeLost, "", now)
+		if t.Incarnation != incarnation {
+			continue
+		}
+		before := j.State
+		s.endRun(r, j, t, OutcomeLost, "", now)
+		if j.State == JobFailed && before != JobFailed {
+			s.givenUp = append(s.givenUp, GivenUp{Task: r})
 		}
 	}
 }
@@ -249,7 +263,7 @@
 		return errors.Wrapf(ErrNotAssignable, "task %s has already had run %d", c.Task, t.Run)
 	case !j.Unblocked(c.Task.Occurrence, c.Task.Step):
 		return errors.Wrapf(ErrNotAssignable, "an earlier step of task %s is not done", c.Task)
-	case !j.Spec.Steps[c.Task.Step].LongRunning && t.Failures >= s.MaxAttempts(j):
+	case s.isExhausted(j, t, &j.Spec.Steps[c.Task.Step]):
 		return errors.Wrapf(ErrNotAssignable, "task %s failed %d times", c.Task, t.Failures)
 	}
 	return nil
@@ -271,7 +285,7 @@
 	case step.AntiAffinity > 0 && s.SameStep(c.Worker, c.Task) >= step.AntiAffinity:
 		return errors.Wrapf(ErrNotAssignable, "worker %s has reached the anti-affinity limit of the step", c.Worker)
 	}
-	if team := s.teams[j.Team]; team != nil && !s.teamUsage[j.Team].Add(step.Need).WithinLimit(team.Limit) {
+	if team, ok := s.Team(j.Team); ok && !s.teamUsage[j.Team].Add(step.Need).WithinLimit(team.Limit) {
 		return errors.Wrapf(ErrNotAssignable, "team %s is at its limit", j.Team)
 	}
 	return nil
@@ -337,6 +351,8 @@
 		s.finishTask(r, j, step, now)
 	case o == OutcomeFailed && !step.LongRunning:
 		s.failTask(r, j, t, step, now)
+	case !s.discarding && s.isExhausted(j, t, step):
+		s.finish(j, JobFailed, now) // a document of a later version allows fewer attempts
 	default:
 		j.runnable++
 	}
--- a/workload/command.go
+++ b/workload/command.go
@@ -27,6 +27,14 @@
 	// Settles is set by builds that remember the runs given up as lost. Entries without it
 	// are applied as they were when they were written.
 	Settles bool `cbor:"3,keyasint,omitempty"`
+	// Retains is set by builds that keep the definitions that unfinished jobs need when the
+	// document drops them. Entries without it are applied as they were when they were written.
+	Retains bool `cbor:"4,keyasint,omitempty"`
+}
+
+// NewBatch returns a batch of this build.
+func NewBatch(now Millis, commands []Command) *Batch {
+	return &Batch{Now: now, Commands: commands, Settles: true, Retains: true}
 }
 
 // Command is one change; exactly one field is set.
--- a/workload/crash.go
+++ b/workload/crash.go
@@ -261,9 +261,12 @@
 	}
 }
 
-// GivenUp is a task that was given up because workers crashed under it.
+// GivenUp is a task that was given up with its job, other than by the end of a run that its
+// worker reported.
 type GivenUp struct {
-	Task    TaskRef
+	Task TaskRef
+	// Crashes is the number of workers that crashed under the task. If it is 0, the task has
+	// failed as often as a new document allows.
 	Crashes int
 }
 
--- a/workload/plan/plan.go
+++ b/workload/plan/plan.go
@@ -231,7 +231,7 @@
 
 func (p *planner) candidate(j *workload.Job) candidate {
 	c := candidate{job: j, timeliness: onTime, begun: j.Begun(), due: j.Submitted + j.CriticalPath()}
-	q, ok := p.in.State.Queue(j.Queue)
+	q, ok := p.in.State.QueueOf(j)
 	if !ok {
 		return c
 	}
@@ -370,7 +370,7 @@
 // ticketsOf returns the tickets for a task's step, which are nil if its queue has no
 // advice policy, and whether the advice service has answered.
 func (p *planner) ticketsOf(j *workload.Job, ref workload.TaskRef) (map[string]string, bool) {
-	if q, ok := p.in.State.Queue(j.Queue); !ok || q.Advice == nil {
+	if q, ok := p.in.State.QueueOf(j); !ok || q.Advice == nil {
 		return nil, true
 	}
 	ref.Index = 0
--- a/workload/plan/share.go
+++ b/workload/plan/share.go
@@ -11,9 +11,7 @@
 func teamsOverShare(state *workload.State, waiting map[string]bool) map[string]bool {
 	var total workload.Size
 	var weights float64
-	document := state.Document()
-	for i := range document.Teams {
-		t := &document.Teams[i]
+	for t := range state.Teams() {
 		use := state.TeamUse(t.Name)
 		if waiting[t.Name] || use != (workload.Size{}) {
 			total = total.Add(use)
--- a/workload/state.go
+++ b/workload/state.go
@@ -1,6 +1,7 @@
 package workload
 
 import (
+	"iter"
 	"maps"
 	"slices"
 	"strings"
@@ -43,6 +44,10 @@
 	silences []silence
 	// forgetful is set while an entry of an older build is applied.
 	forgetful bool
+	// retained holds definitions that the document no longer has. It is not extended
+	// while discarding is set, for an entry of a build that kept none.
+	retained   retained
+	discarding bool
 	// appliedAt is the leader's clock at the last command.
 	appliedAt Millis
 	// givenUp holds the tasks given up since TakeGivenUp; it is not part of snapshots.
@@ -74,7 +79,7 @@
 }
 
 func (s *State) reset() {
-	s.raw, s.doc = nil, Document{}
+	s.raw, s.doc, s.retained = nil, Document{}, retained{}
 	s.queues, s.pools, s.teams, s.keys = map[string]*Queue{}, map[string]*Pool{}, map[string]*Team{}, map[string]string{}
 	s.jobs, s.workers, s.waves = map[string]*Job{}, map[string]*Worker{}, map[int64]*Wave{}
 	s.runs, s.reserved, s.teamUsage = map[string]map[TaskRef]*Job{}, map[string]Size{}, map[string]Size{}
@@ -100,11 +105,46 @@
 // Queue returns a queue of the document.
 func (s *State) Queue(name string) (*Queue, bool) { q, ok := s.queues[name]; return q, ok }
 
-// Pool returns a pool of the document.
-func (s *State) Pool(name string) (*Pool, bool) { p, ok := s.pools[name]; return p, ok }
+// QueueOf returns the queue of a job: that of the document or, once that has none of the
+// name, the one that was last in force while the job was unfinished.
+func (s *State) QueueOf(j *Job) (*Queue, bool) {
+	if q, ok := s.queues[j.Queue]; ok {
+		return q, true
+	}
+	q := s.retained.queue(j.Queue)
+	return q, q != nil
+}
+
+// Pool returns a pool of the document, or one that unfinished jobs still need.
+func (s *State) Pool(name string) (*Pool, bool) {
+	if p, ok := s.pools[name]; ok {
+		return p, true
+	}
+	p := s.retained.pool(name)
+	return p, p != nil
+}
 
-// Team returns a team of the document.
-func (s *State) Team(name string) (*Team, bool) { t, ok := s.teams[name]; return t, ok }
+// Team returns a team of the document, or one that unfinished jobs still need.
+func (s *State) Team(name string) (*Team, bool) {
+	if t, ok := s.teams[name]; ok {
+		return t, true
+	}
+	t := s.retained.team(name)
+	return t, t != nil
+}
+
+// Teams returns the teams of the document and those that unfinished jobs still need.
+func (s *State) Teams() iter.Seq[*Team] {
+	return func(yield func(*Team) bool) {
+		for _, teams := range [][]Team{s.doc.Teams, s.retained.Teams} {
+			for i := range teams {
+				if !yield(&teams[i]) {
+					return
+				}
+			}
+		}
+	}
+}
 
 // KeyTeam returns the team to which a key belongs.
 func (s *State) KeyTeam(key string) (string, bool) { t, ok := s.keys[key]; return t, ok }
@@ -177,16 +217,16 @@
 
 // MaxAttempts returns the number of failures after which a task fails its job.
 func (s *State) MaxAttempts(j *Job) int {
-	if q := s.queues[j.Queue]; q != nil && q.MaxAttempts > 0 {
+	if q, ok := s.QueueOf(j); ok && q.MaxAttempts > 0 {
 		return q.MaxAttempts
 	}
 	return 1
 }
 
 // PoolOf returns the pool whose workers run a job: the pool of its queue, or the
-// pool at submission if the queue has been removed.
+// pool at submission if the queue is not known.
 func (s *State) PoolOf(j *Job) string {
-	if q := s.queues[j.Queue]; q != nil {
+	if q, ok := s.QueueOf(j); ok {
 		return q.Pool
 	}
 	return j.Pool
@@ -202,12 +242,16 @@
 	Departures []departure `cbor:"5,keyasint,omitempty"`
 	Silences   []silence   `cbor:"6,keyasint,omitempty"`
 	AppliedAt  Millis      `cbor:"7,keyasint,omitempty"`
+	Retained   *retained   `cbor:"8,keyasint,omitempty"`
 }
 
 // Snapshot encodes the state without its derived indexes. Jobs, workers and waves
 // are sorted, so that equal states have equal snapshots.
 func (s *State) Snapshot() ([]byte, error) {
 	snap := snapshot{Raw: s.raw, Departures: s.departures, Silences: s.silences, AppliedAt: s.appliedAt}
+	if !s.retained.isEmpty() {
+		snap.Retained = &s.retained
+	}
 	for _, id := range slices.Sorted(maps.Keys(s.jobs)) {
 		snap.Jobs = append(snap.Jobs, s.jobs[id])
 	}
@@ -238,6 +282,9 @@
 		}
 		s.setDocument(snap.Raw, doc)
 	}
+	if snap.Retained != nil {
+		s.retained = *snap.Retained
+	}
 	s.departures, s.silences, s.appliedAt = snap.Departures, snap.Silences, snap.AppliedAt
 	for _, d := range s.departures {
 		s.departed[d.Worker] = max(s.departed[d.Worker], d.Incarnation)
--- a/workload/types.go
+++ b/workload/types.go
@@ -49,23 +49,26 @@
 // AdvicePolicy lets an external service choose the workers of a queue.
 type AdvicePolicy struct {
 	// ValidFor is the lifetime of a ticket issued by the service.
-	ValidFor Millis
+	ValidFor Millis `cbor:"1,keyasint,omitempty"`
 }
 
 // Queue is a queue of the document. Host and Prefix are the HTTP host and the path
 // prefix of its requests.
 type Queue struct {
-	Name, Host, Prefix, Pool string
+	Name   string `cbor:"1,keyasint"`
+	Host   string `cbor:"2,keyasint,omitempty"`
+	Prefix string `cbor:"3,keyasint,omitempty"`
+	Pool   string `cbor:"4,keyasint,omitempty"`
 	// Priority orders queues; 0 is the highest priority.
-	Priority    int
-	MaxAttempts int
+	Priority    int `cbor:"5,keyasint,omitempty"`
+	MaxAttempts int `cbor:"6,keyasint,omitempty"`
 	// The latency objective of a job is Stretch times its critical path, plus
 	// Target.
-	Stretch float64
-	Target  Millis
+	Stretch float64 `cbor:"7,keyasint,omitempty"`
+	Target  Millis  `cbor:"8,keyasint,omitempty"`
 	// Open queues accept requests without a known key.
-	Open   bool
-	Advice *AdvicePolicy
+	Open   bool          `cbor:"9,keyasint,omitempty"`
+	Advice *AdvicePolicy `cbor:"10,keyasint,omitempty"`
 }
 
 // Objective returns the time from submission within which a job of the queue
@@ -77,19 +80,19 @@
 
 // Pool is a set of workers that serve the same queues.
 type Pool struct {
-	Name           string
-	MaxConnections int
+	Name           string `cbor:"1,keyasint"`
+	MaxConnections int    `cbor:"2,keyasint,omitempty"`
 	// Standby pools hold instances that are powered off.
-	Standby bool
+	Standby bool `cbor:"3,keyasint,omitempty"`
 }
 
 // Team is a tenant with API keys, a fair-share weight and a resource limit.
 type Team struct {
-	Name   string
-	Keys   []string
-	Weight float64
+	Name   string   `cbor:"1,keyasint"`
+	Keys   []string `cbor:"2,keyasint,omitempty"`
+	Weight float64  `cbor:"3,keyasint,omitempty"`
 	// Limit bounds the resources of the team's assigned tasks; 0 means unlimited.
-	Limit Size
+	Limit Size `cbor:"4,keyasint"`
 }
 
 // Document is one version of the fleet's configuration.
