Fix REFUSED: a refusal of a repeated call hides no earlier outcome

Cause: an edge whose call to the leader has no outcome calls again, and passed the refusal of the later attempt on. The key had been removed between the two, so the refusal was true of the second attempt alone.

Ruled out by reading: calls that the link sends twice, and refusals of the leader after it has stored a job.

Change: after an attempt without an outcome, a refused submission or cancellation is answered as unknown (504) at once. Refusals that hold for every attempt are still passed on.

Evidence: TestRefusalOfRepeatedCallDoesNotHideEarlierOutcome failed before in 18 cases, for every kind of refusal and both ways to lose an outcome.

--- a/system/edge.go
+++ b/system/edge.go
@@ -159,6 +159,9 @@
 			attempts++
 			var resp workload.Response
 			if resp, err = e.attempt(ctx, leader, changed, r); err == nil {
+				if outcomeUnknown && !isConclusive(r, &resp) {
+					resp = unknownResponse("an earlier attempt has no outcome; the last one was refused: " + resp.Reason)
+				}
 				return resp, leader, attempts
 			}
 			outcomeUnknown = outcomeUnknown || mayHaveRun(err)
@@ -177,11 +180,30 @@
 		reason = err.Error()
 	}
 	if outcomeUnknown {
-		return workload.Response{Answer: workload.AnswerUnknown, Reason: reason}
+		return unknownResponse(reason)
 	}
 	return workload.Response{Answer: workload.AnswerNotRun, Reason: reason}
 }
 
+func unknownResponse(reason string) workload.Response {
+	return workload.Response{Answer: workload.AnswerUnknown, Reason: reason}
+}
+
+// isConclusive reports whether the answer to an attempt holds for the whole request although
+// an earlier attempt may have run. A refusal speaks of its own attempt: keys, queues and jobs
+// may have changed since the earlier one.
+func isConclusive(r *workload.Request, resp *workload.Response) bool {
+	switch {
+	case resp.Answer == workload.AnswerOK:
+		return true
+	case r.Verb == workload.VerbState || r.Verb == workload.VerbPending:
+		return true // reads have no effect
+	case r.Verb == workload.VerbCancel && resp.Answer == workload.AnswerNoJob:
+		return true // there is nothing to cancel, whichever attempt has seen to it
+	}
+	return r.Fault != "" // no leader runs a body that can't be decoded
+}
+
 // waitForRetry waits until the leader changes, but no longer than the retry
 // interval.
 func waitForRetry(ctx context.Context, changed <-chan struct{}) {
--- a/system/edge_test.go
+++ b/system/edge_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"net"
 	"net/http/httptest"
+	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -110,6 +112,55 @@
 	}
 }
 
+// REFUSED: a submission ran, its answer was lost, and the refusal of the repeated call was
+// passed on to the caller because its key or queue had been removed meanwhile.
+func TestRefusalOfRepeatedCallDoesNotHideEarlierOutcome(t *testing.T) {
+	refusals := []workload.Answer{
+		workload.AnswerUnknownKey, workload.AnswerNoQueue, workload.AnswerMalformed, workload.AnswerNotRun, workload.AnswerNoJob,
+	}
+	lost := map[string]func(context.Context) error{
+		"no answer": func(ctx context.Context) error { <-ctx.Done(); return ctx.Err() },
+		"outcome unknown": func(context.Context) error {
+			return &peerlink.RemoteError{Code: codeUnknown, Detail: "leadership lost"}
+		},
+	}
+	for name, tc := range map[string]struct {
+		request workload.Request
+		// final are the refusals that hold for every attempt.
+		final []workload.Answer
+	}{
+		"submission":            {workload.Request{Verb: workload.VerbSubmit}, nil},
+		"cancellation":          {workload.Request{Verb: workload.VerbCancel}, []workload.Answer{workload.AnswerNoJob}},
+		"read of a job":         {workload.Request{Verb: workload.VerbState}, refusals},
+		"unreadable submission": {workload.Request{Verb: workload.VerbSubmit, Fault: "body: not JSON"}, refusals},
+	} {
+		for how, lose := range lost {
+			for _, refusal := range refusals {
+				t.Run(name+", "+how+", "+refusal.String(), func(t *testing.T) {
+					t.Parallel()
+					var calls atomic.Int64
+					e := testEdge(t, fakeLeader(t, func(ctx context.Context, _ peerlink.Identity, _ []byte) (any, error) {
+						if calls.Add(1) == 1 {
+							return nil, lose(ctx)
+						}
+						return workload.Response{Answer: refusal, Reason: "changed"}, nil
+					}))
+					for !e.Ready() {
+						time.Sleep(time.Millisecond)
+					}
+					want := workload.AnswerUnknown
+					if slices.Contains(tc.final, refusal) {
+						want = refusal
+					}
+					if resp := e.Serve(t.Context(), &tc.request, 3*time.Second); resp.Answer != want {
+						t.Errorf("answer %s (%s), want %s", resp.Answer, resp.Reason, want)
+					}
+				})
+			}
+		}
+	}
+}
+
 // TestEdgeLeavesSuspendedLeader lets the leader receive a request and answer
 // nothing. Once another leader is known, the request must be answered by that one.
 func TestEdgeLeavesSuspendedLeader(t *testing.T) {
