Fix AVAIL: instances wait for a list that places every worker with runs

Cause: which worker is on an instance was read from the last list, of any age. While lists failed, a worker was replaced by one with another ID; after three seconds its instance counted as empty.

Ruled out: a budget that is counted wrongly (the worker's runs weren't looked at), and orders that the machine service carried out late (it refused them until the last one).

Change: a worker that no list has placed since it registered may be on each instance of its pool and labels, unless the worker listed there has answered since. Such an instance is not touched while the worker has runs, and the worker receives none while the instance is cordoned or being moved. A list changes nothing of an instance for which an order was confirmed after it was requested.

Ruled out as too dear: to ask the same of instances of all pools.

Driver tests under the race detector: only the two known red ones failed.

--- a/driver/fleet.go
+++ b/driver/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -30,8 +31,7 @@
 	// their rate.
 	orderBurst = 500 * time.Millisecond
 	// unknownWorkerGrace is how long an instance without a known worker is left
-	// untouched, because the list may be older than a worker that has just
-	// joined.
+	// untouched, so that a worker that has just joined can announce itself.
 	unknownWorkerGrace = 3 * time.Second
 	// departedLists is the number of lists in succession that lack an instance once it has
 	// left the fleet. One is not enough: the pages of a list are read one after the other,
@@ -62,6 +62,11 @@
 	// upkeepOrderedAt is set when an upkeep is ordered and cleared when a list
 	// shows the instance up again.
 	upkeepOrderedAt time.Time
+	// lateUntil is until when an order without an answer may yet be carried out.
+	lateUntil time.Time
+	// changedAt is when the machine service last confirmed an order for the instance.
+	// Lists that were requested before may not show what it did.
+	changedAt time.Time
 	// missing counts the latest lists, in succession, that lack the instance.
 	missing int
 }
@@ -92,6 +97,8 @@
 	runTimes map[string]*runTimes
 	// orders paces the orders to the machine service.
 	orders *rate.Limiter
+	// unplaced holds the workers with runs whose instance is not known, as of the last tick.
+	unplaced []*session
 	// leaving holds the workers whose instances the current wave has yet to take
 	// down.
 	leaving     map[string]bool
@@ -120,10 +127,65 @@
 	return machineRetry
 }
 
-// reserved reports whether a worker's instance is cordoned, moving or not up.
-func (f *fleet) reserved(worker string) bool {
-	in := f.byWorker[worker]
-	return in != nil && (in.wave != 0 || in.moveTo != "" || in.State != platform.InstanceUp)
+// reserved reports whether a worker's instance is cordoned, moving or not up, or may be one
+// that is to be taken down or moved.
+func (f *fleet) reserved(s *session, now time.Time) bool {
+	if in := f.byWorker[s.worker.ID]; in != nil && (in.isOrdered() || in.State != platform.InstanceUp) {
+		return true
+	}
+	if f.isPlaced(s) {
+		return false
+	}
+	for _, in := range f.instances {
+		if in.isOrdered() && f.mayHost(in, s, now) {
+			return true
+		}
+	}
+	return false
+}
+
+// isOrdered reports whether an upkeep or a move of the instance is due or under way.
+func (i *instance) isOrdered() bool { return i.wave != 0 || i.moveTo != "" }
+
+// isPlaced reports whether the last list shows on which instance a worker is. A list that was
+// requested before the worker registered may be older than the worker. One that was requested
+// later and does not name the worker shows that it has ended, unless it still answers.
+func (f *fleet) isPlaced(s *session) bool {
+	if len(f.asked) == 0 || !f.asked[len(f.asked)-1].After(s.registeredAt) {
+		return false
+	}
+	return f.byWorker[s.worker.ID] != nil || s.failures > 0 || s.replaced
+}
+
+// mayHost reports whether a worker that is not placed may be on an instance, other than as
+// the worker that was listed for it. It is not if that one has answered since, or if the
+// instance has labels that the worker lacks: labels stay with the instance. The pool does as
+// long as no order can have moved it unheard.
+func (f *fleet) mayHost(in *instance, s *session, now time.Time) bool {
+	listed := f.d.sessions[in.Worker]
+	if listed == s || listed != nil && listed.listSent.After(s.registeredAt) {
+		return false
+	}
+	if in.Pool != s.worker.Pool && !f.mayHaveMoved(in, now) {
+		return false
+	}
+	return !slices.ContainsFunc(in.Labels, func(label string) bool { return !slices.Contains(s.worker.Labels, label) })
+}
+
+// mayHaveMoved reports whether an instance may be in another pool than the one known, by a
+// late order of an earlier leader or one that this leader has no answer to.
+func (f *fleet) mayHaveMoved(in *instance, now time.Time) bool {
+	return now.Before(in.lateUntil) || now.Sub(f.d.started) < lateOrderTime
+}
+
+// findUnplaced records the workers with runs whose instance is not known.
+func (f *fleet) findUnplaced() {
+	f.unplaced = f.unplaced[:0]
+	for id, s := range f.d.sessions {
+		if len(f.d.state.Runs(id)) > 0 && !f.isPlaced(s) {
+			f.unplaced = append(f.unplaced, s)
+		}
+	}
 }
 
 // tick advances waves and moves.
@@ -137,6 +199,7 @@
 	if len(f.asked) == 0 {
 		return
 	}
+	f.findUnplaced()
 	f.advanceWave(now)
 	// After an outage tasks wait until the workers have announced themselves in this term.
 	if f.d.knewCapacities(now) && now.Sub(f.plannedAt) >= movesInterval {
@@ -173,11 +236,15 @@
 		if in.State == platform.InstanceUp && !known.upkeepOrderedAt.IsZero() && asked.After(known.upkeepOrderedAt.Add(f.d.cfg.Timing.Maintain)) {
 			known.upkeepOrderedAt = time.Time{}
 		}
+		known.full, known.missing = known.full.Max(in.Capacity), 0
+		seen[in.Name] = known
+		if known.changedAt.After(asked) {
+			continue
+		}
 		if known.Worker != in.Worker {
 			known.unknownWorkerSince = time.Time{}
 		}
-		known.Instance, known.full, known.missing = in, known.full.Max(in.Capacity), 0
-		seen[in.Name] = known
+		known.Instance = in
 	}
 	for name, known := range f.instances {
 		if seen[name] != nil {
@@ -204,10 +271,15 @@
 	return f.instances[name] == nil && len(f.asked) == departedLists && f.asked[0].After(since)
 }
 
-// runsKnown reports whether all runs on an instance are known: its worker has a
-// session, it is in a standby pool and hosts no worker, or no worker has appeared
-// within unknownWorkerGrace.
+// runsKnown reports whether all runs on an instance are those of the worker that is listed
+// for it: no other worker with runs may be on it, and the listed one has a session, the pool
+// is a standby pool, or no worker has appeared within unknownWorkerGrace.
 func (f *fleet) runsKnown(in *instance, now time.Time) bool {
+	for _, s := range f.unplaced {
+		if f.mayHost(in, s, now) {
+			return false
+		}
+	}
 	if f.d.sessions[in.Worker] != nil {
 		in.unknownWorkerSince = time.Time{}
 		return true
--- a/driver/pools.go
+++ b/driver/pools.go
@@ -33,7 +33,7 @@
 	}
 	for _, i := range f.instances {
 		if i.moveTo != "" && !i.callInFlight && now.After(i.retryAt) && f.orders.Allow() {
-			f.sendMove(i)
+			f.sendMove(i, now)
 		}
 	}
 }
@@ -205,12 +205,15 @@
 		Int64("waiting", f.d.waiting[to].Processors).Msg("instance moves to another pool")
 }
 
-func (f *fleet) sendMove(i *instance) {
+func (f *fleet) sendMove(i *instance, now time.Time) {
 	d := f.d
-	if len(d.state.Runs(i.Worker)) > 0 {
+	if f.runCount(i) > 0 {
 		i.moveTo = "" // a task was assigned after the move was planned
 		return
 	}
+	if !f.runsKnown(i, now) {
+		return // an order without an answer may yet be carried out: the instance stays reserved
+	}
 	i.callInFlight = true
 	holder := platform.Holder{Name: d.cfg.Name, Fence: d.cfg.Term}
 	name, to, worker := i.Name, i.moveTo, d.state.Workers()[i.Worker]
@@ -222,6 +225,13 @@
 	})
 }
 
+// recordLate records an order that may be carried out although it has no answer.
+func (i *instance) recordLate(err error) {
+	if !isAnswer(err) {
+		i.lateUntil = time.Now().Add(lateOrderTime)
+	}
+}
+
 // moveAnswered handles the answer to a move. worker is the registration of the instance's
 // worker when the move was ordered, or nil.
 func (f *fleet) moveAnswered(i *instance, worker *workload.Worker, to string, err error) {
@@ -230,14 +240,16 @@
 	d.cfg.Metrics.Orders.WithLabelValues("move", outcomeOf(err)).Inc()
 	if err == nil {
 		i.Pool, i.State, i.Worker, i.moveTo = to, platform.InstanceMoving, "", ""
-		i.idleSince = time.Now()
+		i.idleSince, i.changedAt = time.Now(), time.Now()
 		d.loseIdleWorker(worker, "moved to another pool")
 		return
 	}
 	d.cfg.Logger.Warn().Err(err).Str("instance", i.Name).Str("to", to).Msg("move not carried out")
 	i.retryAt = time.Now().Add(machineRetryDelay(err))
 	var refusal *platform.Refusal
-	if errors.As(err, &refusal) {
+	if !errors.As(err, &refusal) {
+		i.recordLate(err)
+	} else {
 		i.moveTo = ""
 		if refusal.Reason == platform.ReasonFence {
 			d.cancel()
--- a/driver/session.go
+++ b/driver/session.go
@@ -82,10 +82,13 @@
 	// leaseExpiry is when every lease on the worker has certainly expired.
 	leaseExpiry time.Time
 	sequence    int64
+	// registeredAt is when this driver first knew of the incarnation.
+	registeredAt time.Time
 	// lastContact is the time of the last announcement or reply, listedAt that of the last
-	// list, which names the incarnation.
+	// list, which names the incarnation, and listSent when that list was requested.
 	lastContact time.Time
 	listedAt    time.Time
+	listSent    time.Time
 	// announcedAt is the time of the last announcement, which alone shows the worker's
 	// capacity. Before the first one in this term it is announcedBefore.
 	announcedAt    time.Time
@@ -130,7 +133,7 @@
 func (d *Driver) newSession(w *workload.Worker) *session {
 	now := time.Now()
 	return &session{
-		worker: w, lastContact: now, leaseExpiry: now.Add(d.longestLease()), ackable: w.Acked, fillPace: fullPace,
+		worker: w, registeredAt: now, lastContact: now, leaseExpiry: now.Add(d.longestLease()), ackable: w.Acked, fillPace: fullPace,
 		fence: d.fenceOf(w, now),
 	}
 }
@@ -234,7 +237,7 @@
 func (d *Driver) inService(s *session, now time.Time) bool {
 	inTouch := s.failures < maxHoldFailures && now.Sub(s.lastContact) < d.maxSilence()
 	certain := !s.replaced && !s.doubted && s.clock > 0 && !s.listedAt.IsZero()
-	return inTouch && certain && s.unassigned == 0 && !d.fleet.reserved(s.worker.ID)
+	return inTouch && certain && s.unassigned == 0 && !d.fleet.reserved(s, now)
 }
 
 // decayedFailureScore applies the decay due by now and returns the failure score.
@@ -350,7 +353,7 @@
 		d.cfg.Logger.Info().Str("worker", s.worker.ID).Int("failures", s.failures).Msg("worker is answering again")
 		d.needsPlan = true
 	}
-	s.failures, s.lastContact, s.listedAt, s.doubted = 0, now, now, false
+	s.failures, s.lastContact, s.listedAt, s.listSent, s.doubted = 0, now, now, sent, false
 	s.readClock(lists.Clock, now)
 	s.acked = max(s.acked, order.Acked)
 	d.handleLists(s, sent, lists)
--- a/driver/wave.go
+++ b/driver/wave.go
@@ -35,7 +35,7 @@
 	f.markLeaving(wave)
 	if now.Sub(f.relocatedAt) >= relocateInterval {
 		f.relocatedAt = now
-		f.relocateBeforeWave()
+		f.relocateBeforeWave(now)
 	}
 	for _, name := range wave.Instances {
 		if in := f.instances[name]; in != nil && in.wave == wave.ID {
@@ -59,10 +59,10 @@
 // few tasks of a step to move at a time, so starting only when the instance is
 // cordoned would delay the wave. A task that fits on no other worker adds to the
 // demand for instances.
-func (f *fleet) relocateBeforeWave() {
+func (f *fleet) relocateBeforeWave(now time.Time) {
 	f.relocationDemand = map[string]workload.Size{}
 	for worker := range f.leaving {
-		if f.reserved(worker) {
+		if s := f.d.sessions[worker]; s == nil || f.reserved(s, now) {
 			continue // cordoned instances are emptied by evacuate
 		}
 		for ref := range f.d.state.Runs(worker) {
@@ -275,7 +275,7 @@
 	if err == nil {
 		d.cfg.Logger.Info().Str("instance", in.Name).Str("worker", in.Worker).Int64("wave", wave).
 			Uint64("term", d.cfg.Term).Msg("instance down for upkeep")
-		in.wave, in.upkeepOrderedAt = 0, time.Now()
+		in.wave, in.upkeepOrderedAt, in.changedAt = 0, time.Now(), time.Now()
 		f.commit(&workload.Upkeep{Wave: wave, Instance: in.Name})
 		d.loseIdleWorker(worker, "upkeep")
 		return
@@ -284,6 +284,7 @@
 	in.retryAt = time.Now().Add(machineRetryDelay(err))
 	var refusal *platform.Refusal
 	if !errors.As(err, &refusal) {
+		in.recordLate(err)
 		return // the upkeep may have started; the order is repeated until it is answered
 	}
 	in.upkeepOrderedAt = time.Time{}
