Fix LIMIT: an upkeep is in the log before it is ordered

Cause: which upkeeps were ordered was known to their leader alone. The next one took the instance with the fewest runs, and its fencing token is known only to the instances that it has ordered.

Change: OrderUpkeep records instance and worker in the log before the first order. The instance counts as down, the next leader cordons it and repeats the order before it takes another, and its worker receives no work, also before the first list is read. A refusal withdraws the order unless one without an answer may still be carried out. It is a command of its own, since replicas of earlier builds would take a new field of Upkeep for its beginning.

Evidence: TestNextLeaderCountsOrderedUpkeep and TestOrderedInstanceReceivesNoWorkFromNextLeader failed before.

--- a/driver/departed_test.go
+++ b/driver/departed_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"maps"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -24,6 +26,7 @@
 	w.log.read(func(s *workload.State) {
 		wave = *s.Waves()[1]
 		wave.Begun, wave.Dropped = maps.Clone(wave.Begun), maps.Clone(wave.Dropped)
+		wave.Ordered = maps.Clone(wave.Ordered)
 	})
 	return wave
 }
@@ -121,3 +124,71 @@
 	}
 	checkUpkeeps(t, service)
 }
+
+// LIMIT: an upkeep whose order was under way when its leader was lost was carried out late,
+// beside one that the next leader had ordered: orders were known to their leader alone.
+func TestNextLeaderCountsOrderedUpkeep(t *testing.T) {
+	w := newTestEnv(t)
+	service := newFleet(t, w, 3)
+	service.Away = 2 * time.Second // longer than the order is under way
+	w.putDocumentWithoutStandby()
+	w.waitFor("instances listed", func() bool { return service.Readings() > 0 })
+	arrived := make(chan struct{})
+	var once sync.Once
+	service.OnOrder = func() { once.Do(func() { close(arrived) }) }
+	service.SetDelay(1500 * time.Millisecond)
+	w.startWave(1, "m0", "m1", "m2")
+	<-arrived
+	service.SetDelay(0)
+	service.Hide("m0", 1) // the next leader would take another instance
+	w.startLeader()
+	w.waitForWave()
+	checkUpkeeps(t, service)
+	if service.MostDown > 1 {
+		t.Errorf("%d instances were down at once, 1 is allowed", service.MostDown)
+	}
+	w.checkConsistency()
+}
+
+// A worker on an instance whose upkeep an earlier leader had ordered received a task before
+// the next leader had read the list, and the late order ended it.
+func TestOrderedInstanceReceivesNoWorkFromNextLeader(t *testing.T) {
+	w := newTestEnv(t)
+	service := newLastingFleet(t, w, 1)
+	arrived := make(chan struct{})
+	var once sync.Once
+	service.OnOrder = func() { once.Do(func() { close(arrived) }) }
+	service.SetDelay(1500 * time.Millisecond)
+	w.startWave(1, "m0")
+	<-arrived
+	service.SetListFails(true)
+	w.startLeader()
+	w.submitLasting(1)
+	time.Sleep(2 * time.Second) // the order is carried out
+	if n := w.gone(); n > 0 {
+		t.Errorf("%d tasks were at work on an instance when it was taken down", n)
+	}
+	service.SetListFails(false)
+	w.waitForWave()
+	w.waitFor("task at work", func() bool { return w.runningOn(service, "m0") == 1 })
+	w.checkConsistency()
+}
+
+// An upkeep that is refused because its instance is not up is withdrawn, and ordered again
+// once it is.
+func TestRefusedUpkeepIsOrderedAgain(t *testing.T) {
+	w := newTestEnv(t)
+	service := newFleet(t, w, 1)
+	w.putDocumentWithoutStandby()
+	w.waitFor("instances listed", func() bool { return service.Readings() > 0 })
+	var orders atomic.Int64
+	service.OnOrder = func() { orders.Add(1) }
+	service.SetListFails(true) // the driver does not learn that the instance is down
+	service.SetState("m0", "down")
+	w.startWave(1, "m0")
+	w.waitFor("refused orders", func() bool { return orders.Load() > 2 })
+	w.waitFor("order withdrawn", func() bool { return len(w.wave().Ordered) == 0 })
+	service.SetState("m0", "up")
+	w.waitForWave()
+	checkUpkeeps(t, service)
+}
--- a/driver/fleet.go
+++ b/driver/fleet.go
@@ -97,6 +97,8 @@
 	runTimes map[string]*runTimes
 	// orders paces the orders to the machine service.
 	orders *rate.Limiter
+	// ordered holds the workers on instances whose upkeep has been ordered, as of the last tick.
+	ordered map[string]bool
 	// unplaced holds the workers with runs whose instance is not known, as of the last tick.
 	unplaced []*session
 	// leaving holds the workers whose instances the current wave has yet to take
@@ -113,10 +115,13 @@
 	if perS := d.cfg.InstanceOrdersPerS; perS > 0 {
 		orders = rate.NewLimiter(rate.Limit(perS), max(1, int(perS*orderBurst.Seconds())))
 	}
-	return &fleet{
+	f := &fleet{
 		d: d, instances: map[string]*instance{}, byWorker: map[string]*instance{}, trends: map[string]*plan.Trend{},
 		loads: map[string]*plan.Load{}, runTimes: map[string]*runTimes{}, orders: orders,
+		ordered: map[string]bool{},
 	}
+	f.findOrdered()
+	return f
 }
 
 // machineRetryDelay returns how long to wait after a failed call to the machine service.
@@ -130,7 +135,7 @@
 // reserved reports whether a worker's instance is cordoned, moving or not up, or may be one
 // that is to be taken down or moved.
 func (f *fleet) reserved(s *session, now time.Time) bool {
-	if in := f.byWorker[s.worker.ID]; in != nil && (in.isOrdered() || in.State != platform.InstanceUp) {
+	if in := f.byWorker[s.worker.ID]; in != nil && (in.isOrdered() || in.State != platform.InstanceUp) || f.ordered[s.worker.ID] {
 		return true
 	}
 	if f.isPlaced(s) {
@@ -178,6 +183,16 @@
 	return now.Before(in.lateUntil) || now.Sub(f.d.started) < lateOrderTime
 }
 
+// findOrdered records the workers on instances whose upkeep has been ordered.
+func (f *fleet) findOrdered() {
+	clear(f.ordered)
+	for _, w := range f.d.state.Waves() {
+		for _, worker := range w.Ordered {
+			f.ordered[worker] = true
+		}
+	}
+}
+
 // findUnplaced records the workers with runs whose instance is not known.
 func (f *fleet) findUnplaced() {
 	f.unplaced = f.unplaced[:0]
@@ -193,6 +208,7 @@
 	if f.d.cfg.MachineAddress == "" || f.d.state.Version() == 0 || !f.d.cfg.Log.IsLeader(f.d.cfg.Term) {
 		return
 	}
+	f.findOrdered()
 	if now.Sub(f.listedAt) >= listInterval && !f.listing {
 		f.list(now)
 	}
--- a/driver/wave.go
+++ b/driver/wave.go
@@ -22,6 +22,9 @@
 // advanceWave advances the current wave.
 func (f *fleet) advanceWave(now time.Time) {
 	f.leaving = nil
+	for _, w := range f.d.state.Waves() {
+		f.resumeOrdered(w, now)
+	}
 	wave := f.nextWave()
 	if wave == nil {
 		f.relocationDemand = nil
@@ -132,12 +135,35 @@
 	}
 }
 
-// down counts the instances of a wave that are cordoned or down.
+// commitOrder commits an OrderUpkeep. then is called after the commit and may be nil.
+func (f *fleet) commitOrder(o *workload.OrderUpkeep, then func()) {
+	if err := f.d.apply(workload.Command{OrderUpkeep: o}, then); err != nil {
+		f.d.cfg.Logger.Error().Err(err).Str("instance", o.Instance).Msg("order of an upkeep rejected by the state")
+	}
+}
+
+// resumeOrdered cordons the instances whose upkeep an earlier leader has ordered. The order
+// may be carried out late, so it is repeated before another instance takes its place.
+func (f *fleet) resumeOrdered(w *workload.Wave, now time.Time) {
+	for name := range w.Ordered {
+		in := f.instances[name]
+		if in == nil || in.wave != 0 || !in.upkeepOrderedAt.IsZero() {
+			continue
+		}
+		in.wave, in.cordonAt, in.moveTo = w.ID, now, ""
+		in.upkeepOrderedAt, in.lateUntil = now, now.Add(lateOrderTime)
+		f.d.cfg.Logger.Info().Str("instance", name).Str("worker", in.Worker).Int64("wave", w.ID).
+			Msg("upkeep that an earlier leader ordered is repeated")
+	}
+}
+
+// down counts the instances of a wave that are cordoned, ordered or down.
 func (f *fleet) down(w *workload.Wave) int {
 	n := 0
 	for _, name := range w.Instances {
 		in := f.instances[name]
-		if in != nil && (in.wave != 0 || in.State != platform.InstanceUp || !in.upkeepOrderedAt.IsZero()) {
+		_, ordered := w.Ordered[name]
+		if ordered || in != nil && (in.wave != 0 || in.State != platform.InstanceUp || !in.upkeepOrderedAt.IsZero()) {
 			n++
 		}
 	}
@@ -249,12 +275,21 @@
 	return window/time.Duration(max(rounds, 1)) - f.d.cfg.Timing.Maintain - listInterval - stopTime
 }
 
-// startUpkeep orders the upkeep of an instance.
+// startUpkeep orders the upkeep of an instance, once the log holds that it is ordered.
 func (f *fleet) startUpkeep(w *workload.Wave, in *instance, now time.Time) {
 	in.callInFlight = true
 	if in.upkeepOrderedAt.IsZero() {
 		in.upkeepOrderedAt = now
 	}
+	if _, ordered := w.Ordered[in.Name]; ordered {
+		f.sendUpkeep(w, in)
+		return
+	}
+	f.commitOrder(&workload.OrderUpkeep{Wave: w.ID, Instance: in.Name, Worker: in.Worker}, func() { f.sendUpkeep(w, in) })
+}
+
+// sendUpkeep sends the order for the upkeep of an instance.
+func (f *fleet) sendUpkeep(w *workload.Wave, in *instance) {
 	d := f.d
 	holder := platform.Holder{Name: d.cfg.Name, Fence: d.cfg.Term}
 	name, worker, wave := in.Name, d.state.Workers()[in.Worker], w.ID
@@ -293,7 +328,12 @@
 		d.cfg.Logger.Warn().Str("instance", in.Name).Msg("order rejected: machine service has seen a later term")
 		d.cancel()
 	case platform.ReasonBusy:
+		if time.Now().Before(in.lateUntil) {
+			in.upkeepOrderedAt = time.Now() // an earlier order without an answer may yet be carried out
+			return
+		}
 		in.wave = 0
+		f.commitOrder(&workload.OrderUpkeep{Wave: wave, Instance: in.Name, Withdrawn: true}, nil)
 	case platform.ReasonWave, platform.ReasonInvalid:
 		in.wave = 0
 		f.commit(&workload.Upkeep{Wave: wave, Instance: in.Name, Left: true})
--- a/workload/apply.go
+++ b/workload/apply.go
@@ -58,6 +58,8 @@
 		return s.recordCrash(c.Crash, now)
 	case c.ClearSuspicion != nil:
 		return s.clearSuspicion(c.ClearSuspicion)
+	case c.OrderUpkeep != nil:
+		return s.orderUpkeep(c.OrderUpkeep)
 	case c.RemoveJobs != nil:
 		return s.removeFinished(c.RemoveJobs)
 	}
@@ -435,6 +437,19 @@
 	default:
 		w.Begun[c.Instance] = true
 	}
+	delete(w.Ordered, c.Instance)
+	return nil
+}
+
+func (s *State) orderUpkeep(c *OrderUpkeep) error {
+	w := s.waves[c.Wave]
+	switch {
+	case w == nil || !w.IsPending(c.Instance):
+	case c.Withdrawn:
+		delete(w.Ordered, c.Instance)
+	default:
+		w.Ordered[c.Instance] = c.Worker
+	}
 	return nil
 }
 
--- a/workload/command.go
+++ b/workload/command.go
@@ -53,6 +53,7 @@
 	MoveRuns       *MoveRuns       `cbor:"12,keyasint,omitempty"`
 	Crash          *Crash          `cbor:"13,keyasint,omitempty"`
 	ClearSuspicion *ClearSuspicion `cbor:"14,keyasint,omitempty"`
+	OrderUpkeep    *OrderUpkeep    `cbor:"15,keyasint,omitempty"`
 }
 
 // PutDocument stores a document. It has no effect unless its version is higher
@@ -138,6 +139,16 @@
 	Left     bool   `cbor:"3,keyasint,omitempty"`
 }
 
+// OrderUpkeep records that the maintenance of an instance is about to be ordered, or that no
+// order for it can be carried out any more.
+type OrderUpkeep struct {
+	Wave     int64  `cbor:"1,keyasint"`
+	Instance string `cbor:"2,keyasint"`
+	// Worker is the worker on the instance; it may be empty.
+	Worker    string `cbor:"3,keyasint,omitempty"`
+	Withdrawn bool   `cbor:"4,keyasint,omitempty"`
+}
+
 // RemoveJobs removes finished jobs that have no assigned task.
 type RemoveJobs struct {
 	Jobs []string `cbor:"1,keyasint"`
--- a/workload/state_test.go
+++ b/workload/state_test.go
@@ -312,6 +312,27 @@
 	}
 }
 
+// An upkeep that was ordered and has not begun is known to the next leader, also after a
+// snapshot, until it begins, its instance leaves, or the order is withdrawn.
+func TestOrderedUpkeepIsRemembered(t *testing.T) {
+	s := newState(t)
+	mustApply(t, s, workload.Command{StartWave: &workload.Wave{ID: 1, Instances: []string{"m1", "m2", "m3"}, MaxDown: 3}})
+	for _, name := range []string{"m1", "m2", "m3"} {
+		mustApply(t, s, workload.Command{OrderUpkeep: &workload.OrderUpkeep{Wave: 1, Instance: name, Worker: "w-" + name}})
+	}
+	s = restored(t, s)
+	if got := s.Waves()[1].Ordered; len(got) != 3 || got["m2"] != "w-m2" {
+		t.Fatalf("ordered: %v", got)
+	}
+	mustApply(t, s, workload.Command{Upkeep: &workload.Upkeep{Wave: 1, Instance: "m1"}})
+	mustApply(t, s, workload.Command{Upkeep: &workload.Upkeep{Wave: 1, Instance: "m2", Left: true}})
+	mustApply(t, s, workload.Command{OrderUpkeep: &workload.OrderUpkeep{Wave: 1, Instance: "m3", Withdrawn: true}})
+	mustApply(t, s, workload.Command{OrderUpkeep: &workload.OrderUpkeep{Wave: 1, Instance: "m1"}}) // has begun
+	if w := s.Waves()[1]; len(w.Ordered) != 0 || w.Completed() {
+		t.Errorf("wave %+v", w)
+	}
+}
+
 func TestSnapshotRoundTrip(t *testing.T) {
 	s := newState(t)
 	mustApply(t, s, register("w1", 1))
--- a/workload/types.go
+++ b/workload/types.go
@@ -389,6 +389,10 @@
 	Begun map[string]bool `cbor:"5,keyasint,omitempty"`
 	// Dropped holds the instances that left the fleet before their maintenance.
 	Dropped map[string]bool `cbor:"6,keyasint,omitempty"`
+	// Ordered holds the instances whose maintenance has been ordered and may not have begun
+	// yet, with the worker that was on each. A late order of an earlier leader may yet be
+	// carried out.
+	Ordered map[string]string `cbor:"7,keyasint,omitempty"`
 }
 
 // initSets allocates the sets of a wave that was decoded without members: empty sets
@@ -400,6 +404,9 @@
 	if w.Dropped == nil {
 		w.Dropped = map[string]bool{}
 	}
+	if w.Ordered == nil {
+		w.Ordered = map[string]string{}
+	}
 }
 
 // Completed reports whether the maintenance of every instance that is still in the
