Fix BUDGET: a crash counts longer for a task that is alone

Cause: a run that had lived for five seconds counted for no crash of its worker, also if it was the only one there.

Ruled out: a count that is lost between the crashes; it is forgotten only after ten seconds of work.

Change: for a run that is alone on its worker the limit is the time after which earlier crashes are forgotten, ten seconds. Beside others it stays at five, so that innocent tasks aren't blamed.

--- a/driver/crash.go
+++ b/driver/crash.go
@@ -11,8 +11,8 @@
 	// freshTime is how long a run must have been alive, by its worker's lists, before a
 	// crash of the worker is no longer taken to be caused by its start.
 	freshTime = 200 * time.Millisecond
-	// youngTime is how long a run must have been alive before a crash of its worker does
-	// not count for its task at all.
+	// youngTime is how long a run must have been alive beside others before a crash of its
+	// worker does not count for its task at all. For a run that is alone it is provenTime.
 	youngTime = 5 * time.Second
 	// provenTime is how long a run must have been alive before the crashes under earlier runs
 	// of its task no longer count. A task that may crash its worker so late is not told from
@@ -89,10 +89,14 @@
 			alone++
 		}
 	}
+	limit := youngTime
+	if alone == 1 {
+		limit = provenTime // there is no other run to blame
+	}
 	var out []workload.CrashedRun
 	for _, r := range runs {
 		age := s.listedAt.Sub(r.orderedAt)
-		if r.phase == phaseCommitting || !r.seen.IsZero() && age >= youngTime {
+		if r.phase == phaseCommitting || !r.seen.IsZero() && age >= limit {
 			continue
 		}
 		out = append(out, workload.CrashedRun{
--- a/driver/crash_test.go
+++ b/driver/crash_test.go
@@ -348,6 +348,24 @@
 	w.waitForGivenUp(jobID(0))
 }
 
+// BUDGET: a task that crashed its workers after some seconds of work was started without end:
+// only crashes soon after a start counted, although the task was alone each time.
+func TestTaskThatCrashesLateAndAloneIsGivenUp(t *testing.T) {
+	t.Parallel()
+	w := newTestEnv(t)
+	w.startLeader()
+	w.putDocument()
+	for n := range 3 {
+		w.workerOf(&platformtest.Worker{
+			ID: fmt.Sprint("w", n), Pool: "p", RunTime: time.Minute, Crashes: taskZeroOf(jobID(0)), CrashDelay: 5500 * time.Millisecond,
+			OnCrash: w.restartAfterCrash(newID, quickReturn),
+		})
+	}
+	w.waitFor("workers registered", func() bool { return w.workerCount() == 3 })
+	w.submit(jobID(0), step(1))
+	w.waitForGivenUp(jobID(0))
+}
+
 // A lasting task loses its worker to other causes, three times soon after a start. It works
 // for long between them, which shows that it crashes no worker: its job must not be failed.
 func TestOutlivedStartEndsCountOfCrashes(t *testing.T) {
