--- a/driver/wave.go
+++ b/driver/wave.go
@@ -142,6 +142,16 @@
 	}
 }
 
+// findOrdered records the workers on instances whose upkeep has been ordered.
+func (f *fleet) findOrdered() {
+	clear(f.ordered)
+	for _, w := range f.d.state.Waves() {
+		for _, worker := range w.Ordered {
+			f.ordered[worker] = true
+		}
+	}
+}
+
 // resumeOrdered cordons the instances whose upkeep an earlier leader has ordered. The order
 // may be carried out late, so it is repeated before another instance takes its place.
 func (f *fleet) resumeOrdered(w *workload.Wave, now time.Time) {
