--- a/driver/capacity_test.go
+++ b/driver/capacity_test.go
@@ -186,15 +186,7 @@
 func TestPoolGrowsWhenWorkersShrink(t *testing.T) {
 	w := newTestEnv(t)
 	service := newFleet(t, w, 4)
-	in := func(pool string) int {
-		n := 0
-		for _, m := range service.Snapshot() {
-			if m.Pool == pool {
-				n++
-			}
-		}
-		return n
-	}
+	in := func(pool string) int { return instancesIn(service, pool) }
 	w.waitFor("idle instances in the standby pool", func() bool { return in("spare") == 3 })
 	w.mu.Lock()
 	for _, s := range w.workers {
--- a/driver/driver_test.go
+++ b/driver/driver_test.go
@@ -231,6 +231,17 @@
 	return newFleetOf(t, w, n, &platformtest.Worker{RunTime: 20 * time.Millisecond})
 }
 
+// instancesIn returns how many instances of the service are in a pool.
+func instancesIn(service *platformtest.Machines, pool string) int {
+	n := 0
+	for _, m := range service.Snapshot() {
+		if m.Pool == pool {
+			n++
+		}
+	}
+	return n
+}
+
 // newFleetOf starts n machines whose workers have the RunTime and Lasting
 // settings of template.
 func newFleetOf(t *testing.T, w *testEnv, n int, template *platformtest.Worker) *platformtest.Machines {
@@ -282,15 +293,7 @@
 func TestInstancesFollowDemand(t *testing.T) {
 	w := newTestEnv(t)
 	service := newFleet(t, w, 4)
-	in := func(pool string) int {
-		n := 0
-		for _, m := range service.Snapshot() {
-			if m.Pool == pool {
-				n++
-			}
-		}
-		return n
-	}
+	in := func(pool string) int { return instancesIn(service, pool) }
 	w.waitFor("idle instances in the standby pool", func() bool { return in("spare") == 3 })
 	const jobs = 40
 	for n := range jobs {
--- a/driver/unplaced_test.go
+++ b/driver/unplaced_test.go
@@ -141,15 +141,7 @@
 	w := newTestEnv(t)
 	service := newFleet(t, w, 4)
 	service.SetListDelay(300 * time.Millisecond)
-	in := func(pool string) int {
-		n := 0
-		for _, m := range service.Snapshot() {
-			if m.Pool == pool {
-				n++
-			}
-		}
-		return n
-	}
+	in := func(pool string) int { return instancesIn(service, pool) }
 	w.waitFor("idle instances in the standby pool", func() bool { return in("spare") == 3 })
 	enough := service.Readings() + 3
 	w.waitFor("instances listed", func() bool { return service.Readings() >= enough })
