--- a/cmd/magnoliastand/roles.go
+++ b/cmd/magnoliastand/roles.go
@@ -69,6 +69,8 @@
 	log := newLogger(lines, set.LogLevel).With().Str("daemon", set.Name).Logger()
 	registry := prometheus.NewRegistry()
 	registry.MustRegister(lines.Collectors()...)
+	registry.MustRegister(newSuspensionMetric())
+	logSuspensions(ctx, log)
 	invariant.SetSink(func(b invariant.Breach) {
 		log.Error().Str("invariant", string(b.Invariant)).Str("detail", b.Detail).Msg("invariant broken")
 	})
--- a/cmd/magnoliastand/serve.go
+++ b/cmd/magnoliastand/serve.go
@@ -63,6 +63,7 @@
 	if err != nil {
 		return errors.Wrap(err, "start")
 	}
+	logSuspensions(ctx, log)
 	hard := make(chan struct{})
 	go func() {
 		<-ctx.Done()
--- a/relay/age.go
+++ b/relay/age.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"magnoliastand.example/peerlink"
 )
 
@@ -13,16 +11,6 @@
 // time that the leader waits for an outcome.
 const maxOrderAge = 500 * time.Millisecond
 
-// bootTime reads a monotonic clock with an arbitrary start that also advances
-// while the machine is suspended.
-func bootTime() time.Duration {
-	var ts unix.Timespec
-	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
-		panic(err) // every supported kernel has this clock
-	}
-	return time.Duration(ts.Nano())
-}
-
 // driftDivisor limits the assumed drift between two clocks to 1/driftDivisor of
 // the elapsed time, ten times the drift of a machine's quartz oscillator.
 const driftDivisor = 1000
@@ -47,7 +35,7 @@
 }
 
 // sender identifies a sending process. A restarted process gets a new clock
-// offset, since its machine may have rebooted and bootTime started again.
+// offset, since its machine may have rebooted and its clock started again.
 type sender struct{ name, incarnation string }
 
 // messageDelay returns the delay of a message to the agent. Probes also carry the
--- a/relay/agent.go
+++ b/relay/agent.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
+	"magnoliastand.example/clock"
 	"magnoliastand.example/peerlink"
 	"magnoliastand.example/platform"
 )
@@ -49,7 +50,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	a := &Agent{
 		link: link, workers: newLimiter(workers), log: log, ctx: ctx, cancel: cancel,
-		replies: map[string]*batcher[*outcome]{}, senderClocks: map[sender]*senderClock{}, now: bootTime,
+		replies: map[string]*batcher[*outcome]{}, senderClocks: map[sender]*senderClock{}, now: clock.Boot,
 	}
 	link.HandleNotify(methodOrders, a.handleOrders)
 	link.Handle(methodProbe, a.handleProbe)
--- a/relay/message.go
+++ b/relay/message.go
@@ -31,13 +31,13 @@
 
 // probeRequest asks whether an agent accepts orders.
 type probeRequest struct {
-	// SentAt is the sender's bootTime.
+	// SentAt is the sender's clock.Boot.
 	SentAt time.Duration `cbor:"1,keyasint"`
 }
 
 // orderBatch is a batch of orders for an agent.
 type orderBatch struct {
-	// SentAt is the sender's bootTime.
+	// SentAt is the sender's clock.Boot.
 	SentAt time.Duration `cbor:"1,keyasint"`
 	Orders []*order      `cbor:"2,keyasint"`
 }
--- a/relay/route.go
+++ b/relay/route.go
@@ -9,6 +9,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"magnoliastand.example/clock"
 	"magnoliastand.example/platform"
 )
 
@@ -94,7 +95,7 @@
 
 func (r *Relay) newAgentLink(p Peer) *agentLink {
 	return &agentLink{peer: p, batch: newBatcher(func(items []*order) {
-		r.cfg.Link.Notify(p.Name, methodOrders, orderBatch{SentAt: bootTime(), Orders: items})
+		r.cfg.Link.Notify(p.Name, methodOrders, orderBatch{SentAt: clock.Boot(), Orders: items})
 	})}
 }
 
@@ -105,7 +106,7 @@
 	var wg sync.WaitGroup
 	for _, a := range r.agentList() {
 		wg.Go(func() {
-			err := r.cfg.Link.Call(ctx, a.peer.Name, methodProbe, probeRequest{SentAt: bootTime()}, nil)
+			err := r.cfg.Link.Call(ctx, a.peer.Name, methodProbe, probeRequest{SentAt: clock.Boot()}, nil)
 			r.recordProbe(a, err)
 		})
 	}
--- a/system/leader.go
+++ b/system/leader.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
+	"magnoliastand.example/clock"
 	"magnoliastand.example/cluster"
 	"magnoliastand.example/driver"
 	"magnoliastand.example/platform"
@@ -227,18 +228,33 @@
 	if err != nil {
 		return emptyMessage{}, err
 	}
-	return emptyMessage{}, d.PutDocument(ctx, m.Raw)
+	if err := d.PutDocument(ctx, m.Raw); err != nil {
+		return emptyMessage{}, err
+	}
+	var version int64
+	l.replica.read(func(s *workload.State) { version = s.Version() })
+	l.evidence(l.log.Info()).Int64("version", version).Msg("document committed")
+	return emptyMessage{}, nil
 }
 
 func (l *leader) document(context.Context, *emptyMessage) (documentMessage, error) {
 	var m documentMessage
-	err := l.read(func(s *workload.State) { m.Raw = s.Raw() })
+	var version int64
+	err := l.read(func(s *workload.State) { m.Raw, version = s.Raw(), s.Version() })
 	if err == nil && len(m.Raw) == 0 {
 		err = errors.Wrap(platform.ErrUnavailable, "no document yet")
 	}
+	l.evidence(l.log.Info()).Err(err).Int64("version", version).Msg("document read")
 	return m, err
 }
 
+// evidence adds to a log line why this daemon believes that it leads: its term, the age of
+// the quorum's last confirmation, and how long the machine has been suspended since the start.
+func (l *leader) evidence(e *zerolog.Event) *zerolog.Event {
+	s := l.member.Node().Status()
+	return e.Uint64("term", s.Term).Stringer("log_role", s.Role).Dur("quorum_age", s.QuorumAge).Dur("suspended", clock.Suspended())
+}
+
 func (l *leader) startWave(ctx context.Context, m *waveMessage) (emptyMessage, error) {
 	d, err := l.currentDriver()
 	if err != nil {
