--- a/consensus/node/loop.go
+++ b/consensus/node/loop.go
@@ -54,8 +54,8 @@
 }
 
 // tick advances the Core by the number of tick periods that have elapsed. After
-// a pause of the process that is more than one, so that a leader whose lease
-// expired during the pause steps down immediately.
+// a pause of the process or a suspension of the machine that is more than one, so
+// that a leader whose lease expired meanwhile steps down immediately.
 func (n *Node[R]) tick() {
 	now := n.cfg.Clock.Now()
 	passed := max(1, int(now.Sub(n.lastTick)/n.cfg.TickPeriod))
--- a/consensus/node/node.go
+++ b/consensus/node/node.go
@@ -314,9 +314,10 @@
 // Status returns a copy of the state after the last iteration of the event loop.
 func (n *Node[R]) Status() Status {
 	s := *n.status.Load()
-	s.Age = n.cfg.Clock.Now().Sub(s.publishedAt)
+	now := n.cfg.Clock.Now()
+	s.Age = now.Sub(s.publishedAt)
 	if s.QuorumKnown {
-		s.QuorumAge = n.cfg.Clock.Now().Sub(s.QuorumAt)
+		s.QuorumAge = now.Sub(s.QuorumAt)
 	}
 	return s
 }
--- a/consensus/node/types.go
+++ b/consensus/node/types.go
@@ -6,6 +6,7 @@
 
 	"github.com/pkg/errors"
 
+	"magnoliastand.example/clock"
 	"magnoliastand.example/consensus"
 	"magnoliastand.example/consensus/storage"
 )
@@ -46,7 +47,8 @@
 	Restore(data []byte) error
 }
 
-// Clock supplies the time; its readings must be monotonic.
+// Clock supplies the time. Its readings must be monotonic and advance while the machine is
+// suspended: a leader that was suspended may have a successor.
 type Clock interface {
 	Now() time.Time
 	// NewTicker returns a channel of ticks and a function that stops the ticker.
@@ -54,11 +56,11 @@
 	NewTicker(d time.Duration) (ticks <-chan time.Time, stop func())
 }
 
-// SystemClock is a Clock that uses package time.
+// SystemClock is the Clock of the machine.
 type SystemClock struct{}
 
-// Now returns the current time.
-func (SystemClock) Now() time.Time { return time.Now() }
+// Now returns the current time of package clock.
+func (SystemClock) Now() time.Time { return clock.Now() }
 
 // NewTicker returns a time.Ticker's channel and its Stop.
 func (SystemClock) NewTicker(d time.Duration) (ticks <-chan time.Time, stop func()) {
--- a/daemon/controlplane.go
+++ b/daemon/controlplane.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 
 	"magnoliastand.example/api"
+	"magnoliastand.example/clock"
 	"magnoliastand.example/cluster"
 	"magnoliastand.example/control"
 	"magnoliastand.example/control/freshness"
@@ -31,7 +32,7 @@
 	follower *follower
 	machine  *controlLog // nil without a data folder
 	node     *logNode    // nil without a data folder
-	start    time.Time
+	start    time.Time   // by package clock
 	leader   *leaderDuties
 	planner  *fleetPlanner
 	jobBatch *batch.Batcher
@@ -58,7 +59,7 @@
 		link:   link,
 		log:    log,
 		holder: control.NewHolder(set.Cluster),
-		start:  time.Now(),
+		start:  clock.Now(),
 	}
 	c.follower = &follower{
 		self:     self.Name,
@@ -91,8 +92,8 @@
 }
 
 // mono returns the monotonic time since the daemon started. It counts while
-// the process is stopped.
-func (c *controlPlane) mono() time.Duration { return time.Since(c.start) }
+// the process is stopped or the machine suspended.
+func (c *controlPlane) mono() time.Duration { return clock.Since(c.start) }
 
 func (c *controlPlane) peerNames() []string {
 	var names []string
