--- a/system/edge_test.go
+++ b/system/edge_test.go
@@ -41,7 +41,7 @@
 	return name
 }
 
-func testLink(t *testing.T, name string) *peerlink.Node {
+func testLink(t testing.TB, name string) *peerlink.Node {
 	t.Helper()
 	link, err := peerlink.New(peerlink.Config{
 		Self:   peerlink.Identity{Cluster: "c", Name: name, Incarnation: name},
--- a/system/leader.go
+++ b/system/leader.go
@@ -163,7 +163,7 @@
 
 // read calls f with the committed state. It fails unless this daemon holds the
 // leader lease before and after the read, which rules out a newer state committed
-// by another leader.
+// by another leader. It costs no message, for reads that every caller repeats.
 func (l *leader) read(f func(*workload.State)) error {
 	if _, err := l.currentDriver(); err != nil {
 		return err
@@ -173,6 +173,21 @@
 	return err
 }
 
+// readConfirmed calls f with a committed state that is confirmed by a quorum after the call
+// began. Unlike read it rests on no clock, for the rare reads of operators.
+func (l *leader) readConfirmed(ctx context.Context, f func(*workload.State)) error {
+	if _, err := l.currentDriver(); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
+	defer cancel()
+	if err := l.member.Node().ReadIndex(ctx); err != nil {
+		return errors.Wrap(platform.ErrUnavailable, err.Error())
+	}
+	l.replica.read(f)
+	return nil
+}
+
 // request serves a caller's request.
 func (l *leader) request(ctx context.Context, r *workload.Request) (workload.Response, error) {
 	d, err := l.currentDriver()
@@ -237,10 +252,10 @@
 	return emptyMessage{}, nil
 }
 
-func (l *leader) document(context.Context, *emptyMessage) (documentMessage, error) {
+func (l *leader) document(ctx context.Context, _ *emptyMessage) (documentMessage, error) {
 	var m documentMessage
 	var version int64
-	err := l.read(func(s *workload.State) { m.Raw, version = s.Raw(), s.Version() })
+	err := l.readConfirmed(ctx, func(s *workload.State) { m.Raw, version = s.Raw(), s.Version() })
 	if err == nil && len(m.Raw) == 0 {
 		err = errors.Wrap(platform.ErrUnavailable, "no document yet")
 	}
@@ -263,10 +278,10 @@
 	return emptyMessage{}, d.StartWave(ctx, &m.Wave, m.Within)
 }
 
-func (l *leader) waveStatus(_ context.Context, q *waveQuery) (waveReply, error) {
+func (l *leader) waveStatus(ctx context.Context, q *waveQuery) (waveReply, error) {
 	var reply waveReply
 	known := false
-	err := l.read(func(s *workload.State) {
+	err := l.readConfirmed(ctx, func(s *workload.State) {
 		w, ok := s.Waves()[q.Wave]
 		known, reply.Completed = ok, ok && w.Completed()
 	})
--- a/system/leader_test.go
+++ b/system/leader_test.go
@@ -24,7 +24,7 @@
 const waitLimit = time.Minute
 
 // waitFor polls until ok returns true and fails the test after waitLimit.
-func waitFor(t *testing.T, what string, ok func() bool) {
+func waitFor(t testing.TB, what string, ok func() bool) {
 	t.Helper()
 	limit := time.After(waitLimit)
 	for !ok() {
@@ -44,7 +44,7 @@
 
 // formLog starts n members of a log, whose leaders send orders to workers. They don't lead
 // before run is called.
-func formLog(t *testing.T, n int, workers platform.Workers) []*testMember {
+func formLog(t testing.TB, n int, workers platform.Workers) []*testMember {
 	t.Helper()
 	all := make([]*testMember, n)
 	seeds := make([]string, n)
@@ -98,7 +98,7 @@
 }
 
 // leading waits until a member leads, and returns it with its term.
-func leading(t *testing.T, all []*testMember) (m *testMember, term uint64) {
+func leading(t testing.TB, all []*testMember) (m *testMember, term uint64) {
 	t.Helper()
 	waitFor(t, "leader", func() bool {
 		for _, m = range all {
@@ -113,7 +113,7 @@
 }
 
 // lead runs the leader of a member until the test ends.
-func (m *testMember) lead(t *testing.T) {
+func (m *testMember) lead(t testing.TB) {
 	t.Helper()
 	ctx, stop := context.WithCancel(context.Background())
 	ended := make(chan struct{})
--- a/system/suspension_test.go
+++ b/system/suspension_test.go
@@ -7,7 +7,9 @@
 	"github.com/pkg/errors"
 
 	"magnoliastand.example/clock/clocktest"
+	"magnoliastand.example/peerlink"
 	"magnoliastand.example/platform"
+	"magnoliastand.example/workload"
 )
 
 // document is a valid configuration document of the given version.
@@ -34,3 +36,57 @@
 		t.Errorf("read after a suspension of 3 s: %v, want %v", err, platform.ErrUnavailable)
 	}
 }
+
+// TestDocumentReadNeedsQuorum guards against reads of the document that rest on the leader's
+// lease alone, and so on its clock. The leader is cut off and its lease still holds.
+func TestDocumentReadNeedsQuorum(t *testing.T) {
+	m, _ := leading(t, formLog(t, 3, &heldWorkers{}))
+	m.lead(t)
+	waitFor(t, "document committed", func() bool {
+		_, err := m.putDocument(t.Context(), &documentMessage{Raw: document("1")})
+		return err == nil
+	})
+	if _, err := m.document(t.Context(), &emptyMessage{}); err != nil {
+		t.Fatalf("read with a quorum: %v", err)
+	}
+	m.link.SetBlocked(func(peerlink.Identity) bool { return true })
+	defer m.link.SetBlocked(nil)
+	if _, err := m.document(t.Context(), &emptyMessage{}); !errors.Is(err, platform.ErrUnavailable) {
+		t.Errorf("read without a quorum: %v, want %v", err, platform.ErrUnavailable)
+	}
+	if _, err := m.waveStatus(t.Context(), &waveQuery{Wave: 1}); !errors.Is(err, platform.ErrUnavailable) {
+		t.Errorf("state of a wave without a quorum: %v, want %v", err, platform.ErrUnavailable)
+	}
+}
+
+func BenchmarkReads(b *testing.B) {
+	m, _ := leading(b, formLog(b, 3, &heldWorkers{}))
+	m.lead(b)
+	waitFor(b, "driver", func() bool { _, err := m.currentDriver(); return err == nil })
+	nothing := func(*workload.State) {}
+	b.Run("lease", func(b *testing.B) {
+		for b.Loop() {
+			if err := m.read(nothing); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+	b.Run("quorum", func(b *testing.B) {
+		for b.Loop() {
+			if err := m.readConfirmed(b.Context(), nothing); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+	b.Run("quorum-64-callers", func(b *testing.B) {
+		b.SetParallelism(64)
+		b.RunParallel(func(pb *testing.PB) {
+			for pb.Next() {
+				if err := m.readConfirmed(b.Context(), nothing); err != nil {
+					b.Error(err)
+					return
+				}
+			}
+		})
+	})
+}
