--- a/consensus/core.go
+++ b/consensus/core.go
@@ -28,8 +28,9 @@
 	// abstainUntil is the tick until which a restarted node grants no votes. It may
 	// have acknowledged a leader just before the restart, whose lease still holds.
 	abstainUntil uint64
-	// transferUntil is the tick until which a leader that asked another node to
-	// take over has no lease, because it may have a successor already.
+	// transferUntil is the tick at which a leader that asked another node to take
+	// over steps down, or zero. Until then it has no lease, because it may have a
+	// successor already.
 	transferUntil uint64
 
 	// votes and campaignTick are set on a candidate. campaignTick is the tick at
@@ -130,6 +131,10 @@
 		c.becomeFollower(c.term, None)
 		return
 	}
+	if c.transferUntil > 0 && c.now >= c.transferUntil {
+		c.becomeFollower(c.term, None)
+		return
+	}
 	if c.elapsed >= c.cfg.HeartbeatTicks {
 		c.elapsed = 0
 		c.heartbeatDue = true
--- a/consensus/leadership_transfer.go
+++ b/consensus/leadership_transfer.go
@@ -2,9 +2,9 @@
 
 // Handover transfers the leadership to a voter that holds the complete log, and
 // returns the ID of that voter. The leader continues until its successor is
-// elected, but without a lease, because the successor does not wait for it to end;
-// if the message is lost or the election fails, it remains leader and has a lease
-// again after the minimum election timeout.
+// elected, but without a lease, because the successor does not wait for it to end.
+// If there is no successor after the minimum election timeout, the leader steps
+// down: the request may still be on its way, and only a later term makes it void.
 // Errors match ErrNotLeader, or ErrNotCaughtUp if no other responding voter holds
 // the complete log.
 func (c *Core) Handover() (NodeID, error) {
--- a/consensus/lease_test.go
+++ b/consensus/lease_test.go
@@ -73,8 +73,57 @@
 	}
 	drop := func(m consensus.Message) bool { return m.Type == consensus.MsgTimeoutNow }
 	s.runInOrder(1, s.nodes, drop)
-	s.runInOrder(2*consensus.DefaultElectionTicks, s.nodes, nil)
-	if st := old.core.Status(); st.Role != consensus.Leader || !st.QuorumKnown {
-		t.Errorf("after a failed transfer: %s, lease %v", st.Role, st.QuorumKnown)
+	term := old.core.Term()
+	s.runInOrder(10*consensus.DefaultElectionTicks, s.nodes, func(m consensus.Message) bool {
+		if st := old.core.Status(); st.QuorumKnown && st.Term == term {
+			t.Fatal("the leader has a lease again in the term of its request")
+		}
+		return false
+	})
+	next := s.leader()
+	if next == nil {
+		t.Fatal("no leader after a failed transfer")
+	}
+	if st := next.core.Status(); st.Term <= term || !st.QuorumKnown {
+		t.Errorf("after a failed transfer in term %d: leader of term %d, lease %v", term, st.Term, st.QuorumKnown)
+	}
+}
+
+// TestLateTakeoverRequestElectsNobodyBesideLease guards against a request to take over that is
+// held up, by a link or a suspended successor, until the leader that sent it has its lease
+// again. Voters don't wait for the lease in a transfer, so two leaders would act at once.
+func TestLateTakeoverRequestElectsNobodyBesideLease(t *testing.T) {
+	s, old := newSimWithLeader(4, consensus.DisabledSafeguards{})
+	target, err := old.core.Handover()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var late []consensus.Message
+	holdUp := func(m consensus.Message) bool {
+		if m.Type != consensus.MsgTimeoutNow {
+			return false
+		}
+		late = append(late, m)
+		return true
+	}
+	for ticks := 0; len(late) == 0 || !old.core.Status().QuorumKnown; ticks++ {
+		if ticks > 20*consensus.DefaultElectionTicks {
+			t.Fatal("the cluster has no leader with a lease again")
+		}
+		s.runInOrder(1, s.nodes, holdUp)
+		if lead := s.leader(); lead != nil && lead != old && lead.core.Status().QuorumKnown {
+			return // the leader has given up its term, in which the request was made
+		}
+	}
+	for _, m := range late {
+		s.step(m)
+	}
+	s.isolated[old.id] = true
+	s.runInOrder(1, s.nodes[1:], nil)
+	for _, n := range s.nodes[1:] {
+		if n.core.Leads() && old.core.Status().QuorumKnown {
+			t.Errorf("node %d leads term %d beside the lease of node %d in term %d",
+				target, n.core.Term(), old.id, old.core.Term())
+		}
 	}
 }
--- a/consensus/membership.go
+++ b/consensus/membership.go
@@ -145,7 +145,7 @@
 	if c.role != Leader {
 		return s
 	}
-	s.QuorumKnown = c.log.commit >= c.termStart && c.now >= c.transferUntil
+	s.QuorumKnown = c.log.commit >= c.termStart && c.transferUntil == 0
 	s.QuorumTicks = c.quorumTicks()
 	for _, m := range s.Members {
 		ps := PeerStatus{Member: m, SilentTicks: c.ticksSinceAck(m.ID), CaughtUp: c.caughtUp(m.ID)}
