--- a/system/leader.go
+++ b/system/leader.go
@@ -41,20 +41,10 @@
 	// ledTerm is the term of the last driver. It is used by run only.
 	ledTerm uint64
 
-	mu     sync.Mutex
+	mu sync.Mutex
+	// driver and tenure are those of the term that this daemon leads, or nil.
 	driver *driver.Driver
-	term   uint64
-}
-
-// Propose implements driver.Log.
-func (l *leader) Propose(ctx context.Context, term uint64, data []byte) ([]error, error) {
-	return l.member.Node().ProposeInTerm(ctx, term, data)
-}
-
-// IsLeader implements driver.Log.
-func (l *leader) IsLeader(term uint64) bool {
-	leaseTerm, ok := l.member.Lease()
-	return ok && leaseTerm == term
+	tenure *tenure
 }
 
 // run runs a driver for each term in which this daemon is the leader, until ctx
@@ -82,7 +72,8 @@
 // runTerm runs a driver for one term and reports whether it panicked.
 func (l *leader) runTerm(ctx context.Context, term uint64) bool {
 	start := time.Now()
-	if err := l.catchUp(ctx, term); err != nil || !l.IsLeader(term) {
+	t := newTenure(l.member, term)
+	if err := l.catchUp(ctx, t); err != nil || !t.IsLeader(term) {
 		l.log.Warn().Err(err).Uint64("term", term).Msg("leadership not assumed: state not up to date or lease lost")
 		return false
 	}
@@ -92,20 +83,20 @@
 		return false
 	}
 	cfg := l.driverConfig
-	cfg.Term, cfg.State, cfg.Log, cfg.Fences = term, state, l, &l.fences
+	cfg.Term, cfg.State, cfg.Log, cfg.Fences = term, state, t, &l.fences
 	d := driver.New(cfg)
 	l.ledTerm = term
-	l.setDriver(d, term)
+	l.setDriver(d, t)
 	l.log.Info().Uint64("term", term).Int("jobs", len(state.Jobs())).Int("workers", len(state.Workers())).
 		Int64("version", state.Version()).Dur("took", time.Since(start)).Msg("lead taken")
 	driveCtx, stop := context.WithCancel(ctx)
 	var background sync.WaitGroup
-	background.Go(func() { l.watchLeadership(driveCtx, stop, term) })
+	background.Go(func() { t.watch(driveCtx, stop) })
 	background.Go(func() { l.relay.Run(driveCtx) })
 	d.Run(driveCtx)
 	stop()
 	background.Wait()
-	l.setDriver(nil, 0)
+	l.setDriver(nil, nil)
 	l.log.Info().Uint64("term", term).Dur("led", time.Since(start)).Msg("leadership ended")
 	return d.Panicked()
 }
@@ -113,39 +104,23 @@
 // catchUp makes sure that all entries that will ever be committed before those of the next
 // driver are applied. A batch of an earlier driver of the same term may be in the log and
 // not committed yet; an empty one behind it is committed later.
-func (l *leader) catchUp(ctx context.Context, term uint64) error {
+func (l *leader) catchUp(ctx context.Context, t *tenure) error {
 	ctx, cancel := context.WithTimeout(ctx, catchUpTimeout)
 	defer cancel()
-	if term != l.ledTerm {
+	if t.term != l.ledTerm {
 		return l.member.Node().ReadIndex(ctx)
 	}
 	data, err := workload.EncodeBatch(workload.NewBatch(0, nil))
 	if err != nil {
 		return err
 	}
-	_, err = l.Propose(ctx, term, data)
+	_, err = t.Propose(ctx, t.term, data)
 	return err
 }
 
-// watchLeadership stops the driver once the term has changed or this daemon is no
-// longer the leader.
-func (l *leader) watchLeadership(ctx context.Context, stop func(), term uint64) {
-	for ctx.Err() == nil {
-		s := l.member.Node().Status()
-		if s.Term != term || !l.member.IsLeader() {
-			stop()
-			return
-		}
-		select {
-		case <-time.After(leadershipPollInterval):
-		case <-ctx.Done():
-		}
-	}
-}
-
-func (l *leader) setDriver(d *driver.Driver, term uint64) {
+func (l *leader) setDriver(d *driver.Driver, t *tenure) {
 	l.mu.Lock()
-	l.driver, l.term = d, term
+	l.driver, l.tenure = d, t
 	l.mu.Unlock()
 }
 
@@ -153,9 +128,9 @@
 // driver's term.
 func (l *leader) currentDriver() (*driver.Driver, error) {
 	l.mu.Lock()
-	d, term := l.driver, l.term
+	d, t := l.driver, l.tenure
 	l.mu.Unlock()
-	if d == nil || !l.IsLeader(term) {
+	if d == nil || !t.IsLeader(t.term) {
 		return nil, errors.Wrap(platform.ErrUnavailable, "this daemon does not lead")
 	}
 	return d, nil
--- a/system/suspension_test.go
+++ b/system/suspension_test.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"magnoliastand.example/clock/clocktest"
+	"magnoliastand.example/driver"
 	"magnoliastand.example/peerlink"
 	"magnoliastand.example/platform"
 	"magnoliastand.example/workload"
@@ -90,3 +91,21 @@
 		})
 	})
 }
+
+// TestSuspensionEndsTenure guards against a driver that goes on with what it believed before
+// its machine was suspended. A leader without other voters keeps its term.
+func TestSuspensionEndsTenure(t *testing.T) {
+	m, term := leading(t, formLog(t, 1, &heldWorkers{}))
+	m.lead(t)
+	var d *driver.Driver
+	waitFor(t, "driver", func() bool { d, _ = m.currentDriver(); return d != nil })
+	clocktest.Suspend(t, 3*time.Second)
+	var next *driver.Driver
+	waitFor(t, "driver after the suspension", func() bool { next, _ = m.currentDriver(); return next != nil })
+	if next == d {
+		t.Error("the driver from before the suspension still leads")
+	}
+	if now, ok := m.member.Lease(); !ok || now != term {
+		t.Errorf("term %d, want %d: the log has no other voter", now, term)
+	}
+}
