--- a/relay/limit.go
+++ b/relay/limit.go
@@ -6,6 +6,7 @@
 
 	"github.com/pkg/errors"
 
+	"magnoliastand.example/clock"
 	"magnoliastand.example/platform"
 	"magnoliastand.example/workload"
 )
@@ -28,8 +29,11 @@
 
 // acquire waits for a slot, at most until the deadline of ctx. The returned
 // context grants the call the same time limit again, starting with the slot. The
-// returned function releases the slot.
+// returned function releases the slot. A call whose slot comes later, because the
+// process was paused or the machine suspended while it waited, is not made: its
+// worker may have restarted since.
 func (l *limiter) acquire(ctx context.Context) (context.Context, func(), error) {
+	begun := clock.Now()
 	deadline, bounded := ctx.Deadline()
 	timeout := time.Until(deadline)
 	select {
@@ -41,6 +45,10 @@
 	if !bounded {
 		return ctx, release, nil
 	}
+	if waited := clock.Since(begun); waited >= timeout {
+		release()
+		return nil, nil, errors.Wrapf(platform.ErrNotSent, "waited %s for a slot", waited)
+	}
 	// The deadline of ctx must not interrupt a call that had to wait for its
 	// slot; explicit cancellation still does.
 	callCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), timeout)
