--- a/clock/clock.go
+++ b/clock/clock.go
@@ -9,6 +9,7 @@
 package clock
 
 import (
+	"context"
 	"sync/atomic"
 	"time"
 
@@ -32,6 +33,13 @@
 // Until returns the time until t, which is based on a result of Now.
 func Until(t time.Time) time.Duration { return t.Sub(Now()) }
 
+// WithDeadline returns a context that ends at t, a time of this package. It ends late if the
+// machine is suspended meanwhile, because timers stand still: what must not happen after t
+// needs a check of its own.
+func WithDeadline(parent context.Context, t time.Time) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(parent, Until(t))
+}
+
 // Boot returns a reading of the machine's clock that advances during suspensions. Its
 // start is arbitrary and changes when the machine boots.
 func Boot() time.Duration { return reading.Boot() }
--- a/dispatch/origin/bench_test.go
+++ b/dispatch/origin/bench_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"magnoliastand.example/api"
+	"magnoliastand.example/clock"
 	"magnoliastand.example/dispatch"
 	"magnoliastand.example/dispatch/record"
 	"magnoliastand.example/standin"
@@ -119,7 +120,7 @@
 	b.ReportAllocs()
 	for b.Loop() {
 		r := o.Handle(context.Background(), &Request{
-			Queue: "book", Key: testKey, Source: strings.NewReader(body), Length: int64(len(body)), Received: time.Now(),
+			Queue: "book", Key: testKey, Source: strings.NewReader(body), Length: int64(len(body)), Received: clock.Now(),
 		})
 		if r.Run != api.RunDone {
 			b.Fatal(r.Problem)
@@ -136,7 +137,7 @@
 		body := strings.Repeat("y", 256)
 		measureWaiting(b, o, waiting, func(ctx context.Context) {
 			o.Handle(ctx, &Request{
-				Queue: "book", Key: testKey, Source: strings.NewReader(body), Length: int64(len(body)), Received: time.Now(),
+				Queue: "book", Key: testKey, Source: strings.NewReader(body), Length: int64(len(body)), Received: clock.Now(),
 			})
 		})
 	})
--- a/dispatch/origin/call.go
+++ b/dispatch/origin/call.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"magnoliastand.example/api"
+	"magnoliastand.example/clock"
 	"magnoliastand.example/dispatch/record"
 	"magnoliastand.example/dispatch/request"
 	"magnoliastand.example/invariant"
@@ -178,7 +179,7 @@
 	if c.claim.Internal {
 		return c.o.cfg.Records.Begin(ctx, &c.claim)
 	}
-	ctx, cancel := context.WithDeadline(ctx, c.deadline)
+	ctx, cancel := clock.WithDeadline(ctx, c.deadline)
 	defer cancel()
 	for range maxJoinWaits {
 		d := c.o.cfg.Records.Begin(ctx, &c.claim)
@@ -189,7 +190,7 @@
 		if d.Verdict == record.Unknown && c.claim.Idempotent {
 			return c.afterUnknown(ctx)
 		}
-		if d.Verdict != record.Absent || !time.Now().Before(c.deadline) {
+		if d.Verdict != record.Absent || !clock.Now().Before(c.deadline) {
 			return d
 		}
 	}
@@ -214,7 +215,7 @@
 // that attempt may have failed, so an idempotent request reserves time to run
 // itself.
 func (c *call) joinTimeout() time.Duration {
-	left := time.Until(c.deadline)
+	left := clock.Until(c.deadline)
 	if c.claim.Idempotent {
 		return min(left/2, c.longestRun())
 	}
@@ -227,7 +228,7 @@
 }
 
 func (c *call) respond(answer *record.Answer) *Result {
-	c.o.cfg.Metrics.Ended(c.r.Queue, api.RunDone, "", time.Since(c.r.Received))
+	c.o.cfg.Metrics.Ended(c.r.Queue, api.RunDone, "", clock.Since(c.r.Received))
 	return &Result{ID: c.claim.ID, Home: c.o.cfg.Records.HomeOf(c.claim.ID), Run: api.RunDone, Answer: answer}
 }
 
@@ -270,7 +271,7 @@
 		id = c.o.cfg.Records.IssueID()
 	}
 	p.RequestID = id
-	c.o.cfg.Metrics.Ended(c.r.Queue, run, p.Code, time.Since(c.r.Received))
+	c.o.cfg.Metrics.Ended(c.r.Queue, run, p.Code, clock.Since(c.r.Received))
 	return &Result{ID: id, Home: c.o.cfg.Records.HomeOf(id), Run: run, Problem: p}
 }
 
--- a/dispatch/origin/drain.go
+++ b/dispatch/origin/drain.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"magnoliastand.example/clock"
 	"magnoliastand.example/dispatch"
 	"magnoliastand.example/dispatch/request"
 	"magnoliastand.example/invariant"
@@ -26,7 +27,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if h, ok := o.held[id]; ok {
-		h.started = time.Now()
+		h.started = clock.Now()
 	}
 }
 
@@ -43,7 +44,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	d := dispatch.Declaration{Origin: o.cfg.Self, Held: make([]dispatch.HeldGrant, 0, len(o.held))}
-	now := time.Now()
+	now := clock.Now()
 	for _, h := range o.held {
 		g := dispatch.HeldGrant{Grant: h.grant}
 		if !h.started.IsZero() {
--- a/dispatch/origin/httpapi.go
+++ b/dispatch/origin/httpapi.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"magnoliastand.example/api"
+	"magnoliastand.example/clock"
 )
 
 // Paths of the caller interface.
@@ -85,7 +86,7 @@
 		ContentType: req.Header.Get("Content-Type"),
 		Source:      req.Body,
 		Length:      req.ContentLength,
-		Received:    time.Now(),
+		Received:    clock.Now(),
 	}
 	ids := req.Header.Values(api.HeaderRequestID)
 	if len(ids) > 1 {
--- a/dispatch/origin/run.go
+++ b/dispatch/origin/run.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"magnoliastand.example/api"
+	"magnoliastand.example/clock"
 	"magnoliastand.example/dispatch"
 	"magnoliastand.example/dispatch/record"
 	"magnoliastand.example/dispatch/request"
@@ -51,16 +52,16 @@
 // for a slot has passed. If the arbiter is lost before it decides, the ask is
 // repeated.
 func (c *call) acquire(ctx context.Context) (dispatch.Grant, error) {
-	now := time.Now()
+	now := clock.Now()
 	waitUntil := now.Add(c.maxWait())
 	latest := c.deadline.Add(-c.o.runTimes.reserve(c.r.Queue, c.deadline.Sub(now)))
 	if latest.Before(waitUntil) {
 		waitUntil = latest
 	}
-	ctx, cancel := context.WithDeadline(ctx, waitUntil)
+	ctx, cancel := clock.WithDeadline(ctx, waitUntil)
 	defer cancel()
 	for n := 1; ; n++ {
-		grant, err := c.o.cfg.Slots.Ask(ctx, c.ask(time.Until(waitUntil)))
+		grant, err := c.o.cfg.Slots.Ask(ctx, c.ask(clock.Until(waitUntil)))
 		if err == nil || !errors.Is(err, ErrArbiterLost) {
 			return grant, err
 		}
@@ -105,13 +106,13 @@
 // passed or the caller disconnected after the first byte was sent; the attempt
 // then continues in the background.
 func (c *call) attempt(ctx context.Context, grant dispatch.Grant, n int) (attemptResult, bool) {
-	granted := time.Now()
+	granted := clock.Now()
 	c.o.addHeld(grant)
 	g := &gate{checkStart: c.newStartCheck(ctx, grant, granted)}
 	longest := orDefault(grant.LongestRun, c.longestRun())
 	sendCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), longest)
 	startTimer := time.AfterFunc(grant.StartWithin, func() {
-		if !c.o.client.disabled.startGate && !g.close(startTimeoutReason(time.Since(granted), grant.StartWithin)) {
+		if !c.o.client.disabled.startGate && !g.close(startTimeoutReason(clock.Since(granted), grant.StartWithin)) {
 			cancel()
 		}
 	})
@@ -120,7 +121,7 @@
 		defer cancel()
 		defer startTimer.Stop()
 		res := c.o.client.send(sendCtx, g, grant, c.r, c.claim.ID, c.team, n)
-		elapsed := time.Since(granted)
+		elapsed := clock.Since(granted)
 		outcome := res.outcome
 		if g.endpointUnreachable() {
 			// Tells the arbiter that the endpoint accepts no connections.
@@ -133,7 +134,7 @@
 		}
 		ch <- res
 	}()
-	timer := time.NewTimer(time.Until(c.deadline))
+	timer := time.NewTimer(clock.Until(c.deadline))
 	defer timer.Stop()
 	select {
 	case res := <-ch:
@@ -176,8 +177,8 @@
 }
 
 func (c *call) checkStart(ctx context.Context, grant dispatch.Grant, granted time.Time) error {
-	// The monotonic clock advances while the process is suspended.
-	if waited := time.Since(granted); waited > grant.StartWithin {
+	// The clock advances while the process is paused or the machine suspended.
+	if waited := clock.Since(granted); waited > grant.StartWithin {
 		return errors.Wrapf(errStartDenied, "grant lapsed: %s after it came, %s allowed", waited, grant.StartWithin)
 	}
 	return c.revalidate(ctx)
@@ -190,7 +191,7 @@
 	if ctx.Err() != nil {
 		return errCallerDisconnected
 	}
-	if !time.Now().Before(c.deadline) {
+	if !clock.Now().Before(c.deadline) {
 		return &problemError{deadlinePassed("the deadline passed before the request was sent")}
 	}
 	queue, ok := c.o.cfg.Control.Queue(c.r.Queue)
@@ -278,7 +279,7 @@
 		return c.finish(ctx, refused.problem), false
 	case ctx.Err() != nil:
 		return c.finish(ctx, deadlinePassed(errCallerDisconnected.Error())), false
-	case !time.Now().Before(c.deadline):
+	case !clock.Now().Before(c.deadline):
 		return c.finish(ctx, deadlinePassed("the deadline passed before the request was sent")), false
 	}
 	c.apply(request.Withdraw)
@@ -291,7 +292,7 @@
 // mayRetry reports whether the request may be retried and takes the retry from
 // the budget. It excludes the endpoint of the last attempt from further ones.
 func (c *call) mayRetry(grant dispatch.Grant, n int) bool {
-	if n >= maxAttempts || !time.Now().Before(c.deadline) || !c.o.retryBudget.take() {
+	if n >= maxAttempts || !clock.Now().Before(c.deadline) || !c.o.retryBudget.take() {
 		return false
 	}
 	if !slices.Contains(c.exclude, grant.Endpoint) {
@@ -301,7 +302,7 @@
 }
 
 func (c *call) waitBackoff(ctx context.Context, n int) bool {
-	ctx, cancel := context.WithDeadline(ctx, c.deadline)
+	ctx, cancel := clock.WithDeadline(ctx, c.deadline)
 	defer cancel()
 	return sleep(ctx, c.o.cfg.Retry.backoff(n))
 }
--- a/dispatch/record/finish.go
+++ b/dispatch/record/finish.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"magnoliastand.example/clock"
 )
 
 const (
@@ -49,7 +51,7 @@
 func (s *Service) finishTargets(r FinishRequest) []string {
 	p, ok := ParseID(r.ID)
 	if !ok {
-		return union(s.members.acceptors(r.ID, s.cfg.Store.Retention, time.Now()))
+		return union(s.members.acceptors(r.ID, s.cfg.Store.Retention, clock.Now()))
 	}
 	targets := []string{p.Daemon}
 	if r.Answer != nil && r.Answer.Size() <= maxCopiedAnswerBytes {
--- a/dispatch/record/handover.go
+++ b/dispatch/record/handover.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"magnoliastand.example/clock"
 )
 
 // HandOverPeers sends hand-over messages to other daemons by their configured
@@ -114,7 +116,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.sealed = true
-	now := time.Now()
+	now := clock.Now()
 	parts := s.home.export(now, s.cfg.Store.Retention)
 	for _, h := range s.former {
 		if left := h.expires.Sub(now); left > 0 {
@@ -166,14 +168,14 @@
 		return errTooManyParts
 	}
 	e.parts = append(e.parts, r.Part)
-	e.received = time.Now()
+	e.received = clock.Now()
 	e.complete = r.Last
 	return nil
 }
 
 func (s *Service) dropExpiredHandOvers() {
 	for daemon, e := range s.handOvers {
-		if len(e.parts) > 0 && time.Since(e.received) > s.cfg.Store.Retention/claimWindowDivisor {
+		if len(e.parts) > 0 && clock.Since(e.received) > s.cfg.Store.Retention/claimWindowDivisor {
 			delete(s.handOvers, daemon)
 		}
 	}
@@ -285,7 +287,7 @@
 func (s *Service) importParts(parts []Part) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := time.Now()
+	now := clock.Now()
 	s.acceptor.abstainUntil = time.Time{}
 	for _, p := range parts {
 		if p.Home == nil {
--- a/dispatch/record/majority.go
+++ b/dispatch/record/majority.go
@@ -4,6 +4,8 @@
 	"context"
 	"math/rand/v2"
 	"time"
+
+	"magnoliastand.example/clock"
 )
 
 const (
@@ -35,7 +37,7 @@
 func (s *Service) decideByAcceptors(ctx context.Context, c *Claim) Decision {
 	pause := splitVoteBackoff
 	for round := 1; ; round++ {
-		sets := s.members.acceptors(c.ID, s.cfg.Store.Retention, time.Now())
+		sets := s.members.acceptors(c.ID, s.cfg.Store.Retention, clock.Now())
 		r := s.newToken(c)
 		votes := s.collectVotes(ctx, union(sets), r, sets)
 		d := tally(sets, votes)
--- a/dispatch/record/serve.go
+++ b/dispatch/record/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"magnoliastand.example/clock"
 	"magnoliastand.example/dispatch"
 )
 
@@ -18,7 +19,7 @@
 func (s *Service) beginLocally(r BeginRequest) (BeginReply, time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := time.Now()
+	now := clock.Now()
 	return s.beginAt(r, now), now
 }
 
@@ -53,7 +54,7 @@
 func (s *Service) HandleFinish(r FinishRequest) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := time.Now()
+	now := clock.Now()
 	id, ok := ParseID(r.ID)
 	home := s.homeFor(id)
 	var changed bool
@@ -73,13 +74,13 @@
 // HandleLookup handles a LookupRequest of a peer or of this daemon's origin. It
 // waits up to r.Wait for a running request.
 func (s *Service) HandleLookup(ctx context.Context, r LookupRequest) LookupReply {
-	deadline := time.Now().Add(r.Wait)
+	deadline := clock.Now().Add(r.Wait)
 	for {
 		reply, w := s.lookupOrSubscribe(r, deadline)
 		if w == nil {
 			return reply
 		}
-		if !waitFor(ctx, w.changed, time.Until(deadline)) {
+		if !waitFor(ctx, w.changed, clock.Until(deadline)) {
 			s.unsubscribe(r.ID, w)
 			return reply
 		}
@@ -104,7 +105,7 @@
 func (s *Service) lookupOrSubscribe(r LookupRequest, deadline time.Time) (LookupReply, *waiters) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := time.Now()
+	now := clock.Now()
 	reply := s.lookupLocked(r, now)
 	if reply.Verdict != Running || !now.Before(deadline) || s.waiterCount >= s.cfg.MaxWaiters {
 		return reply, nil
@@ -223,5 +224,5 @@
 	if p, ok := ParseID(id); ok {
 		return [][]string{{p.Daemon}}
 	}
-	return s.members.acceptors(id, s.cfg.Store.Retention, time.Now())
+	return s.members.acceptors(id, s.cfg.Store.Retention, clock.Now())
 }
--- a/dispatch/record/service.go
+++ b/dispatch/record/service.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"magnoliastand.example/clock"
 	"magnoliastand.example/dispatch"
 )
 
@@ -123,8 +124,8 @@
 	}
 	var abstainUntil, claimDeadline time.Time
 	if !cfg.FirstIncarnation {
-		abstainUntil = time.Now().Add(cfg.Store.Retention)
-		claimDeadline = time.Now().Add(claimWindow)
+		abstainUntil = clock.Now().Add(cfg.Store.Retention)
+		claimDeadline = clock.Now().Add(claimWindow)
 	}
 	copies := NewStore(cfg.Store, time.Time{})
 	// Copies permit no start, so old ones may be evicted to make room.
@@ -151,7 +152,7 @@
 // SetMembers installs the configured daemons, including this one. For the
 // retention after a change, starts need a majority of the former acceptors too.
 func (s *Service) SetMembers(members []Member) {
-	s.members.update(members, s.cfg.Store.Retention, time.Now())
+	s.members.update(members, s.cfg.Store.Retention, clock.Now())
 }
 
 // AddFormerMembers adds a member set that was replaced before this daemon
@@ -159,7 +160,7 @@
 // decide with a majority that shares no acceptor with the majority of another
 // daemon.
 func (s *Service) AddFormerMembers(members []Member, replacedAgo time.Duration) {
-	s.members.addFormer(members, time.Now().Add(-replacedAgo))
+	s.members.addFormer(members, clock.Now().Add(-replacedAgo))
 }
 
 // Stats holds statistics of a Service.
@@ -183,7 +184,7 @@
 	st := Stats{
 		AcceptorIDs: s.acceptor.Len(), Copies: s.copies.Len(), Waiting: s.waiterCount,
 		AnswerBytes: s.acceptor.AnswerBytes() + s.copies.AnswerBytes(),
-		Abstaining:  s.sealed || s.acceptor.abstains(time.Now()),
+		Abstaining:  s.sealed || s.acceptor.abstains(clock.Now()),
 	}
 	for _, h := range s.homes() {
 		st.HomeIDs += h.store.Len()
@@ -300,13 +301,13 @@
 	r := s.newToken(c)
 	ctx, cancel := context.WithTimeout(ctx, homeTimeout+s.cfg.CallTimeout)
 	defer cancel()
-	deadline := time.Now().Add(homeTimeout)
+	deadline := clock.Now().Add(homeTimeout)
 	for pause := homeRetryInterval; ; pause = min(2*pause, maxHomeRetryInterval) {
 		v := s.begin(ctx, id.Daemon, r)
 		if v.err == nil && v.reply.Verdict != Abstain {
 			return s.decideByReply(ctx, id, c, r, v)
 		}
-		if time.Now().Add(pause).After(deadline) || !sleep(ctx, pause) {
+		if clock.Now().Add(pause).After(deadline) || !sleep(ctx, pause) {
 			break
 		}
 	}
@@ -382,9 +383,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, s.cfg.CallTimeout)
 	defer cancel()
-	v.sent = time.Now()
+	v.sent = clock.Now()
 	reply, err := s.cfg.Peers.Begin(ctx, daemon, r)
-	v.reply, v.received, v.err = reply, time.Now(), errors.Wrapf(err, "begin at %s", daemon)
+	v.reply, v.received, v.err = reply, clock.Now(), errors.Wrapf(err, "begin at %s", daemon)
 	return v
 }
 
--- a/dispatch/record/service_test.go
+++ b/dispatch/record/service_test.go
@@ -8,6 +8,7 @@
 	"testing/synctest"
 	"time"
 
+	"magnoliastand.example/clock"
 	"magnoliastand.example/dispatch"
 )
 
@@ -25,7 +26,7 @@
 }
 
 func claimFor(id, body string) *Claim {
-	return &Claim{ID: id, Digest: NewDigest("team", "queue", []byte(body)), Hold: time.Minute, Received: time.Now()}
+	return &Claim{ID: id, Digest: NewDigest("team", "queue", []byte(body)), Hold: time.Minute, Received: clock.Now()}
 }
 
 func begin(n *simNode, c *Claim) Decision { return n.service.Begin(context.Background(), c) }
@@ -323,7 +324,7 @@
 					t.Fatalf("first attempt: verdict %d", d.Verdict)
 				}
 				home.service.Finish(t.Context(), first, ResultNotRun, nil)
-				refused := time.Now()
+				refused := clock.Now()
 				time.Sleep(50 * time.Millisecond)
 				other.service.cfg.Peers = &slowBegin{Peers: other.service.cfg.Peers, delays: test.delays}
 				resend := claimFor(id, "x")
--- a/dispatch/record/sim_test.go
+++ b/dispatch/record/sim_test.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 	"go.uber.org/goleak"
 
+	"magnoliastand.example/clock"
 	"magnoliastand.example/dispatch"
 	"magnoliastand.example/invariant"
 )
@@ -292,7 +293,7 @@
 		_, now := s.current(n)
 		return now == generation
 	}
-	c := &Claim{ID: id, Digest: NewDigest("t", "q", []byte(id)), Hold: time.Minute, Received: time.Now()}
+	c := &Claim{ID: id, Digest: NewDigest("t", "q", []byte(id)), Hold: time.Minute, Received: clock.Now()}
 	if s.intn(4) == 0 {
 		time.Sleep(s.randomDuration(5 * time.Second)) // the origin is suspended
 	}
