--- a/daemon/arbiterhost.go
+++ b/daemon/arbiterhost.go
@@ -8,6 +8,7 @@
 	"github.com/rs/zerolog"
 
 	"magnoliastand.example/api"
+	"magnoliastand.example/clock"
 	"magnoliastand.example/dispatch"
 	"magnoliastand.example/dispatch/arbiter"
 	"magnoliastand.example/dispatch/endpoint"
@@ -97,7 +98,7 @@
 	defer h.mu.Unlock()
 	h.cfg = arbiter.NewConfig(doc)
 	if h.arb != nil {
-		h.deliver(h.arb.SetConfig(time.Now(), h.cfg))
+		h.deliver(h.arb.SetConfig(clock.Now(), h.cfg))
 	}
 }
 
@@ -106,7 +107,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.stopLocked()
-	now := time.Now()
+	now := clock.Now()
 	h.limiter = h.newLimiter(term)
 	h.reg.ShareLoad(now.Add(recoveryShareLoad))
 	h.arb = arbiter.New(now, arbiter.Options{Zone: h.zone, Term: term, Recovery: recovery}, h.cfg, h.reg, h.limiter)
@@ -121,7 +122,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.stopLocked()
-	h.reg.ShareLoad(time.Now().Add(recoveryShareLoad))
+	h.reg.ShareLoad(clock.Now().Add(recoveryShareLoad))
 }
 
 // stopLocked ends the term: asks that wait are told that the arbiter is lost.
@@ -161,8 +162,8 @@
 	defer ticker.Stop()
 	for {
 		select {
-		case now := <-ticker.C:
-			h.tick(now)
+		case <-ticker.C:
+			h.tick(clock.Now())
 		case <-ctx.Done():
 			h.mu.Lock()
 			h.stopLocked()
@@ -195,7 +196,7 @@
 	}
 	h.end(key, askOutcome{})
 	h.addWaiter(key, w)
-	h.deliver(h.arb.Ask(time.Now(), ask))
+	h.deliver(h.arb.Ask(clock.Now(), ask))
 	h.mu.Unlock()
 	select {
 	case out := <-w.outcome:
@@ -270,7 +271,7 @@
 func (h *arbiterHost) cancelLocked(key waiterKey) {
 	h.removeWaiter(key)
 	if h.arb != nil {
-		h.deliver(h.arb.Cancel(time.Now(), key.requestID, key.origin))
+		h.deliver(h.arb.Cancel(clock.Now(), key.requestID, key.origin))
 	}
 }
 
@@ -287,7 +288,7 @@
 		delete(h.taken, r.Grant)
 		delete(h.delivered, key)
 	}
-	h.deliver(h.arb.Release(time.Now(), r))
+	h.deliver(h.arb.Release(clock.Now(), r))
 }
 
 // release applies a declaration and releases. It returns errNotArbiter when
@@ -299,7 +300,7 @@
 		return errNotArbiter
 	}
 	if r.Declaration != nil {
-		h.deliver(h.arb.Declare(time.Now(), *r.Declaration))
+		h.deliver(h.arb.Declare(clock.Now(), *r.Declaration))
 	}
 	for _, rel := range r.Releases {
 		h.releaseLocked(rel)
@@ -312,7 +313,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.arb != nil {
-		h.deliver(h.arb.OriginLost(time.Now(), id))
+		h.deliver(h.arb.OriginLost(clock.Now(), id))
 	}
 }
 
--- a/daemon/console/console_test.go
+++ b/daemon/console/console_test.go
@@ -12,6 +12,7 @@
 	"github.com/labstack/echo/v5"
 
 	"magnoliastand.example/api"
+	"magnoliastand.example/clock/clocktest"
 	"magnoliastand.example/control"
 	"magnoliastand.example/control/httpapi"
 )
@@ -200,3 +201,17 @@
 		t.Errorf("got %s", got)
 	}
 }
+
+// TestSessionExpiresOverSuspension guards against a session that outlives its eight hours by the
+// time for which the daemon's machine was suspended.
+func TestSessionExpiresOverSuspension(t *testing.T) {
+	b, _ := newBrowser(t)
+	b.login()
+	if status, _ := b.do(http.MethodGet, "/console", nil); status != http.StatusOK {
+		t.Fatalf("status %d in a session", status)
+	}
+	clocktest.Suspend(t, sessionLife)
+	if status, _ := b.do(http.MethodGet, "/console", nil); status != http.StatusSeeOther {
+		t.Errorf("status %d, want a redirect to the login after %s", status, sessionLife)
+	}
+}
--- a/daemon/console/session.go
+++ b/daemon/console/session.go
@@ -9,6 +9,7 @@
 
 	"github.com/labstack/echo/v5"
 
+	"magnoliastand.example/clock"
 	"magnoliastand.example/control"
 )
 
@@ -79,7 +80,7 @@
 		if err != nil {
 			return ec.Redirect(http.StatusSeeOther, "/console/login")
 		}
-		s := c.sessions.find(time.Now(), cookie.Value)
+		s := c.sessions.find(clock.Now(), cookie.Value)
 		if s == nil {
 			return ec.Redirect(http.StatusSeeOther, "/console/login")
 		}
@@ -109,7 +110,7 @@
 	}
 	token := ""
 	if name != "" {
-		token = c.sessions.start(time.Now(), name)
+		token = c.sessions.start(clock.Now(), name)
 	}
 	if token == "" {
 		return c.render(ec, http.StatusUnauthorized, "login", page{Title: "Log in", Notice: "this is not a valid operator key, or too many operators are logged in", Fault: true})
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"magnoliastand.example/api"
+	"magnoliastand.example/clock"
 	"magnoliastand.example/cluster"
 	"magnoliastand.example/control"
 	"magnoliastand.example/control/httpapi"
@@ -132,7 +133,7 @@
 	zone := d.set.AvailabilityZone
 	d.host = newArbiterHost(zone, d.link, d.log)
 	d.host.newLimiter = func(term uint64) limiterHandle {
-		return plane.newLimiter(d.ctx, zone, term, func() { d.host.tick(time.Now()) })
+		return plane.newLimiter(d.ctx, zone, term, func() { d.host.tick(clock.Now()) })
 	}
 	d.host.arbiterOf = plane.ArbiterOf
 	d.zone = newZoneMonitor(d.self, zone, d.set.ArbiterOrder(zone), d.link, plane, d.log)
@@ -351,7 +352,7 @@
 	defer cancel()
 	for {
 		ref, changed := d.zone.Arbiter()
-		if ref.Name != d.self.Name || len(d.zone.peersAlive(time.Now())) == 1 {
+		if ref.Name != d.self.Name || len(d.zone.peersAlive(clock.Now())) == 1 {
 			return
 		}
 		select {
--- a/daemon/forward.go
+++ b/daemon/forward.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"magnoliastand.example/clock"
 	"magnoliastand.example/dispatch"
 	"magnoliastand.example/dispatch/arbiter"
 	"magnoliastand.example/dispatch/endpoint"
@@ -45,7 +46,7 @@
 		return
 	}
 	if err == nil && reply.Grant != nil {
-		h.deliver(h.arb.Cancel(time.Now(), key.requestID, key.origin))
+		h.deliver(h.arb.Cancel(clock.Now(), key.requestID, key.origin))
 		h.end(key, askOutcome{grant: reply.Grant})
 		return
 	}
@@ -54,7 +55,7 @@
 
 // keepHere lets an ask that another zone did not take wait in this zone.
 func (h *arbiterHost) keepHere(zone string, ask dispatch.Ask, err error) {
-	now := time.Now()
+	now := clock.Now()
 	if err != nil {
 		h.deliver(h.arb.PeerLost(now, zone))
 	}
@@ -97,10 +98,10 @@
 			return
 		}
 		sum, ok := h.summary()
-		if !ok || slices.Equal(sum.Services, last.Services) && time.Since(sent) < summaryRepeat {
+		if !ok || slices.Equal(sum.Services, last.Services) && clock.Since(sent) < summaryRepeat {
 			continue
 		}
-		last, sent = sum, time.Now()
+		last, sent = sum, clock.Now()
 		report(sum)
 		for _, zone := range zones() {
 			if ref, known := h.arbiterOf(zone); known && zone != h.zone {
@@ -118,6 +119,6 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.arb != nil {
-		h.deliver(h.arb.ApplyPeerSummary(time.Now(), n.Summary))
+		h.deliver(h.arb.ApplyPeerSummary(clock.Now(), n.Summary))
 	}
 }
--- a/daemon/hostrpc.go
+++ b/daemon/hostrpc.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"magnoliastand.example/api"
+	"magnoliastand.example/clock"
 	"magnoliastand.example/dispatch/endpoint"
 	"magnoliastand.example/peerlink"
 )
@@ -59,14 +60,14 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.reg.Changes(time.Now(), r.Since), nil
+	return h.reg.Changes(clock.Now(), r.Since), nil
 }
 
 // announce takes an endpoint's announcement.
 func (h *arbiterHost) announce(id string, a api.Announcement) (api.AnnouncementReply, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	now := time.Now()
+	now := clock.Now()
 	reply, err := h.reg.Announce(now, id, a)
 	if err != nil {
 		return reply, err
@@ -101,10 +102,10 @@
 		case <-ctx.Done():
 			return
 		}
-		if !h.isArbiter() && time.Since(pulled) < restInterval {
+		if !h.isArbiter() && clock.Since(pulled) < restInterval {
 			continue
 		}
-		pulled = time.Now()
+		pulled = clock.Now()
 		callCtx, cancel := context.WithTimeout(ctx, releaseTimeout)
 		var feed endpoint.Feed
 		err := h.link.Call(callCtx, peer, methodFeed, feedRequest{Since: since}, &feed)
@@ -121,7 +122,7 @@
 func (h *arbiterHost) mergeFeed(peer string, feed endpoint.Feed) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	now := time.Now()
+	now := clock.Now()
 	if err := h.reg.Merge(now, peer, feed); err != nil {
 		h.log.Warn().Err(err).Msg("feed of a zone peer")
 	}
--- a/daemon/leader.go
+++ b/daemon/leader.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"magnoliastand.example/clock"
 	"magnoliastand.example/control"
 	"magnoliastand.example/peerlink"
 	"magnoliastand.example/quota"
@@ -93,10 +94,10 @@
 func (l *leaderDuties) moveTime(ctx context.Context) {
 	waiting := false
 	l.plane.machine.withLedger(func(ledger *quota.Ledger, _ uint64) { waiting = ledger.Waiting() })
-	if !waiting || time.Since(l.lastTick) < clusterTickInterval {
+	if !waiting || clock.Since(l.lastTick) < clusterTickInterval {
 		return
 	}
-	l.lastTick = time.Now()
+	l.lastTick = clock.Now()
 	l.propose(ctx, &control.Command{Tick: &control.Tick{}})
 }
 
--- a/daemon/operatorservice.go
+++ b/daemon/operatorservice.go
@@ -6,6 +6,7 @@
 
 	"github.com/pkg/errors"
 
+	"magnoliastand.example/clock"
 	"magnoliastand.example/control"
 	"magnoliastand.example/control/httpapi"
 	"magnoliastand.example/peerlink"
@@ -141,7 +142,7 @@
 			return leaderReport{}, errNotLeader
 		}
 	}
-	out := leaderReport{Version: c.machine.version(), InForce: c.follower.known(time.Now())}
+	out := leaderReport{Version: c.machine.version(), InForce: c.follower.known(clock.Now())}
 	if r.History {
 		out.History = c.machine.history()
 	}
--- a/daemon/planning.go
+++ b/daemon/planning.go
@@ -7,6 +7,7 @@
 
 	"github.com/rs/zerolog"
 
+	"magnoliastand.example/clock"
 	"magnoliastand.example/control"
 	"magnoliastand.example/dispatch/endpoint"
 	"magnoliastand.example/fleet"
@@ -58,7 +59,7 @@
 func (p *fleetPlanner) note(s endpoint.Summary) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.loads[s.Zone] = zoneLoad{summary: s, at: time.Now()}
+	p.loads[s.Zone] = zoneLoad{summary: s, at: clock.Now()}
 }
 
 // run plans at each interval while this daemon leads, until ctx ends.
@@ -129,7 +130,7 @@
 func (p *fleetPlanner) busySlots(service string) float64 {
 	busy := 0
 	for _, l := range p.loads {
-		if time.Since(l.at) > loadExpiry {
+		if clock.Since(l.at) > loadExpiry {
 			continue
 		}
 		for _, s := range l.summary.Services {
--- a/daemon/poll.go
+++ b/daemon/poll.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
+	"magnoliastand.example/clock"
 	"magnoliastand.example/control"
 	"magnoliastand.example/control/freshness"
 	"magnoliastand.example/peerlink"
@@ -150,7 +151,7 @@
 	asked := f.mono()
 	have := f.holder.View().Version()
 	var reply pollReply
-	err := f.link.Call(callCtx, peer, methodPoll, pollRequest{Have: have, Wait: wait, InForce: f.known(time.Now())}, &reply)
+	err := f.link.Call(callCtx, peer, methodPoll, pollRequest{Have: have, Wait: wait, InForce: f.known(clock.Now())}, &reply)
 	if err != nil {
 		f.forgetLeader(peer)
 		return false
@@ -288,7 +289,7 @@
 
 // note records the versions in force that a poll reported.
 func (f *follower) note(reports []inForce) {
-	now := time.Now()
+	now := clock.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, r := range reports {
@@ -321,7 +322,7 @@
 // versions returns the versions in force that were heard lately, by daemon.
 func (f *follower) versions() map[string]uint64 {
 	versions := make(map[string]uint64)
-	for _, r := range f.known(time.Now()) {
+	for _, r := range f.known(clock.Now()) {
 		versions[r.Daemon] = r.Version
 	}
 	return versions
--- a/daemon/slots.go
+++ b/daemon/slots.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"magnoliastand.example/clock"
 	"magnoliastand.example/dispatch"
 	"magnoliastand.example/dispatch/origin"
 	"magnoliastand.example/peerlink"
@@ -137,7 +138,7 @@
 		delete(s.accepted, r.Grant)
 		return
 	}
-	now := time.Now()
+	now := clock.Now()
 	s.expire(now)
 	a.unknownSince = now.Add(-r.Elapsed)
 	s.accepted[r.Grant] = a
@@ -183,7 +184,7 @@
 	for _, h := range started.Held {
 		running[h.Grant.ID] = h
 	}
-	now := time.Now()
+	now := clock.Now()
 	s.expire(now)
 	for id, a := range s.accepted {
 		if id.Zone != zone {
--- a/daemon/suspension_test.go
+++ b/daemon/suspension_test.go
@@ -14,6 +14,7 @@
 	"magnoliastand.example/clock/clocktest"
 	"magnoliastand.example/control/freshness"
 	"magnoliastand.example/daemon/settings"
+	"magnoliastand.example/dispatch/endpoint"
 	"magnoliastand.example/quota"
 )
 
@@ -107,3 +108,22 @@
 	clocktest.Suspend(t, longSuspension)
 	waitForFresh(t, d)
 }
+
+// TestLoadFromBeforeSuspensionDoesNotCount guards against a planner that moves instances by
+// what zones reported before its machine was suspended.
+func TestLoadFromBeforeSuspensionDoesNotCount(t *testing.T) {
+	p := startSingle(t).control.planner
+	p.note(endpoint.Summary{Zone: "other", Services: []endpoint.ServiceSummary{{Service: "s", Slots: 3}}})
+	busy := func() float64 {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		return p.busySlots("s")
+	}
+	if got := busy(); got != 3 {
+		t.Fatalf("%v busy slots, want 3", got)
+	}
+	clocktest.Suspend(t, longSuspension)
+	if got := busy(); got != 0 {
+		t.Errorf("%v busy slots after a suspension of %s, want none known", got, longSuspension)
+	}
+}
--- a/daemon/transfer.go
+++ b/daemon/transfer.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"magnoliastand.example/clock"
 	"magnoliastand.example/control"
 	"magnoliastand.example/peerlink"
 	"magnoliastand.example/quota"
@@ -50,7 +51,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.declared[r.Zone] = max(s.declared[r.Zone], r.Term)
-	s.expire(time.Now())
+	s.expire(clock.Now())
 	counts := make(map[string]int64)
 	for id, a := range s.accepted {
 		if id.Zone == r.Zone && id.Term < r.Term && a.grant.Team != "" {
@@ -105,7 +106,7 @@
 
 // plan returns the transfers that are due now.
 func (t *transfers) plan(ctx context.Context) quota.Command {
-	now := time.Now()
+	now := clock.Now()
 	v := t.plane.holder.View()
 	t.noteDaemons(now, v.Daemons())
 	var cmd quota.Command
@@ -160,7 +161,7 @@
 	running := make(map[string]int64)
 	complete := true
 	for _, d := range v.Daemons() {
-		covers := time.Since(t.seen[d.Name].since) > longest
+		covers := clock.Since(t.seen[d.Name].since) > longest
 		wg.Go(func() {
 			callCtx, cancel := context.WithTimeout(ctx, collectTimeout)
 			defer cancel()
--- a/daemon/zone.go
+++ b/daemon/zone.go
@@ -7,6 +7,7 @@
 
 	"github.com/rs/zerolog"
 
+	"magnoliastand.example/clock"
 	"magnoliastand.example/dispatch"
 	"magnoliastand.example/peerlink"
 )
@@ -87,7 +88,7 @@
 	ticker := time.NewTicker(electionTick)
 	defer ticker.Stop()
 	for ctx.Err() == nil {
-		m.step(ctx, time.Now())
+		m.step(ctx, clock.Now())
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
@@ -117,7 +118,7 @@
 // pause waits until the next heartbeat to a peer is due. The arbiter rests: it
 // hears its peers' heartbeats.
 func (m *zoneMonitor) pause(ctx context.Context, name string) {
-	start := time.Now()
+	start := clock.Now()
 	ticker := time.NewTicker(heartbeatInterval)
 	defer ticker.Stop()
 	for {
@@ -126,7 +127,7 @@
 		case <-ctx.Done():
 			return
 		}
-		if m.isUrgent(name) || time.Since(start) >= restInterval {
+		if m.isUrgent(name) || clock.Since(start) >= restInterval {
 			return
 		}
 	}
@@ -137,7 +138,7 @@
 func (m *zoneMonitor) isUrgent(name string) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return name == m.arbiter.Name || !m.arbiterAlive(time.Now())
+	return name == m.arbiter.Name || !m.arbiterAlive(clock.Now())
 }
 
 func (m *zoneMonitor) own() heartbeat {
@@ -157,7 +158,7 @@
 
 func (m *zoneMonitor) heard(name string, hb heartbeat) {
 	m.mu.Lock()
-	m.seen[name] = time.Now()
+	m.seen[name] = clock.Now()
 	m.ids[name] = hb.Daemon
 	m.leaving[name] = hb.Leaving
 	m.mu.Unlock()
