--- a/cluster/finder.go
+++ b/cluster/finder.go
@@ -8,6 +8,7 @@
 
 	"github.com/rs/zerolog"
 
+	"magnoliastand.example/clock"
 	"magnoliastand.example/peerlink"
 )
 
@@ -101,7 +102,7 @@
 func (f *Finder) HasLeader() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.leader != "" && time.Since(f.confirmedAt) < leaderFreshness
+	return f.leader != "" && clock.Since(f.confirmedAt) < leaderFreshness
 }
 
 // FreshLeader returns the leader if it confirmed its leadership within
@@ -156,7 +157,7 @@
 	if reply.Term < f.term {
 		return false
 	}
-	f.confirmedAt = time.Now()
+	f.confirmedAt = clock.Now()
 	f.setLeader(name, reply.Term)
 	return true
 }
--- a/cluster/finder_test.go
+++ b/cluster/finder_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/rs/zerolog"
+
+	"magnoliastand.example/clock/clocktest"
 )
 
 // fakeCore is a core daemon as a Finder sees it.
@@ -61,3 +63,18 @@
 		<-done
 	})
 }
+
+// TestLeaderIsNotFreshAfterSuspension guards against a daemon that reports itself ready when its
+// machine wakes up, because the leader seems to have confirmed its leadership just now.
+func TestLeaderIsNotFreshAfterSuspension(t *testing.T) {
+	f := newFinder(func(context.Context, string) (leadReply, error) {
+		return leadReply{Leader: "a", Term: 1}, nil
+	}, []string{"a"}, zerolog.Nop())
+	if !f.refresh(t.Context()) || !f.HasLeader() {
+		t.Fatal("no leader")
+	}
+	clocktest.Suspend(t, leaderFreshness)
+	if f.HasLeader() || f.FreshLeader() != "" {
+		t.Errorf("the leader counts as fresh after a suspension of %s", leaderFreshness)
+	}
+}
--- a/system/edge.go
+++ b/system/edge.go
@@ -8,6 +8,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 
+	"magnoliastand.example/clock"
 	"magnoliastand.example/cluster"
 	"magnoliastand.example/driver"
 	"magnoliastand.example/peerlink"
@@ -146,8 +147,9 @@
 // callLeader calls the leader until it answers or the time is up. It also returns
 // the leader that was called last and the number of attempts.
 func (e *edge) callLeader(ctx context.Context, r *workload.Request, timeout time.Duration) (workload.Response, string, int) {
-	start := time.Now()
-	ctx, cancel := context.WithDeadline(ctx, start.Add(timeout/10*deadlineTenths))
+	start := clock.Now()
+	deadline := start.Add(timeout / 10 * deadlineTenths)
+	ctx, cancel := clock.WithDeadline(ctx, deadline)
 	defer cancel()
 	sendDeadline := start.Add(timeout / leaderWaitDivisor)
 	outcomeUnknown := false
@@ -166,7 +168,8 @@
 			}
 			outcomeUnknown = outcomeUnknown || mayHaveRun(err)
 		}
-		if ctx.Err() != nil || !outcomeUnknown && time.Now().After(sendDeadline) {
+		now := clock.Now()
+		if ctx.Err() != nil || now.After(deadline) || !outcomeUnknown && now.After(sendDeadline) {
 			return e.failedResponse(outcomeUnknown, err), leader, attempts
 		}
 		waitForRetry(ctx, changed)
--- a/system/suspension_test.go
+++ b/system/suspension_test.go
@@ -1,6 +1,8 @@
 package system
 
 import (
+	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -109,3 +111,22 @@
 		t.Errorf("term %d, want %d: the log has no other voter", now, term)
 	}
 }
+
+// TestEdgeMakesNoCallAfterSuspension guards against a request that an edge goes on with when its
+// machine wakes up, after its caller has given up.
+func TestEdgeMakesNoCallAfterSuspension(t *testing.T) {
+	const timeout = 20 * time.Second
+	var calls atomic.Int64
+	e := testEdge(t, fakeLeader(t, func(context.Context, peerlink.Identity, []byte) (any, error) {
+		if calls.Add(1) == 1 {
+			clocktest.Suspend(t, timeout)
+			return nil, &peerlink.RemoteError{Code: codeUnknown, Detail: "leadership lost"}
+		}
+		return workload.Response{Answer: workload.AnswerOK}, nil
+	}))
+	waitFor(t, "ready edge", e.Ready)
+	resp := e.Serve(t.Context(), &workload.Request{Verb: workload.VerbSubmit, Path: "/q/1"}, timeout)
+	if resp.Answer != workload.AnswerUnknown || calls.Load() != 1 {
+		t.Errorf("answer %s (%s) after %d calls, want %s after one", resp.Answer, resp.Reason, calls.Load(), workload.AnswerUnknown)
+	}
+}
