--- a/driver/driver.go
+++ b/driver/driver.go
@@ -9,6 +9,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"magnoliastand.example/invariant"
 	"magnoliastand.example/platform"
 	"magnoliastand.example/workload"
@@ -224,8 +226,15 @@
 	})
 }
 
-// call runs one call to a worker with a timeout.
+// errLeaseLost means that an order was withheld because the driver may have a successor.
+var errLeaseLost = errors.Wrap(platform.ErrNotSent, "lease lost")
+
+// call runs one call that gives an order, with a timeout. The lease is checked right before
+// each call, because the process may have been paused since the order was decided on.
 func (d *Driver) call(timeout time.Duration, f func(ctx context.Context) error) error {
+	if !d.cfg.Log.IsLeader(d.cfg.Term) {
+		return errLeaseLost
+	}
 	ctx, cancel := context.WithTimeout(d.ctx, timeout)
 	defer cancel()
 	return f(ctx)
--- a/driver/order_test.go
+++ b/driver/order_test.go
@@ -54,6 +54,73 @@
 	}
 }
 
+// pausingWorkers loses the first start, and with it the lease, as when the process is paused
+// until its successor leads. It counts the starts.
+type pausingWorkers struct {
+	*platform.Client
+	log    *memoryLog
+	starts atomic.Int64
+}
+
+func (p *pausingWorkers) Start(ctx context.Context, e platform.Endpoint, o *platform.StartOrder) (workload.Millis, error) {
+	if p.starts.Add(1) == 1 {
+		p.log.leaseLost.Store(true)
+		return 0, context.DeadlineExceeded
+	}
+	return p.Client.Start(ctx, e, o)
+}
+
+// TestStartIsNotRepeatedWithoutLease guards against a start that is repeated after a pause of the
+// process, when another leader may have started the task elsewhere.
+func TestStartIsNotRepeatedWithoutLease(t *testing.T) {
+	w := newTestEnv(t)
+	workers := &pausingWorkers{Client: w.client, log: w.log}
+	w.orders = workers
+	w.startWithWorker(10 * time.Millisecond)
+	w.submit(jobID(0), step(1))
+	outcomes := func(outcome string) float64 {
+		return testutil.ToFloat64(w.metrics.Orders.WithLabelValues("start", outcome))
+	}
+	w.waitFor("start settled", func() bool { return outcomes("no-answer")+outcomes("ok") > 0 })
+	if n := workers.starts.Load(); n != 1 {
+		t.Errorf("%d starts sent, want the one under the lease", n)
+	}
+	w.log.leaseLost.Store(false)
+	w.waitFor("job completed", func() bool { return w.state(jobID(0)) == workload.JobCompleted })
+}
+
+// TestNoUpkeepWithoutLease guards against an upkeep that is ordered after a pause of the process:
+// where the machine service checks no fencing tokens, nothing else holds it back.
+func TestNoUpkeepWithoutLease(t *testing.T) {
+	w := newTestEnv(t)
+	var withheld atomic.Bool
+	w.log.committing = func(b *workload.Batch) {
+		for i := range b.Commands {
+			if b.Commands[i].OrderUpkeep != nil && withheld.CompareAndSwap(false, true) {
+				w.log.leaseLost.Store(true)
+			}
+		}
+	}
+	service := newFleet(t, w, 3)
+	if err := w.current().StartWave(t.Context(), &workload.Wave{ID: 1, Instances: []string{"m0"}, MaxDown: 1}, 60_000); err != nil {
+		t.Fatal(err)
+	}
+	outcomes := func(outcome string) float64 {
+		return testutil.ToFloat64(w.metrics.Orders.WithLabelValues("upkeep", outcome))
+	}
+	w.waitFor("upkeep withheld, or ordered", func() bool { return outcomes("not-sent")+outcomes("ok") > 0 })
+	for _, m := range service.Snapshot() {
+		if len(m.Upkeeps) > 0 {
+			t.Errorf("%s was taken down by a leader without a lease", m.Name)
+		}
+	}
+	w.log.leaseLost.Store(false)
+	w.waitFor("wave completed", func() (done bool) {
+		w.log.read(func(s *workload.State) { done = s.Waves()[1].Completed() })
+		return done
+	})
+}
+
 // TestNoOrderForJobThatFailedMeanwhile fails a job while the assignment of another
 // of its tasks, which needs a worker that joins late, is being committed. That
 // task must not start any more.
--- a/driver/pools.go
+++ b/driver/pools.go
@@ -218,9 +218,9 @@
 	holder := platform.Holder{Name: d.cfg.Name, Fence: d.cfg.Term}
 	name, to, worker := i.Name, i.moveTo, d.state.Workers()[i.Worker]
 	d.async(func() {
-		ctx, cancel := context.WithTimeout(d.ctx, machineTimeout)
-		defer cancel()
-		err := d.cfg.Instances.MoveInstance(ctx, d.cfg.MachineAddress, holder, name, to)
+		err := d.call(machineTimeout, func(ctx context.Context) error {
+			return d.cfg.Instances.MoveInstance(ctx, d.cfg.MachineAddress, holder, name, to)
+		})
 		d.postReply(func() { f.moveAnswered(i, worker, to, err) })
 	})
 }
--- a/driver/session.go
+++ b/driver/session.go
@@ -312,9 +312,11 @@
 	}
 	endpoint := s.endpoint()
 	d.async(func() {
-		ctx, cancel := context.WithTimeout(d.ctx, timeout)
-		defer cancel()
-		lists, err := d.cfg.Workers.Hold(ctx, endpoint, order)
+		var lists *platform.Lists
+		err := d.call(timeout, func(ctx context.Context) (err error) {
+			lists, err = d.cfg.Workers.Hold(ctx, endpoint, order)
+			return err
+		})
 		d.postReply(func() { d.holdAnswered(s, order, now, lists, err) })
 	})
 }
@@ -334,7 +336,7 @@
 func (d *Driver) holdAnswered(s *session, order *platform.HoldOrder, sent time.Time, lists *platform.Lists, err error) {
 	s.holdInFlight = false
 	now := time.Now()
-	if d.sessions[s.worker.ID] != s {
+	if d.sessions[s.worker.ID] != s || errors.Is(err, errLeaseLost) {
 		return
 	}
 	if err != nil {
--- a/driver/start.go
+++ b/driver/start.go
@@ -118,6 +118,9 @@
 	case errors.As(err, &refusal):
 		d.startRefused(r, s, refusal, now)
 		return
+	case errors.Is(err, errLeaseLost): // the worker has no part in it
+		d.endRun(r, workload.OutcomeNotRun, "", 0, outcomeOf(err))
+		return
 	case errors.Is(err, platform.ErrBusy), errors.Is(err, platform.ErrNotSent):
 		s.addFailure(refusalWeight, now)
 		d.endRun(r, workload.OutcomeNotRun, "", 0, outcomeOf(err))
--- a/driver/wave.go
+++ b/driver/wave.go
@@ -304,9 +304,9 @@
 	holder := platform.Holder{Name: d.cfg.Name, Fence: d.cfg.Term}
 	name, worker, wave := in.Name, d.state.Workers()[in.Worker], w.ID
 	d.async(func() {
-		ctx, cancel := context.WithTimeout(d.ctx, machineTimeout)
-		defer cancel()
-		err := d.cfg.Instances.StartUpkeep(ctx, d.cfg.MachineAddress, holder, name, wave)
+		err := d.call(machineTimeout, func(ctx context.Context) error {
+			return d.cfg.Instances.StartUpkeep(ctx, d.cfg.MachineAddress, holder, name, wave)
+		})
 		d.postReply(func() { f.upkeepAnswered(in, worker, wave, err) })
 	})
 }
