--- a/clock/clock_test.go
+++ b/clock/clock_test.go
@@ -15,7 +15,7 @@
 	const d = 3 * time.Second
 	granted, deadline, boot, before := clock.Now(), clock.Now().Add(2*time.Second), clock.Boot(), clock.Suspended()
 	plain := time.Now()
-	clocktest.Suspend(t, d)
+	clocktest.Suspend(d)
 	if age := clock.Since(granted); age < d {
 		t.Errorf("age %v after a suspension of %v", age, d)
 	}
@@ -51,7 +51,7 @@
 		}()
 	}
 	for range 50 {
-		clocktest.Suspend(t, time.Millisecond)
+		clocktest.Suspend(time.Millisecond)
 	}
 	for range 4 {
 		<-done
@@ -83,7 +83,7 @@
 	}()
 	defer func() { stop(); <-ended }()
 	for {
-		clocktest.Suspend(t, d) // again if Watch had not begun
+		clocktest.Suspend(d) // again if Watch had not begun
 		select {
 		case got := <-reported:
 			if got < d-time.Millisecond {
--- a/clock/clocktest/clocktest.go
+++ b/clock/clocktest/clocktest.go
@@ -2,18 +2,17 @@
 package clocktest
 
 import (
-	"testing"
 	"time"
 
 	"magnoliastand.example/clock/internal/reading"
 )
 
 // Suspend makes this process see a suspension of the machine for d that has just ended:
-// the times of package clock leap by d, those of package time don't.
-func Suspend(t testing.TB, d time.Duration) {
-	t.Helper()
+// the times of package clock leap by d, those of package time don't. It panics if d is
+// negative, because the clock of the machine never runs backward.
+func Suspend(d time.Duration) {
 	if d < 0 {
-		t.Fatalf("a suspension can't last %v", d)
+		panic("clocktest: negative suspension")
 	}
 	reading.SimulateSuspension(d)
 }
--- a/cluster/finder_test.go
+++ b/cluster/finder_test.go
@@ -73,7 +73,7 @@
 	if !f.refresh(t.Context()) || !f.HasLeader() {
 		t.Fatal("no leader")
 	}
-	clocktest.Suspend(t, leaderFreshness)
+	clocktest.Suspend(leaderFreshness)
 	if f.HasLeader() || f.FreshLeader() != "" {
 		t.Errorf("the leader counts as fresh after a suspension of %s", leaderFreshness)
 	}
--- a/cluster/suspension_test.go
+++ b/cluster/suspension_test.go
@@ -15,7 +15,7 @@
 	var leader *daemon
 	waitFor(t, "a leader", func() bool { leader = leaderOf(all); return leader != nil })
 	term, ok := leader.member.Lease()
-	clocktest.Suspend(t, 3*time.Second)
+	clocktest.Suspend(3 * time.Second)
 	if now, still := leader.member.Lease(); ok && still && now == term {
 		t.Errorf("lease of term %d holds after a suspension of 3 s", term)
 	}
--- a/cmd/magnoliastand/soak_test.go
+++ b/cmd/magnoliastand/soak_test.go
@@ -34,6 +34,8 @@
 	// soakCapacityBound is how long after a change starts may exceed a smaller capacity: the
 	// platform's time in touch and one interval of announcements.
 	soakCapacityBound = 3300 * time.Millisecond
+	// soakOperatorPause is the pause between two changes or reads of the configuration.
+	soakOperatorPause = 100 * time.Millisecond
 	// soakDeadly begins the IDs of jobs of which one task crashes each worker that begins it.
 	soakDeadly = "dead"
 )
@@ -94,6 +96,8 @@
 	rndCapacity *rand.Rand
 	// shrunk counts the changes of capacity.
 	shrunk int
+	// rndSuspension draws which machines are suspended.
+	rndSuspension *rand.Rand
 	// workers are those that run; nil stands for one that is yet to come back.
 	workers [soakWorkers]*platformtest.Worker
 	// away counts the workers that are yet to come back; once closed is set, none does.
@@ -102,13 +106,16 @@
 	all      []*platformtest.Worker
 	accepted map[string]bool
 	refused  map[string]bool
-	version  int
+	// version is the last configuration that was sent, and acked the last one acknowledged.
+	version, acked int
+	// reads counts the configurations that were read while machines were harmed.
+	reads int
 }
 
 func newSoak(t *testing.T, seed uint64) *soak {
 	s := &soak{
 		t: t, rnd: rand.New(rand.NewPCG(seed, 7)), rndCrash: rand.New(rand.NewPCG(seed, 8)),
-		rndCapacity: rand.New(rand.NewPCG(seed, 9)), dir: t.TempDir(), net: 20 + os.Getpid()%200, stop: make(chan struct{}),
+		rndCapacity: rand.New(rand.NewPCG(seed, 9)), rndSuspension: rand.New(rand.NewPCG(seed, 10)), dir: t.TempDir(), net: 20 + os.Getpid()%200, stop: make(chan struct{}),
 		accepted: map[string]bool{}, refused: map[string]bool{},
 	}
 	for n := range soakCores + soakEdges {
@@ -359,11 +366,15 @@
 func (s *soak) put() {
 	s.mu.Lock()
 	s.version++
+	version := s.version
 	doc := fmt.Sprintf(`{"version":%d,"routes":[{"name":"q","host":"h","path_prefix":"/q/","service":"p","timeout_ms":3000,`+
-		`"target_latency_ms":600,"max_attempts":50,"stretch":2,"public":true}],"services":[{"name":"p"}],"tenants":[]}`, s.version)
+		`"target_latency_ms":600,"max_attempts":50,"stretch":2,"public":true}],"services":[{"name":"p"}],"tenants":[]}`, version)
 	s.mu.Unlock()
 	for n := 0; ; n++ {
 		if status, _ := send("POST", "http://"+s.control(n)+"/config/put", doc, time.Second); status == http.StatusOK {
+			s.mu.Lock()
+			s.acked = version
+			s.mu.Unlock()
 			return
 		}
 		if !s.pause(50 * time.Millisecond) {
@@ -372,6 +383,46 @@
 	}
 }
 
+// operators changes the configuration and reads it back at all cores until done is closed. No
+// core may answer a read with a version older than one acknowledged before it was sent.
+func (s *soak) operators(done <-chan struct{}, wg *sync.WaitGroup) {
+	until := func(f func(n int)) {
+		for n := 0; ; n++ {
+			select {
+			case <-done:
+				return
+			case <-time.After(soakOperatorPause):
+				f(n)
+			}
+		}
+	}
+	wg.Go(func() { until(func(int) { s.put() }) })
+	for r := range 2 {
+		wg.Go(func() { until(func(n int) { s.readConfiguration(n + 2*r) }) })
+	}
+}
+
+// readConfiguration reads the configuration at a core.
+func (s *soak) readConfiguration(core int) {
+	s.mu.Lock()
+	acked := s.acked
+	s.mu.Unlock()
+	status, body := send("GET", "http://"+s.control(core)+"/config/get", "", time.Second)
+	if status != http.StatusOK {
+		return
+	}
+	var doc struct {
+		Version int `json:"version"`
+	}
+	err := json.Unmarshal(body, &doc)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reads++
+	if err != nil || doc.Version < acked {
+		s.t.Errorf("version %d is read at core%d (%v), %d had been acknowledged before", doc.Version, core%soakCores, err, acked)
+	}
+}
+
 // pause waits and reports whether the run goes on.
 func (s *soak) pause(d time.Duration) bool {
 	select {
@@ -435,11 +486,13 @@
 	}
 	done := make(chan struct{})
 	wg := s.callers(done)
+	s.operators(done, wg)
 	for n := range steps {
 		if n%5 == 1 {
 			wg.Go(func() { s.submit(fmt.Sprintf("%s%012x", soakDeadly, n)) })
 		}
 		s.changeCapacity()
+		s.suspend()
 		s.fault()
 		s.pause(time.Duration(100+s.rnd.IntN(900)) * time.Millisecond)
 	}
@@ -499,6 +552,23 @@
 	}
 }
 
+// suspend lets one step in four find the machine of a core asleep for seconds. The process is
+// stopped, and sees its boot clock ahead when it goes on; its monotonic clock, which a test
+// can't hold, has counted that time too.
+func (s *soak) suspend() {
+	draw, n := s.rndSuspension.IntN(4), s.rndSuspension.IntN(soakCores)
+	span := time.Duration(500+s.rndSuspension.IntN(3000)) * time.Millisecond
+	if draw > 0 {
+		return
+	}
+	core := s.cores()[n]
+	s.t.Logf("%s %s is suspended for %s", time.Now().UTC().Format("15:04:05.000"), core.name, span)
+	_ = core.cmd.Process.Signal(syscall.SIGSTOP)
+	s.pause(span)
+	_ = core.cmd.Process.Signal(suspensionSignal) // delivered when the process goes on
+	_ = core.cmd.Process.Signal(syscall.SIGCONT)
+}
+
 // workerFault harms the n-th worker, unless it is yet to come back.
 func (s *soak) workerFault(kind, n int, span time.Duration) {
 	s.mu.Lock()
@@ -619,8 +689,8 @@
 			s.t.Errorf("task %s ran, and its job was refused as not run", runs[i].Task)
 		}
 	}
-	s.t.Logf("%d jobs accepted, %d refused as not run, %d runs, %d crashes, %d times less capacity",
-		len(s.accepted), len(s.refused), len(runs), crashes, s.shrunk)
+	s.t.Logf("%d jobs accepted, %d refused as not run, %d runs, %d crashes, %d times less capacity, %d configurations read",
+		len(s.accepted), len(s.refused), len(runs), crashes, s.shrunk, s.reads)
 }
 
 // ends waits until a job ends, and compares its state.
--- a/daemon/console/console_test.go
+++ b/daemon/console/console_test.go
@@ -210,7 +210,7 @@
 	if status, _ := b.do(http.MethodGet, "/console", nil); status != http.StatusOK {
 		t.Fatalf("status %d in a session", status)
 	}
-	clocktest.Suspend(t, sessionLife)
+	clocktest.Suspend(sessionLife)
 	if status, _ := b.do(http.MethodGet, "/console", nil); status != http.StatusSeeOther {
 		t.Errorf("status %d, want a redirect to the login after %s", status, sessionLife)
 	}
--- a/daemon/suspension_test.go
+++ b/daemon/suspension_test.go
@@ -91,7 +91,7 @@
 	if !lease.Confirm(1, c.mono()) || !lease.Fresh(1) || !holder.Leased() {
 		t.Fatal("no lease before the suspension")
 	}
-	clocktest.Suspend(t, longSuspension)
+	clocktest.Suspend(longSuspension)
 	if lease.Fresh(1) {
 		t.Error("a confirmation from before the suspension counts as fresh")
 	}
@@ -105,7 +105,7 @@
 func TestDaemonIsFreshAgainAfterSuspension(t *testing.T) {
 	d := startSingle(t)
 	waitForFresh(t, d)
-	clocktest.Suspend(t, longSuspension)
+	clocktest.Suspend(longSuspension)
 	waitForFresh(t, d)
 }
 
@@ -122,7 +122,7 @@
 	if got := busy(); got != 3 {
 		t.Fatalf("%v busy slots, want 3", got)
 	}
-	clocktest.Suspend(t, longSuspension)
+	clocktest.Suspend(longSuspension)
 	if got := busy(); got != 0 {
 		t.Errorf("%v busy slots after a suspension of %s, want none known", got, longSuspension)
 	}
--- a/dispatch/origin/suspension_test.go
+++ b/dispatch/origin/suspension_test.go
@@ -19,7 +19,7 @@
 func TestRequestIsNotSentAfterSuspension(t *testing.T) {
 	b := newTestBed(t, standin.EndpointConfig{})
 	b.slots.beforeGrant = func(int) error {
-		clocktest.Suspend(t, time.Minute)
+		clocktest.Suspend(time.Minute)
 		return nil
 	}
 	r := b.post("book", "x", header(api.HeaderDeadline, "1500ms"))
@@ -35,7 +35,7 @@
 // passed while the machine was suspended: its slot may serve another request.
 func TestGrantLapsesDuringSuspension(t *testing.T) {
 	granted := clock.Now()
-	clocktest.Suspend(t, 2*time.Second)
+	clocktest.Suspend(2 * time.Second)
 	err := (&call{}).checkStart(t.Context(), dispatch.Grant{StartWithin: time.Second}, granted)
 	if !errors.Is(err, errStartDenied) {
 		t.Errorf("start under a grant of 1 s after a suspension of 2 s: %v", err)
--- a/dispatch/record/suspension_test.go
+++ b/dispatch/record/suspension_test.go
@@ -27,7 +27,7 @@
 		home, other := s.nodes[0], s.nodes[1]
 		other.service.cfg.Peers = refusedBegin{Peers: other.service.cfg.Peers, ago: 2 * time.Second}
 		attempt := claimFor(home.service.IssueID(), "x")
-		clocktest.Suspend(t, 3*time.Second)
+		clocktest.Suspend(3 * time.Second)
 		if d := begin(other, attempt); d.Verdict != Superseded {
 			t.Errorf("verdict %d, want %d: the refusal came 1 s after the attempt", d.Verdict, Superseded)
 		}
--- a/relay/suspension_test.go
+++ b/relay/suspension_test.go
@@ -41,7 +41,7 @@
 		}
 		go order()
 		synctest.Wait() // until it waits for a slot
-		clocktest.Suspend(t, 3*time.Second)
+		clocktest.Suspend(3 * time.Second)
 		close(w.unblock)
 		notSent := 0
 		for range maxConcurrentCalls + 1 {
--- a/system/suspension_test.go
+++ b/system/suspension_test.go
@@ -33,7 +33,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	clocktest.Suspend(t, 3*time.Second)
+	clocktest.Suspend(3 * time.Second)
 	_, err = m.document(t.Context(), &emptyMessage{})
 	if now, _ := m.currentDriver(); !errors.Is(err, platform.ErrUnavailable) && (now == nil || now == d) {
 		t.Errorf("read after a suspension of 3 s: %v, want %v", err, platform.ErrUnavailable)
@@ -101,7 +101,7 @@
 	m.lead(t)
 	var d *driver.Driver
 	waitFor(t, "driver", func() bool { d, _ = m.currentDriver(); return d != nil })
-	clocktest.Suspend(t, 3*time.Second)
+	clocktest.Suspend(3 * time.Second)
 	var next *driver.Driver
 	waitFor(t, "driver after the suspension", func() bool { next, _ = m.currentDriver(); return next != nil })
 	if next == d {
@@ -119,7 +119,7 @@
 	var calls atomic.Int64
 	e := testEdge(t, fakeLeader(t, func(context.Context, peerlink.Identity, []byte) (any, error) {
 		if calls.Add(1) == 1 {
-			clocktest.Suspend(t, timeout)
+			clocktest.Suspend(timeout)
 			return nil, &peerlink.RemoteError{Code: codeUnknown, Detail: "leadership lost"}
 		}
 		return workload.Response{Answer: workload.AnswerOK}, nil
