--- a/cluster/recovery.go
+++ b/cluster/recovery.go
@@ -6,6 +6,7 @@
 
 	"github.com/pkg/errors"
 
+	"magnoliastand.example/clock"
 	"magnoliastand.example/consensus"
 	"magnoliastand.example/consensus/storage"
 )
@@ -36,10 +37,10 @@
 // awaitStorage waits until the storage can be opened and written again, or ctx
 // ends. It returns an error if the files are damaged.
 func (m *Member[R]) awaitStorage(ctx context.Context, cause error) error {
-	failed := time.Now()
+	failed := clock.Now()
 	m.cfg.Metrics.StorageFailed.Set(1)
 	m.cfg.Log.Error().Err(cause).Msg("storage failed: this daemon neither votes nor leads until the disk can be written again")
-	if time.Since(m.reopenedAt) > stableTime {
+	if clock.Since(m.reopenedAt) > stableTime {
 		m.reopenDelay = 0
 	}
 	for {
@@ -54,9 +55,9 @@
 			m.mu.Lock()
 			m.disk = disk
 			m.mu.Unlock()
-			m.reopenedAt = time.Now()
+			m.reopenedAt = clock.Now()
 			m.cfg.Metrics.StorageFailed.Set(0)
-			m.cfg.Log.Info().Dur("failed_for", time.Since(failed)).Msg("storage works again: this daemon takes part in the log")
+			m.cfg.Log.Info().Dur("failed_for", clock.Since(failed)).Msg("storage works again: this daemon takes part in the log")
 			return nil
 		}
 		if !errors.Is(err, storage.ErrIO) {
@@ -98,10 +99,10 @@
 // yieldOnSlowDisk transfers leadership away from a daemon with a slow disk.
 func (m *Member[R]) yieldOnSlowDisk(ctx context.Context) {
 	s := m.Node().Status()
-	if s.Role != consensus.Leader || s.SyncLatency < slowSync || time.Since(m.yieldedAt) < yieldInterval {
+	if s.Role != consensus.Leader || s.SyncLatency < slowSync || clock.Since(m.yieldedAt) < yieldInterval {
 		return
 	}
-	m.yieldedAt = time.Now()
+	m.yieldedAt = clock.Now()
 	m.cfg.Log.Warn().Dur("sync", s.SyncLatency).Msg("writes to the disk are slow: transferring leadership")
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
--- a/consensus/lease_test.go
+++ b/consensus/lease_test.go
@@ -74,7 +74,7 @@
 	drop := func(m consensus.Message) bool { return m.Type == consensus.MsgTimeoutNow }
 	s.runInOrder(1, s.nodes, drop)
 	term := old.core.Term()
-	s.runInOrder(10*consensus.DefaultElectionTicks, s.nodes, func(m consensus.Message) bool {
+	s.runInOrder(10*consensus.DefaultElectionTicks, s.nodes, func(consensus.Message) bool {
 		if st := old.core.Status(); st.QuorumKnown && st.Term == term {
 			t.Fatal("the leader has a lease again in the term of its request")
 		}
--- a/relay/route.go
+++ b/relay/route.go
@@ -85,7 +85,7 @@
 			delete(r.agents, name)
 		}
 	}
-	now := time.Now()
+	now := clock.Now()
 	for id, d := range r.reroutes {
 		if now.After(d.until) {
 			delete(r.reroutes, id)
@@ -126,7 +126,7 @@
 // recordProbe records the result of a probe and updates whether the agent is
 // usable.
 func (r *Relay) recordProbe(a *agentLink, err error) {
-	now := time.Now()
+	now := clock.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if err == nil {
@@ -148,7 +148,7 @@
 func (r *Relay) markSuspect(a *agentLink) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	a.suspectUntil = time.Now().Add(suspectDuration)
+	a.suspectUntil = clock.Now().Add(suspectDuration)
 	r.setUsable(a, false, ErrNoAnswer)
 }
 
@@ -170,7 +170,7 @@
 func (r *Relay) route(e platform.Endpoint) *agentLink {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if d, ok := r.reroutes[e.ID]; ok && time.Now().Before(d.until) {
+	if d, ok := r.reroutes[e.ID]; ok && clock.Now().Before(d.until) {
 		paths := r.sortedPaths(e)
 		return paths[d.skip%len(paths)].agent
 	}
@@ -227,7 +227,7 @@
 	defer r.mu.Unlock()
 	next := slices.IndexFunc(r.sortedPaths(e), func(p path) bool { return p.agent == used }) + 1
 	before := r.reroutes[e.ID]
-	r.reroutes[e.ID] = reroute{skip: next, until: time.Now().Add(rerouteDuration)}
+	r.reroutes[e.ID] = reroute{skip: next, until: clock.Now().Add(rerouteDuration)}
 	if before.skip == next {
 		return
 	}
--- a/system/edge.go
+++ b/system/edge.go
@@ -127,9 +127,9 @@
 // Serve implements platform.Frontend. All verbs are idempotent by job ID, so a
 // call without an answer is retried.
 func (e *edge) Serve(ctx context.Context, r *workload.Request, timeout time.Duration) workload.Response {
-	start := time.Now()
+	start := clock.Now()
 	resp, leader, attempts := e.callLeader(ctx, r, timeout)
-	elapsed := time.Since(start)
+	elapsed := clock.Since(start)
 	e.requests.WithLabelValues(r.Verb.String(), resp.Answer.String()).Inc()
 	e.duration.WithLabelValues(r.Verb.String()).Observe(elapsed.Seconds())
 	if r.Verb != workload.VerbState || resp.Answer != workload.AnswerOK {
--- a/system/leader.go
+++ b/system/leader.go
@@ -53,9 +53,9 @@
 	delay := leadershipPollInterval
 	for ctx.Err() == nil {
 		if term, ok := l.member.Lease(); ok {
-			start := time.Now()
+			start := clock.Now()
 			panicked := l.runTerm(ctx, term)
-			if time.Since(start) > maxRestartDelay {
+			if clock.Since(start) > maxRestartDelay {
 				delay = leadershipPollInterval
 			}
 			if panicked {
@@ -71,7 +71,7 @@
 
 // runTerm runs a driver for one term and reports whether it panicked.
 func (l *leader) runTerm(ctx context.Context, term uint64) bool {
-	start := time.Now()
+	start := clock.Now()
 	t := newTenure(l.member, term)
 	if err := l.catchUp(ctx, t); err != nil || !t.IsLeader(term) {
 		l.log.Warn().Err(err).Uint64("term", term).Msg("leadership not assumed: state not up to date or lease lost")
@@ -88,7 +88,7 @@
 	l.ledTerm = term
 	l.setDriver(d, t)
 	l.log.Info().Uint64("term", term).Int("jobs", len(state.Jobs())).Int("workers", len(state.Workers())).
-		Int64("version", state.Version()).Dur("took", time.Since(start)).Msg("lead taken")
+		Int64("version", state.Version()).Dur("took", clock.Since(start)).Msg("lead taken")
 	driveCtx, stop := context.WithCancel(ctx)
 	var background sync.WaitGroup
 	background.Go(func() { t.watch(driveCtx, stop) })
@@ -97,7 +97,7 @@
 	stop()
 	background.Wait()
 	l.setDriver(nil, nil)
-	l.log.Info().Uint64("term", term).Dur("led", time.Since(start)).Msg("leadership ended")
+	l.log.Info().Uint64("term", term).Dur("led", clock.Since(start)).Msg("leadership ended")
 	return d.Panicked()
 }
 
--- a/system/unreadable.go
+++ b/system/unreadable.go
@@ -6,6 +6,8 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
+
+	"magnoliastand.example/clock"
 )
 
 // unreadableLogInterval is the minimum interval between log lines on one source of
@@ -37,7 +39,7 @@
 // the first one.
 func (u *unreadableLog) add(source string, entries int, first error) {
 	u.total.WithLabelValues(source).Add(float64(entries))
-	now := time.Now()
+	now := clock.Now()
 	u.mu.Lock()
 	due := now.After(u.nextLog[source])
 	if due {
