--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -183,6 +183,9 @@
 	d.link.Handle(methodHoldings, d.slots.handleHoldings)
 	d.control.ownHoldings = d.slots.holdings
 	d.metrics.gauge("requests_in_flight", "Requests being handled.", func() float64 { return float64(d.origin.InFlight()) })
+	d.metrics.gauge("suspended_seconds", "Time for which the machine was suspended since the start.", func() float64 {
+		return clock.Suspended().Seconds()
+	})
 	d.metrics.gauge("configuration_version", "Version of the configuration in force.", func() float64 {
 		return float64(d.control.holder.View().Version())
 	})
