--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"magnoliastand.example/api"
+	"magnoliastand.example/clock"
 	"magnoliastand.example/jobs"
 	"magnoliastand.example/jobs/httpapi"
 )
@@ -44,7 +45,8 @@
 	Behaviour   Behaviour
 	// Wait is how long a heartbeat waits for commands.
 	Wait time.Duration
-	// Clock is a monotonic clock; nil means the clock of the process.
+	// Clock is a monotonic clock that advances while the machine is suspended; nil means that
+	// of the machine.
 	Clock func() time.Duration
 }
 
@@ -62,8 +64,8 @@
 // New returns a worker that does nothing until Run.
 func New(cfg Config) *Worker {
 	if cfg.Clock == nil {
-		start := time.Now()
-		cfg.Clock = func() time.Duration { return time.Since(start) }
+		start := clock.Now()
+		cfg.Clock = func() time.Duration { return clock.Since(start) }
 	}
 	return &Worker{cfg: cfg, client: &http.Client{Transport: &http.Transport{}}, core: newCore(cfg.Behaviour)}
 }
--- a/standin/worker/worker_test.go
+++ b/standin/worker/worker_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"magnoliastand.example/api"
+	"magnoliastand.example/clock/clocktest"
 	"magnoliastand.example/jobs"
 	"magnoliastand.example/jobs/httpapi"
 )
@@ -268,3 +269,15 @@
 		t.Errorf("a job that fits nowhere: %+v", j)
 	}
 }
+
+// TestLeaseCountsSuspension guards against a worker whose machine wakes up and goes on with tasks
+// that have started elsewhere meanwhile.
+func TestLeaseCountsSuspension(t *testing.T) {
+	const d = 3 * time.Second
+	w := New(Config{})
+	before := w.cfg.Clock()
+	clocktest.Suspend(d)
+	if passed := w.cfg.Clock() - before; passed < d {
+		t.Errorf("%s passed on the clock of the lease over a suspension of %s", passed, d)
+	}
+}
