--- a/system/leader.go
+++ b/system/leader.go
@@ -241,7 +241,11 @@
 // evidence adds to a log line why this daemon believes that it leads: its term, the age of
 // the quorum's last confirmation, and how long the machine has been suspended since the start.
 func (l *leader) evidence(e *zerolog.Event) *zerolog.Event {
-	s := l.member.Node().Status()
+	started := l.member.Node()
+	if started == nil {
+		return e
+	}
+	s := started.Status()
 	return e.Uint64("term", s.Term).Stringer("log_role", s.Role).Dur("quorum_age", s.QuorumAge).Dur("suspended", clock.Suspended())
 }
 
--- a/system/suspension_test.go
+++ b/system/suspension_test.go
@@ -7,8 +7,11 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
 
 	"magnoliastand.example/clock/clocktest"
+	"magnoliastand.example/cluster"
 	"magnoliastand.example/driver"
 	"magnoliastand.example/peerlink"
 	"magnoliastand.example/platform"
@@ -130,3 +133,21 @@
 		t.Errorf("answer %s (%s) after %d calls, want %s after one", resp.Answer, resp.Reason, calls.Load(), workload.AnswerUnknown)
 	}
 }
+
+// TestDocumentReadBeforeLogHasStarted guards against a panic of a read that reaches a core before
+// its log has started.
+func TestDocumentReadBeforeLogHasStarted(t *testing.T) {
+	link := testLink(t, "127.0.0.1:1")
+	member, err := cluster.Open(cluster.Config[[]error]{
+		Self: "127.0.0.1:1", DataFolder: t.TempDir(), Seeds: []string{"127.0.0.1:1"}, Voters: 1,
+		Machine: newReplica(platform.DecodeDocument), Link: link,
+		Metrics: cluster.NewMetrics(prometheus.NewRegistry()), Log: zerolog.Nop(),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := &leader{member: member, log: zerolog.Nop()}
+	if _, err := l.document(t.Context(), &emptyMessage{}); !errors.Is(err, platform.ErrUnavailable) {
+		t.Errorf("read before the log has started: %v, want %v", err, platform.ErrUnavailable)
+	}
+}
