--- a/system/suspension_test.go
+++ b/system/suspension_test.go
@@ -18,20 +18,24 @@
 	"magnoliastand.example/workload"
 )
 
-// document is a valid configuration document of the given version.
-func document(version string) []byte {
-	return []byte(`{"version":` + version + `,"routes":[],"services":[],"limits":{},"tenants":[]}`)
-}
+const emptyDocument = `{"version":1,"routes":[],"services":[],"limits":{},"tenants":[]}`
 
-// TestDocumentIsNotReadAfterSuspension guards against a leader that answers a read with its own
-// copy when its machine wakes up: another leader may have committed a newer document.
-func TestDocumentIsNotReadAfterSuspension(t *testing.T) {
+// leadingWithDocument returns the leader of three members, which has committed a document.
+func leadingWithDocument(t *testing.T) *testMember {
+	t.Helper()
 	m, _ := leading(t, formLog(t, 3, &heldWorkers{}))
 	m.lead(t)
 	waitFor(t, "document committed", func() bool {
-		_, err := m.putDocument(t.Context(), &documentMessage{Raw: document("1")})
+		_, err := m.putDocument(t.Context(), &documentMessage{Raw: []byte(emptyDocument)})
 		return err == nil
 	})
+	return m
+}
+
+// TestDocumentIsNotReadAfterSuspension guards against a leader that answers a read with its own
+// copy when its machine wakes up: another leader may have committed a newer document.
+func TestDocumentIsNotReadAfterSuspension(t *testing.T) {
+	m := leadingWithDocument(t)
 	d, err := m.currentDriver()
 	if err != nil {
 		t.Fatal(err)
@@ -46,12 +50,7 @@
 // TestDocumentReadNeedsQuorum guards against reads of the document that rest on the leader's
 // lease alone, and so on its clock. The leader is cut off and its lease still holds.
 func TestDocumentReadNeedsQuorum(t *testing.T) {
-	m, _ := leading(t, formLog(t, 3, &heldWorkers{}))
-	m.lead(t)
-	waitFor(t, "document committed", func() bool {
-		_, err := m.putDocument(t.Context(), &documentMessage{Raw: document("1")})
-		return err == nil
-	})
+	m := leadingWithDocument(t)
 	if _, err := m.document(t.Context(), &emptyMessage{}); err != nil {
 		t.Fatalf("read with a quorum: %v", err)
 	}
