--- a/cmd/magnoliastand/soak_test.go
+++ b/cmd/magnoliastand/soak_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -115,7 +116,7 @@
 func newSoak(t *testing.T, seed uint64) *soak {
 	s := &soak{
 		t: t, rnd: rand.New(rand.NewPCG(seed, 7)), rndCrash: rand.New(rand.NewPCG(seed, 8)),
-		rndCapacity: rand.New(rand.NewPCG(seed, 9)), rndSuspension: rand.New(rand.NewPCG(seed, 10)), dir: t.TempDir(), net: 20 + os.Getpid()%200, stop: make(chan struct{}),
+		rndCapacity: rand.New(rand.NewPCG(seed, 9)), rndSuspension: rand.New(rand.NewPCG(seed, 10)), dir: t.TempDir(), net: claimNetwork(t), stop: make(chan struct{}),
 		accepted: map[string]bool{}, refused: map[string]bool{},
 	}
 	for n := range soakCores + soakEdges {
@@ -134,6 +135,23 @@
 	return s
 }
 
+// claimNetwork returns a number X such that no other soak on this machine uses 127.X.0.0/16, and
+// keeps it until the test ends.
+func claimNetwork(t *testing.T) int {
+	t.Helper()
+	const first, count = 20, 200
+	for n := range count {
+		x := first + (os.Getpid()+n)%count
+		claim, err := net.Listen("tcp", fmt.Sprintf("127.%d.9.1:%d", x, soakPeerPort))
+		if err == nil {
+			t.Cleanup(func() { _ = claim.Close() })
+			return x
+		}
+	}
+	t.Fatal("no loopback network is free")
+	return 0
+}
+
 // settings are what the deployment's template would make.
 func (s *soak) settings(d *soakDaemon) string {
 	var b strings.Builder
@@ -193,6 +211,9 @@
 	s.awaitWorkers()
 	s.wg.Wait()
 	for _, d := range s.daemons {
+		if d.cmd == nil {
+			continue // never started
+		}
 		_ = d.cmd.Process.Signal(syscall.SIGCONT)
 		s.kill(d, syscall.SIGKILL)
 		if d.proxy != nil {
