--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -20,6 +20,7 @@
 	"wave-entry":  waveEntry,
 	"ended-entry": endedEntry,
 	"two-waves":   twoWaves,
+	"overlap":     overlap,
 	"quota":       quota,
 	"gang":        gang,
 	"advice":      adviceLife,
--- a/review/standin-2/world.go
+++ b/review/standin-2/world.go
@@ -284,7 +284,7 @@
 func (w *world) operate(method, path string, in any) (int, []byte, error) {
 	for n := 0; n < 60; n++ {
 		status, body := call(method, "http://"+w.control(n)+path, "", "", in, time.Second)
-		w.rec.add("operator: %s %s at %s -> %d %.100s", method, path, w.cores[n%len(w.cores)].name, status, body)
+		w.rec.add("operator: %s %s at %s -> %d %.100s", method, path, w.cores[n%len(w.cores)].name, status, bytes.TrimSpace(body))
 		if status == 200 || status == 400 || status == 404 || status == 409 {
 			return status, body, nil
 		}
@@ -341,7 +341,7 @@
 	for n := 0; n < 20; n++ {
 		status, body := call("POST", w.front(n)+"/svc/"+id, "svc.example", w.key, job, clientWait)
 		if status != 200 || n > 0 {
-			w.rec.add("client: POST job %s -> %d %.100s", id, status, body)
+			w.rec.add("client: POST job %s -> %d %.100s", id, status, bytes.TrimSpace(body))
 		}
 		if status >= 200 && status < 300 {
 			return nil
@@ -363,7 +363,7 @@
 		State string `json:"state"`
 	}
 	if status != 200 || json.Unmarshal(body, &reply) != nil {
-		w.rec.add("client: GET job %s -> %d %.100s", id, status, body)
+		w.rec.add("client: GET job %s -> %d %.100s", id, status, bytes.TrimSpace(body))
 		return ""
 	}
 	return reply.State
