--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -6,4 +6,4 @@
   echo "build first: the build line of deploy/system.toml, then review/build-2.sh"
   exit 2
 fi
-exec target/review-2 gang-failed review/7/record.txt
+exec target/review-2 budget review/7/record.txt
--- a/review/standin-2/cases_test.go
+++ b/review/standin-2/cases_test.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"os"
 	"path/filepath"
-	"sort"
 	"syscall"
 	"time"
 )
@@ -291,52 +290,6 @@
 	return w.idle(map[string]bool{"00000000000000e1": true}, 1)
 }
 
-// gang: an executor crashes under a member of a gang whose subtasks checkpoint. Rule GANG: runs
-// end alone, with no disturbance near.
-func gang(w *world) (verdict, error) {
-	list, err := w.prepare(7, 0)
-	if err != nil {
-		return verdict{}, err
-	}
-	const id = "00000000000000f0"
-	g := map[string]any{"spec": "gang 3 6000", "steps": []any{map[string]any{
-		"count": 3, "cpu": 500, "mem_mb": 64, "estimate_ms": 6000, "gang": true, "checkpointing": true, "anti_affinity": 1,
-	}}}
-	if err := w.submit(id, g); err != nil {
-		return verdict{}, err
-	}
-	w.pause(2500 * time.Millisecond)
-	var crashed time.Time
-	if w.trouble {
-		for _, m := range list {
-			e := m.exec
-			e.mu.Lock()
-			member := len(e.running) > 0
-			e.mu.Unlock()
-			if member {
-				w.rec.add("executor %s crashes and comes back after 3 s", e.id)
-				w.machines.crash(m, 3*time.Second)
-				crashed = time.Now()
-				break
-			}
-		}
-	}
-	w.await(50*time.Second, func() bool { return w.state(id) == "completed" })
-	s := w.state(id)
-	w.rec.add("client: GET job %s -> %s", id, s)
-	alone := 0
-	for _, r := range w.runsOf(id) {
-		// The crash and the return are over for contact_ms before the run begins.
-		if r.how == "alone" && r.begun.After(crashed.Add(3*time.Second+contact)) {
-			alone++
-		}
-	}
-	if alone > 0 && s != "completed" {
-		return verdict{fmt.Sprintf("GANG: %d runs of job %s, begun over 3 s after the last disturbance, have ended alone, and it is %s after 50 s", alone, id, s)}, nil
-	}
-	return verdict{}, nil
-}
-
 // adviceLife: a wave takes down the machines of a service one after the other. Rule LOST: a
 // subtask that lasts has nothing running though its executors are back and empty.
 func adviceLife(w *world) (verdict, error) {
@@ -438,116 +391,6 @@
 	return verdict{fmt.Sprintf("Fault: no configuration is acknowledged and no request served for %.0f s, though all %d processes run", time.Since(began).Seconds(), running)}, nil
 }
 
-// deadly: a subtask crashes each executor that starts it, some seconds after its start. BUDGET:
-// it is started three more times after three executors have crashed under it.
-func deadly(w *world) (verdict, error) {
-	list, err := w.prepare(4, 0)
-	if err != nil {
-		return verdict{}, err
-	}
-	// Other work is on each executor.
-	lasting := map[string]any{"spec": "last", "steps": []any{map[string]any{"count": 4, "cpu": 500, "mem_mb": 64, "estimate_ms": 1000, "long_running": true, "anti_affinity": 1}}}
-	if err := w.submit("00000000000000b0", lasting); err != nil {
-		return verdict{}, err
-	}
-	w.pause(2 * time.Second)
-	const id = "00000000000000b1"
-	spec := "work 7000"
-	if w.trouble {
-		spec = "work 7000 crash 6500"
-	}
-	if err := w.submit(id, job(spec, 500, 7000, "", 1)); err != nil {
-		return verdict{}, err
-	}
-	// The executors come back after 2 s.
-	for end := time.Now().Add(95 * time.Second); time.Now().Before(end); w.pause(50 * time.Millisecond) {
-		for _, m := range list {
-			w.machines.mu.Lock()
-			e, up := m.exec, m.state == "up"
-			w.machines.mu.Unlock()
-			if e == nil || !up {
-				continue
-			}
-			select {
-			case <-e.dead:
-				w.machines.crash(m, 2*time.Second)
-			default:
-			}
-		}
-		crashes, more := 0, 0
-		runs := w.runsOf(id)
-		sort.Slice(runs, func(a, b int) bool { return runs[a].begun.Before(runs[b].begun) })
-		for _, r := range runs {
-			if crashes >= 3 {
-				more++
-			}
-			if r.how == "crashed" {
-				crashes++
-			}
-		}
-		if more >= 3 {
-			return verdict{fmt.Sprintf("BUDGET: subtask %s.0.0.0 has been started %d times, %d of them after three executors had crashed under it", id, len(runs), more)}, nil
-		}
-		if s := w.state(id); s == "completed" || s == "failed" {
-			w.rec.add("client: GET job %s -> %s", id, s)
-			return verdict{}, nil
-		}
-	}
-	return verdict{}, nil
-}
-
-// gangFailed: one executor of twelve fails all that it starts, for some seconds. Rule LOST: a job
-// is shown as failed without cause: no subtask, and no gang, has failed max_attempts times.
-func gangFailed(w *world) (verdict, error) {
-	list, err := w.prepare(12, 0)
-	if err != nil {
-		return verdict{}, err
-	}
-	// The gang goes to the executor that took the first job.
-	grey := list[0].exec
-	for _, m := range list {
-		m.exec.mu.Lock()
-		if len(m.exec.all) > 0 {
-			grey = m.exec
-		}
-		m.exec.mu.Unlock()
-	}
-	if w.trouble {
-		w.rec.add("executor %s fails all that it starts for 6 s", grey.id)
-		grey.mu.Lock()
-		grey.fails = true
-		grey.mu.Unlock()
-		time.AfterFunc(6*time.Second, func() {
-			grey.mu.Lock()
-			grey.fails = false
-			grey.mu.Unlock()
-		})
-	}
-	const id, count = "00000000000000f1", 3
-	g := map[string]any{"spec": "gang 3 1000", "steps": []any{map[string]any{"count": count, "cpu": 500, "mem_mb": 64, "estimate_ms": 1000, "gang": true}}}
-	if err := w.submit(id, g); err != nil {
-		return verdict{}, err
-	}
-	s := ""
-	w.await(30*time.Second, func() bool {
-		s = w.state(id)
-		return s == "completed" || s == "failed"
-	})
-	w.rec.add("client: GET job %s -> %s", id, s)
-	failed, gangs, most := map[string]int{}, map[int64]bool{}, 0
-	for _, r := range w.runsOf(id) {
-		if r.how == "failed" {
-			failed[r.task]++
-			gangs[r.number] = true
-			most = max(most, failed[r.task])
-		}
-	}
-	if s == "failed" && most < maxAttempts && len(gangs) < maxAttempts {
-		return verdict{fmt.Sprintf("LOST: job %s is shown as failed with max_attempts %d, though its gang has failed in %d run(s), and no subtask more than %d time(s)", id, maxAttempts, len(gangs), most)}, nil
-	}
-	return verdict{}, nil
-}
-
 // hopeless: a tenant hands in a job that can't be done, and then others. Rule LOST: a job has
 // nothing running though there is room for it, and its tenant runs nothing at all.
 func hopeless(w *world) (verdict, error) {
@@ -583,3 +426,81 @@
 	}
 	return w.idle(open, 1)
 }
+
+// budget: the stop that evacuates a subtask for a wave gets no response, and an executor with
+// another subtask of the step leaves meanwhile. Rule AVAIL: a stop ends a subtask that is at work
+// while so many others of its step are away.
+func budget(w *world) (verdict, error) {
+	list, err := w.prepare(7, 0)
+	if err != nil {
+		return verdict{}, err
+	}
+	const id, count, allowed = "00000000000000b0", 7, 1
+	lasting := map[string]any{"spec": "last", "steps": []any{map[string]any{
+		"count": count, "cpu": 500, "mem_mb": 64, "estimate_ms": 1000, "long_running": true, "anti_affinity": 1, "max_unavailable": allowed,
+	}}}
+	if err := w.submit(id, lasting); err != nil {
+		return verdict{}, err
+	}
+	if !w.await(10*time.Second, func() bool { return len(w.runsOf(id)) == count }) {
+		return verdict{}, fmt.Errorf("%w: the subtasks were not started", errCannotRun)
+	}
+	w.pause(3 * time.Second)
+	first, leaving := list[0].exec, list[1].exec
+	taskOn := func(e *executor) string {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		for task := range e.running {
+			return task
+		}
+		return ""
+	}
+	evacuated := taskOn(first)
+	if w.trouble {
+		first.mu.Lock()
+		first.loseStop, first.onStop = evacuated, leaving.leave
+		first.mu.Unlock()
+	}
+	if err := w.startWave(1, 30, 1, list[0]); err != nil {
+		return verdict{}, err
+	}
+	if !w.trouble {
+		w.pause(500 * time.Millisecond)
+		go leaving.leave()
+	}
+	w.pause(10 * time.Second)
+	runs := w.runsOf(id)
+	for _, r := range runs {
+		if r.task != evacuated || r.number != 1 || r.how != "stopped" {
+			continue
+		}
+		away := map[string]bool{}
+		for _, o := range runs {
+			if o.task == evacuated {
+				continue
+			}
+			if _, known := away[o.task]; !known {
+				away[o.task] = false
+			}
+			if o.how == "stopped" && o.ended.Before(r.ended.Add(-stopTime)) {
+				away[o.task] = true // unless a later run was at work
+			}
+		}
+		for _, o := range runs {
+			if o.begun.Before(r.ended) && (o.ended.IsZero() || o.ended.After(r.ended)) {
+				away[o.task] = false
+			}
+		}
+		n := 0
+		for task, is := range away {
+			if is {
+				n++
+				w.rec.add("when the stop of %s took effect, %s was away, ended by a stop", evacuated, task)
+			}
+		}
+		if n >= allowed {
+			return verdict{fmt.Sprintf("AVAIL: a stop has ended %s, at work on an executor that isn't draining, while %d other subtask(s) of its step were away; max_unavailable is %d", evacuated, n, allowed)}, nil
+		}
+	}
+	return verdict{}, nil
+}
--- a/review/standin-2/executor_test.go
+++ b/review/standin-2/executor_test.go
@@ -19,14 +19,12 @@
 	how          string
 	timer        *time.Timer
 	listed       int64
-	// checkpoint is what the start carried, and saved what the run has produced last.
-	checkpoint, saved string
+	// saved is the checkpoint that the start carried.
+	saved string
 	// foreign, if set, is an entry of another writer.
 	foreign string
 	// span is how long the run takes; 0 if it lasts.
 	span time.Duration
-	// together is when all members of the run's gang were present.
-	together time.Time
 }
 
 // executor is a stand-in for an executor, as PROTOCOL tells it. The spec of a job is "work MS"
@@ -56,9 +54,12 @@
 	tickets map[string]time.Time
 	wake    chan struct{}
 	dead    chan struct{}
-	// fails is set while the executor fails all that it starts.
-	fails  bool
-	server *http.Server
+	// loseStop is the task whose next stop gets no response and is not carried out; onStop is
+	// called then.
+	loseStop string
+	onStop   func()
+	draining bool
+	server   *http.Server
 }
 
 // startExecutor starts an executor, which reports itself until it ends.
@@ -73,11 +74,6 @@
 	}, n)
 }
 
-// restart starts an executor again under the id and at the address that it had.
-func (w *world) restart(e *executor) (*executor, error) {
-	return w.boot(&executor{id: e.id, service: e.service, zone: e.zone, cpu: e.cpu, mem: e.mem, labels: e.labels, address: e.address}, len(e.id))
-}
-
 // boot starts a new life of an executor, which holds and knows nothing of before. It reports
 // itself to the n-th daemon first.
 func (w *world) boot(e *executor, n int) (*executor, error) {
@@ -119,15 +115,7 @@
 		case <-e.w.stop:
 			return
 		}
-		e.mu.Lock()
-		e.seq++
-		beat := map[string]any{
-			"service": e.service, "address": e.address, "zone": e.zone, "version": "v1", "slots": 8, "state": "ready", "cold_ms": 0,
-			"capacity": map[string]int{"cpu": e.cpu, "mem_mb": e.mem, "gpu": 0}, "labels": e.labels,
-			"current_time_ms": e.clock(), "seq": e.seq, "born": e.born,
-		}
-		e.mu.Unlock()
-		status, _ := call("POST", "http://"+e.w.control(n)+"/executors/"+e.id+"/heartbeat", "", "", beat, time.Second)
+		status := e.beat(n)
 		pause = heartbeat
 		if status != 200 {
 			pause = 200 * time.Millisecond
@@ -136,6 +124,42 @@
 	}
 }
 
+// beat sends one status report to the n-th daemon.
+func (e *executor) beat(n int) int {
+	e.mu.Lock()
+	e.seq++
+	state := "ready"
+	if e.draining {
+		state = "draining"
+	}
+	beat := map[string]any{
+		"service": e.service, "address": e.address, "zone": e.zone, "version": "v1", "slots": 8, "state": state, "cold_ms": 0,
+		"capacity": map[string]int{"cpu": e.cpu, "mem_mb": e.mem, "gpu": 0}, "labels": e.labels,
+		"current_time_ms": e.clock(), "seq": e.seq, "born": e.born,
+	}
+	e.mu.Unlock()
+	status, _ := call("POST", "http://"+e.w.control(n)+"/executors/"+e.id+"/heartbeat", "", "", beat, time.Second)
+	return status
+}
+
+// leave drains the executor, deregisters it and ends it.
+func (e *executor) leave() {
+	e.mu.Lock()
+	e.draining = true
+	e.mu.Unlock()
+	for n := 0; ; n++ {
+		status := e.beat(n)
+		e.w.rec.add("executor %s reports draining -> %d", e.id, status)
+		if status == 200 || !e.w.pause(50*time.Millisecond) {
+			break
+		}
+	}
+	e.w.pause(drainTime)
+	status, _ := call("POST", "http://"+e.w.control(0)+"/executors/"+e.id+"/deregister", "", "", map[string]int64{"born": e.born}, time.Second)
+	e.w.rec.add("executor %s deregisters -> %d, and ends", e.id, status)
+	e.crash()
+}
+
 func (e *executor) clock() int64 { return time.Since(e.start).Milliseconds() + 1 }
 
 // crash ends the executor at once.
@@ -164,21 +188,6 @@
 	return min(99, int(100*time.Since(r.begun)/r.span))
 }
 
-// crashUnder ends the executor because of a run, unless the run has ended.
-func (e *executor) crashUnder(r *run) {
-	e.mu.Lock()
-	there := e.running[r.task] == r
-	e.mu.Unlock()
-	if !there {
-		return
-	}
-	e.crash()
-	e.mu.Lock()
-	r.how = "crashed"
-	e.mu.Unlock()
-	e.w.rec.add("executor %s crashes under %s run %d", e.id, r.task, r.number)
-}
-
 // order is any order to an executor.
 type order struct {
 	Task     string `json:"task"`
@@ -200,6 +209,9 @@
 		switch {
 		case r.Header.Get("Magnoliastand-Expect-Instance") != e.id:
 			status = 421
+		case r.URL.Path == "/run-stop" && e.losesStop(&o):
+			<-r.Context().Done()
+			return
 		default:
 			status, fields = do(&o)
 		}
@@ -213,6 +225,21 @@
 	_ = json.NewEncoder(rw).Encode(fields)
 }
 
+// losesStop reports whether a stop is to get no response, once.
+func (e *executor) losesStop(o *order) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.loseStop == "" || e.loseStop != o.Task {
+		return false
+	}
+	e.loseStop = ""
+	e.w.rec.add("executor %s: /run-stop of %s run %d gets no response and is not carried out", e.id, o.Task, o.Run)
+	if e.onStop != nil {
+		go e.onStop()
+	}
+	return true
+}
+
 // fenced reports whether an order has a lower fence number than one before.
 func (e *executor) fenced(o *order) bool {
 	if o.Fence < e.fence {
@@ -255,27 +282,15 @@
 	}
 	e.extend(o.Until)
 	e.highest[o.Task] = o.Run
-	r := &run{task: o.Task, number: o.Run, begun: time.Now(), checkpoint: o.Checkpoint, saved: o.Checkpoint}
+	r := &run{task: o.Task, number: o.Run, begun: time.Now(), saved: o.Checkpoint}
 	e.running[o.Task] = r
 	e.all = append(e.all, r)
-	if gang, found := strings.CutPrefix(o.Spec, "gang "); found {
-		n, ms := 0, 0
-		_, _ = fmt.Sscanf(gang, "%d %d", &n, &ms)
-		r.span = time.Duration(ms) * time.Millisecond
-		r.timer = time.AfterFunc(gangTimeout, func() { e.alone(r) })
-		e.w.rec.add("executor %s begins %s run %d, checkpoint %q", e.id, o.Task, o.Run, o.Checkpoint)
-		go e.w.join(o.Task, o.Run, n, time.Duration(ms)*time.Millisecond)
-		return 200, nil
-	}
-	ms, crash := 0, 0
-	_, _ = fmt.Sscanf(o.Spec, "work %d crash %d", &ms, &crash)
+	ms := 0
+	_, _ = fmt.Sscanf(o.Spec, "work %d", &ms)
 	r.span = time.Duration(ms) * time.Millisecond
-	switch {
-	case crash > 0:
-		r.timer = time.AfterFunc(time.Duration(crash)*time.Millisecond, func() { e.crashUnder(r) })
-	case ms > 0:
+	if ms > 0 {
 		r.timer = time.AfterFunc(r.span, func() { e.finish(r, "done") })
-	default:
+	} else {
 		r.timer = time.AfterFunc(24*time.Hour, func() {})
 	}
 	e.w.rec.add("executor %s begins %s run %d", e.id, o.Task, o.Run)
--- a/review/standin-2/main_test.go
+++ b/review/standin-2/main_test.go
@@ -23,12 +23,10 @@
 	"two-waves":   twoWaves,
 	"overlap":     overlap,
 	"quota":       quota,
-	"gang":        gang,
 	"advice":      adviceLife,
 	"first-start": firstStart,
-	"deadly":      deadly,
-	"gang-failed": gangFailed,
 	"hopeless":    hopeless,
+	"budget":      budget,
 }
 
 // TestMain makes the test binary act as the program: `go test -c` builds it, and the names of
--- a/review/standin-2/world_test.go
+++ b/review/standin-2/world_test.go
@@ -34,11 +34,9 @@
 	contact    = 3 * time.Second
 	finish     = 14 * time.Second
 	upkeepTime = 2 * time.Second
+	drainTime  = 4 * time.Second
 	stopTime   = 50 * time.Millisecond
 	clientWait = 3 * time.Second
-	// gangTimeout and checkpointEvery are gang_timeout_ms and checkpoint_s.
-	gangTimeout     = 3 * time.Second
-	checkpointEvery = 500 * time.Millisecond
 )
 
 // maxAttempts is max_attempts of the queue.
@@ -85,8 +83,6 @@
 	mu    sync.Mutex
 	execs []*executor
 	next  int
-	// gangs orders what happens to gangs.
-	gangs sync.Mutex
 	// key is the key of the clients.
 	key string
 }
