--- a/review/standin-2/machines_test.go
+++ b/review/standin-2/machines_test.go
@@ -204,3 +204,12 @@
 	}
 	return status == 200 && json.Unmarshal(body, &reply) == nil && reply.State == "completed"
 }
+
+// lose takes the executor of a machine away for good.
+func (s *machines) lose(m *machine) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.w.rec.add("executor %s on %s is lost for good", m.exec.id, m.name)
+	m.exec.crash()
+	m.exec, m.state = nil, "down"
+}
