plan: tasks that cannot be placed no longer use their team's limit

Cause: recordWaiting added the size of unplaced tasks to teamUsage.used, which admits compares with the limit for all later jobs of the plan. A job that no worker can run kept every later job of its team from starting.

Change: unplaced tasks are listed, and the waiting demand is summed after all assignments are planned; a team's assigned and waiting tasks together stay within its limit.

--- a/workload/plan/plan.go
+++ b/workload/plan/plan.go
@@ -121,10 +121,12 @@
 	full        bool
 }
 
-// teamUsage is the usage of a team, with the tasks of the plan and those that could
-// not be placed.
+// teamUsage is the usage of a team, with the tasks of the plan.
 type teamUsage struct {
 	used, limit workload.Size
+	// waiting is the demand of the tasks that could not be placed. It is counted once all
+	// assignments are planned, and keeps no task from being assigned.
+	waiting workload.Size
 }
 
 // admits reports whether one more task of a step is within the team's limit.
@@ -138,6 +140,8 @@
 	pools map[string]*poolHosts
 	teams map[string]*teamUsage
 	plan  Plan
+	// unplaced lists the tasks that could not be placed, in planning order.
+	unplaced []unplaced
 	// planned counts the assignments of this plan by worker, job, occurrence and
 	// step.
 	planned map[stepOnWorker]int
@@ -145,6 +149,14 @@
 	trials map[string]int
 }
 
+// unplaced is a number of tasks of one step that could not be placed.
+type unplaced struct {
+	step  *workload.Step
+	pool  *poolHosts
+	team  *teamUsage
+	tasks int
+}
+
 // stepOnWorker is the key of planned.
 type stepOnWorker struct {
 	worker     string
@@ -167,6 +179,7 @@
 	for _, c := range jobs {
 		p.planJob(c.job)
 	}
+	p.sumWaiting()
 	return p.plan
 }
 
@@ -413,19 +426,26 @@
 	}
 }
 
-// recordWaiting adds tasks that could not be placed to the plan's waiting demand. They
-// count against the team's limit, so that a team does not request more capacity
-// than it may use.
+// recordWaiting records tasks that could not be placed.
 func (p *planner) recordWaiting(step *workload.Step, pool *poolHosts, team *teamUsage, tasks int) {
-	sum := p.plan.Waiting[pool.name]
-	for range tasks {
-		if !team.admits(step) {
-			break
+	p.unplaced = append(p.unplaced, unplaced{step: step, pool: pool, team: team, tasks: tasks})
+}
+
+// sumWaiting computes the waiting demand of the plan. A team's assigned and waiting tasks
+// together are bounded by its limit, so that it does not request more capacity than it
+// may use. It runs after all assignments, because a task that cannot be placed must not
+// keep later tasks of its team from starting.
+func (p *planner) sumWaiting() {
+	for _, u := range p.unplaced {
+		for range u.tasks {
+			demand := u.team.used.Add(u.team.waiting)
+			if !demand.Add(u.step.Need).WithinLimit(u.team.limit) {
+				break
+			}
+			p.plan.Waiting[u.pool.name] = p.plan.Waiting[u.pool.name].Add(u.step.Reserved())
+			u.team.waiting = u.team.waiting.Add(u.step.Need)
 		}
-		sum = sum.Add(step.Reserved())
-		team.used = team.used.Add(step.Need)
 	}
-	p.plan.Waiting[pool.name] = sum
 }
 
 // rackWithMostFree returns the rack that has the most free processors.
--- a/workload/plan/plan_test.go
+++ b/workload/plan/plan_test.go
@@ -172,6 +172,41 @@
 	}
 }
 
+// Guards against a job that no worker can run keeping all later jobs of its team from
+// starting, as if it used the team's limit.
+func TestUnplaceableJobDoesNotUseTeamLimit(t *testing.T) {
+	labelled, gang := step(4, 1), step(4, 1)
+	labelled.Requires = "absent"
+	gang.Gang, gang.Requires = true, "absent"
+	for name, unplaceable := range map[string]workload.Step{"label": labelled, "gang": gang, "size": step(1, 4)} {
+		w := newFixture(t, workload.Size{Processors: 4})
+		w.addWorker("w1", 3)
+		w.addWorker("w2", 3)
+		w.addJob("a", "q", 0, unplaceable)
+		w.addJob("b", "q", 1, step(4, 1))
+		p := w.plan(1)
+		if got := assignedJobs(p); len(got) != 4 || got[0] != "b" {
+			t.Errorf("%s: assigned %v, want the 4 tasks of b", name, got)
+		}
+		w.applyPlan(p)
+	}
+}
+
+// Guards against a team that requests more capacity than its limit: what runs and what
+// waits count together, in whichever order they are planned.
+func TestDemandOfTeamIsBoundedByItsLimit(t *testing.T) {
+	w := newFixture(t, workload.Size{Processors: 4})
+	w.addWorker("w1", 8)
+	unplaceable := step(4, 1)
+	unplaceable.Requires = "absent"
+	w.addJob("a", "q", 0, unplaceable)
+	w.addJob("b", "q", 1, step(3, 1))
+	p := w.plan(1)
+	if got := p.Waiting["p"].Processors; len(p.Assign) != 3 || got != 1 {
+		t.Errorf("%d cores assigned and %d waiting, want 3 and 1", len(p.Assign), got)
+	}
+}
+
 func TestWaitingCountsUnplacedTasks(t *testing.T) {
 	w := newFixture(t, workload.Size{})
 	w.addWorker("w1", 4)
