workload: a team's limit admits one task while at most half of it is used

Cause: a start was allowed only if the team's use with the task is within the limit, so a task larger than what long-running tasks leave of it never started.

Change: Size.Admits, used by state and planner: the use with the task is within the limit, or the use without it is at most half of the limit in every limited dimension. The excess is at most one task. The waiting demand follows the same rule.

--- a/workload/apply.go
+++ b/workload/apply.go
@@ -287,7 +287,7 @@
 	case step.AntiAffinity > 0 && s.SameStep(c.Worker, c.Task) >= step.AntiAffinity:
 		return errors.Wrapf(ErrNotAssignable, "worker %s has reached the anti-affinity limit of the step", c.Worker)
 	}
-	if team, ok := s.Team(j.Team); ok && !s.teamUsage[j.Team].Add(step.Need).WithinLimit(team.Limit) {
+	if team, ok := s.Team(j.Team); ok && !team.Limit.Admits(s.teamUsage[j.Team], step.Need) {
 		return errors.Wrapf(ErrNotAssignable, "team %s is at its limit", j.Team)
 	}
 	return nil
--- a/workload/plan/plan.go
+++ b/workload/plan/plan.go
@@ -129,9 +129,9 @@
 	waiting workload.Size
 }
 
-// admits reports whether one more task of a step is within the team's limit.
+// admits reports whether the team's limit permits one more task of a step.
 func (t *teamUsage) admits(step *workload.Step) bool {
-	return t.used.Add(step.Need).WithinLimit(t.limit)
+	return t.limit.Admits(t.used, step.Need)
 }
 
 // planner holds the working state of one plan.
@@ -432,14 +432,13 @@
 }
 
 // sumWaiting computes the waiting demand of the plan. A team's assigned and waiting tasks
-// together are bounded by its limit, so that it does not request more capacity than it
-// may use. It runs after all assignments, because a task that cannot be placed must not
+// together are bounded by its limit as assignments are, so that it does not request more
+// capacity than it may use. It runs after all assignments, because a task that cannot be placed must not
 // keep later tasks of its team from starting.
 func (p *planner) sumWaiting() {
 	for _, u := range p.unplaced {
 		for range u.tasks {
-			demand := u.team.used.Add(u.team.waiting)
-			if !demand.Add(u.step.Need).WithinLimit(u.team.limit) {
+			if !u.team.limit.Admits(u.team.used.Add(u.team.waiting), u.step.Need) {
 				break
 			}
 			p.plan.Waiting[u.pool.name] = p.plan.Waiting[u.pool.name].Add(u.step.Reserved())
--- a/workload/plan/plan_test.go
+++ b/workload/plan/plan_test.go
@@ -192,6 +192,37 @@
 	}
 }
 
+// Guards against a task that never starts because long-running tasks of its team leave
+// less of the limit than it needs, although the team uses less than half of it. A second
+// such task has to wait.
+func TestTaskStartsWhileTeamUsesHalfOfItsLimit(t *testing.T) {
+	w := newFixture(t, workload.Size{Processors: 20})
+	w.addWorker("w1", 100)
+	w.addJob("lasting", "q", 0, step(1, 9))
+	w.applyPlan(w.plan(0))
+	w.addJob("a", "q", 1, step(2, 12))
+	p := w.plan(1)
+	if got := assignedJobs(p); len(got) != 1 || got[0] != "a" {
+		t.Fatalf("assigned %v, want one task of a", got)
+	}
+	w.applyPlan(p)
+	if got := assignedJobs(w.plan(2)); len(got) != 0 {
+		t.Errorf("assigned %v to a team above its limit", got)
+	}
+}
+
+// Guards against a task that may start but for which no capacity is requested.
+func TestWaitingCountsTaskAdmittedByHalfOfLimit(t *testing.T) {
+	w := newFixture(t, workload.Size{Processors: 20})
+	w.addWorker("w1", 10)
+	w.addJob("lasting", "q", 0, step(1, 9))
+	w.applyPlan(w.plan(0))
+	w.addJob("a", "q", 1, step(2, 12))
+	if got := w.plan(1).Waiting["p"].Processors; got != 12 {
+		t.Errorf("%d cores waiting, want the 12 of one task", got)
+	}
+}
+
 // Guards against a team that requests more capacity than its limit: what runs and what
 // waits count together, in whichever order they are planned.
 func TestDemandOfTeamIsBoundedByItsLimit(t *testing.T) {
--- a/workload/state_test.go
+++ b/workload/state_test.go
@@ -141,6 +141,39 @@
 	}
 }
 
+// TestTeamLimitAdmitsOneTaskAboveHalf guards against a task that never starts because it is
+// larger than what the team's other tasks leave of the limit, and against an excess of
+// more than one task.
+func TestTeamLimitAdmitsOneTaskAboveHalf(t *testing.T) {
+	limit := workload.Size{Processors: 20, MemoryMB: 10}
+	for _, tc := range []struct {
+		used, need workload.Size
+		admitted   bool
+	}{
+		{workload.Size{Processors: 8, MemoryMB: 4}, workload.Size{Processors: 12, MemoryMB: 6}, true},
+		{workload.Size{Processors: 9}, workload.Size{Processors: 12}, true},
+		{workload.Size{Processors: 10}, workload.Size{Processors: 40}, true},
+		{workload.Size{}, workload.Size{Processors: 21, MemoryMB: 11}, true},
+		{workload.Size{Processors: 11}, workload.Size{Processors: 10}, false},
+		{workload.Size{Processors: 9, MemoryMB: 6}, workload.Size{Processors: 12}, false},
+		{workload.Size{Processors: 9, Accelerators: 100}, workload.Size{Processors: 12}, true},
+	} {
+		if got := limit.Admits(tc.used, tc.need); got != tc.admitted {
+			t.Errorf("limit %v, used %v, need %v: admitted %v", limit, tc.used, tc.need, got)
+		}
+	}
+	s := newState(t) // limit: 8 cores
+	large := workload.Step{Count: 2, Need: workload.Size{Processors: 4800, MemoryMB: 1}}
+	mustApply(t, s, submit(workload.Step{Count: 1, Need: workload.Size{Processors: 3600, MemoryMB: 1}, LongRunning: true}, large))
+	for _, id := range []string{"w1", "w2", "w3"} {
+		mustApply(t, s, register(id, 1))
+	}
+	mustApply(t, s, assign(0, 0, 1, "w1"))
+	mustApply(t, s, assign(1, 0, 1, "w2"))
+	mustReject(t, s, assign(1, 1, 1, "w3"), workload.ErrNotAssignable)
+	s.CheckAll()
+}
+
 func TestJobCompletesStepByStep(t *testing.T) {
 	s := newState(t)
 	mustApply(t, s, register("w1", 1))
--- a/workload/types.go
+++ b/workload/types.go
@@ -46,6 +46,15 @@
 		within(s.Accelerators, limit.Accelerators)
 }
 
+// Admits reports whether a team with limit s that uses used may start a task that needs
+// need: the task fits within the limit, or the team uses at most half of the limit in
+// every limited dimension. Without the second rule a task that is larger than what
+// long-running tasks leave of the limit would never start. A team exceeds its limit by at
+// most one task.
+func (s Size) Admits(used, need Size) bool {
+	return used.Add(need).WithinLimit(s) || used.Add(used).WithinLimit(s)
+}
+
 // AdvicePolicy lets an external service choose the workers of a queue.
 type AdvicePolicy struct {
 	// ValidFor is the lifetime of a ticket issued by the service.
@@ -91,7 +100,8 @@
 	Name   string   `cbor:"1,keyasint"`
 	Keys   []string `cbor:"2,keyasint,omitempty"`
 	Weight float64  `cbor:"3,keyasint,omitempty"`
-	// Limit bounds the resources of the team's assigned tasks; 0 means unlimited.
+	// Limit bounds the resources of the team's assigned tasks; 0 means unlimited. One task
+	// may exceed it; see Size.Admits.
 	Limit Size `cbor:"4,keyasint"`
 }
 
