driver: advice is cached by worker incarnation, and all workers of a pool are queried

Cause: one reply of the advice service stood for the whole pool until valid_ms had passed. Workers that joined later were skipped, only the first 100 workers were ever named, and an unreadable row was taken for a worker without a ticket.

Change: responses are kept by worker and incarnation; a task that finds no worker makes its step query those without a response or with an expired ticket, at most 100 in a call and those with room first. Two calls at most are under way. Advise returns the number of unreadable rows, after which nothing is concluded about workers without a ticket. plan.Input.Tickets is a function of the worker.

Measured: TestWorkerThatJoinsIsQueriedForTicket times out on the code before and passes now; go test -race ./workload/... ./platform passes.

--- a/driver/driver.go
+++ b/driver/driver.go
@@ -71,6 +71,9 @@
 	// moves counts how often a task was moved because it made no progress.
 	moves  map[workload.TaskRef]int
 	advice map[workload.TaskRef]*advice
+	// adviceCalls counts the calls to the advice service under way, adviceOrder all of them.
+	adviceCalls int
+	adviceOrder int64
 	// trials holds the runs of suspected tasks that may still crash their workers, and
 	// suspects since when such a task has waited.
 	trials   map[workload.TaskRef]*run
@@ -342,9 +345,7 @@
 		CrashedAt:    d.crashedOnlyAt,
 	})
 	d.planAt, d.waiting = p.Wake, p.Waiting
-	for _, step := range p.Advice {
-		d.askAdvice(step)
-	}
+	d.askAdvice(p.Advice)
 	for i := range p.Assign {
 		d.assign(&p.Assign[i])
 	}
@@ -416,7 +417,13 @@
 	maps.DeleteFunc(d.suspects, func(t workload.TaskRef, _ time.Time) bool { return inactive(t) })
 	maps.DeleteFunc(d.crashedAt, func(t workload.TaskRef, _ []string) bool { return inactive(t) })
 	maps.DeleteFunc(d.moves, func(t workload.TaskRef, _ int) bool { return inactive(t) })
-	maps.DeleteFunc(d.advice, func(t workload.TaskRef, _ *advice) bool { return inactive(t) })
+	maps.DeleteFunc(d.advice, func(t workload.TaskRef, a *advice) bool {
+		maps.DeleteFunc(a.answers, func(worker string, k answer) bool {
+			w := d.state.Workers()[worker]
+			return w == nil || w.Incarnation != k.incarnation
+		})
+		return inactive(t)
+	})
 	maps.DeleteFunc(d.fleet.runTimes, func(queue string, _ *runTimes) bool {
 		_, known := d.state.Queue(queue)
 		return !known
--- a/driver/driver_test.go
+++ b/driver/driver_test.go
@@ -5,6 +5,7 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -335,6 +336,51 @@
 	}
 }
 
+// TestWorkerThatJoinsIsQueriedForTicket guards against a step whose tickets are all for workers
+// that are gone, or were denied one, while a worker that joined later is never queried.
+func TestWorkerThatJoinsIsQueriedForTicket(t *testing.T) {
+	w := newTestEnv(t)
+	w.ticket = "t"
+	var mu sync.Mutex
+	denied := 0
+	w.advisor = func(workers []string) (map[string]string, error) {
+		mu.Lock()
+		defer mu.Unlock()
+		if slices.Contains(workers, "w1") {
+			denied++
+		}
+		if slices.Contains(workers, "w2") {
+			return map[string]string{"w2": "t"}, nil
+		}
+		return map[string]string{}, nil
+	}
+	w.startLeader()
+	lasting := strings.NewReplacer(`"version":1`, `"version":2`, `"valid_ms":1000`, `"valid_ms":600000`).Replace(document)
+	if err := w.current().PutDocument(t.Context(), []byte(lasting)); err != nil {
+		t.Fatal(err)
+	}
+	w.worker("w1", "p", 10*time.Millisecond)
+	w.waitFor("worker registered", func() bool { return w.workerCount() == 1 })
+	if resp := w.requestAt("/advised/", workload.VerbSubmit, jobID(0), step(1)); resp.Answer != workload.AnswerOK {
+		t.Fatal(resp.Answer, resp.Reason)
+	}
+	w.waitFor("first worker queried", func() bool {
+		mu.Lock()
+		defer mu.Unlock()
+		return denied > 0
+	})
+	w.worker("w2", "p", 10*time.Millisecond)
+	w.waitFor("job completed", func() bool { return w.state(jobID(0)) == workload.JobCompleted })
+	for _, r := range w.history() {
+		if r.Worker != "w2" {
+			t.Errorf("run on %s, which has no ticket", r.Worker)
+		}
+	}
+	if denied != 1 {
+		t.Errorf("the worker without a ticket was queried %d times", denied)
+	}
+}
+
 // The tasks of a gang end together, so the job may finish before all of its ends
 // are listed. The remaining ends must be handled on the finished job.
 func TestGangsComplete(t *testing.T) {
--- a/driver/start.go
+++ b/driver/start.go
@@ -160,7 +160,7 @@
 	}
 	s.addFailure(refusalWeight, now)
 	if refusal.Reason == platform.ReasonTicket {
-		d.dropAdvice(r)
+		d.dropTicket(r)
 	}
 	d.endRun(r, workload.OutcomeNotRun, "", 0, "refused: "+string(refusal.Reason))
 }
--- a/driver/testenv_test.go
+++ b/driver/testenv_test.go
@@ -172,8 +172,9 @@
 // fakeAdvisor is a driver.Advisor backed by a function.
 type fakeAdvisor func(workers []string) (map[string]string, error)
 
-func (f fakeAdvisor) Advise(_ context.Context, _ string, _ workload.TaskRef, workers []string) (map[string]string, error) {
-	return f(workers)
+func (f fakeAdvisor) Advise(_ context.Context, _ string, _ workload.TaskRef, workers []string) (platform.Advice, error) {
+	tickets, err := f(workers)
+	return platform.Advice{Tickets: tickets}, err
 }
 
 // faultyWorkers executes starts and replaces their results with those of
--- a/driver/types.go
+++ b/driver/types.go
@@ -34,7 +34,7 @@
 
 // Advisor requests placement tickets from the advice service.
 type Advisor interface {
-	Advise(ctx context.Context, address string, step workload.TaskRef, workers []string) (map[string]string, error)
+	Advise(ctx context.Context, address string, step workload.TaskRef, workers []string) (platform.Advice, error)
 }
 
 // Instances lists instances, moves them between pools and starts their upkeep.
--- a/workload/plan/overload_test.go
+++ b/workload/plan/overload_test.go
@@ -150,7 +150,7 @@
 		}
 		p := plan.Tasks(&plan.Input{
 			State: s, Now: now, Condition: func(string) plan.Condition { return plan.Condition{Usable: true} },
-			Tickets:   func(workload.TaskRef) (map[string]string, bool) { return nil, false },
+			Tickets:   func(workload.TaskRef) (plan.Tickets, bool) { return nil, false },
 			NotBefore: func(workload.TaskRef) workload.Millis { return 0 },
 			FailedOn:  func(workload.TaskRef) string { return "" }, RemoteFactor: 1,
 		})
--- a/workload/plan/plan.go
+++ b/workload/plan/plan.go
@@ -50,15 +50,23 @@
 	Trial, Closed bool
 }
 
+// Tickets returns the ticket for starting the tasks of a step on a worker, or "" if the
+// worker has none.
+type Tickets func(worker *workload.Worker) string
+
+// allow reports whether a worker may run tasks of the step; t is nil if no advice is
+// needed.
+func (t Tickets) allow(w *workload.Worker) bool { return t == nil || t(w) != "" }
+
 // Input is the input of Tasks.
 type Input struct {
 	State *workload.State
 	Now   workload.Millis
 	// Condition returns the leader's observation of a worker.
 	Condition func(worker string) Condition
-	// Tickets returns the advice service's tickets for a step, keyed by worker, and
-	// whether the service has answered.
-	Tickets func(step workload.TaskRef) (map[string]string, bool)
+	// Tickets returns the advice service's tickets for a step, and whether the service has
+	// answered.
+	Tickets func(step workload.TaskRef) (Tickets, bool)
 	// NotBefore returns the earliest time at which a task may be retried; 0 means at
 	// once.
 	NotBefore func(task workload.TaskRef) workload.Millis
@@ -81,7 +89,8 @@
 // Plan is the result of Tasks.
 type Plan struct {
 	Assign []workload.Assign
-	// Advice lists the steps that are waiting for an answer of the advice service.
+	// Advice lists the steps for which the advice service has not answered, or whose
+	// tickets do not suffice to place all waiting tasks.
 	Advice []workload.TaskRef
 	// Wake is the earliest time at which a task that is not due yet can start; 0 if
 	// there is none.
@@ -373,6 +382,7 @@
 			return
 		}
 		if !p.place(j, ref, tasks[i].Run+1, pool, team, tickets, "") {
+			p.requestTickets(ref, tickets)
 			p.recordWaiting(&j.Spec.Steps[st], pool, team, waiting)
 			return
 		}
@@ -382,7 +392,7 @@
 
 // ticketsOf returns the tickets for a task's step, which are nil if its queue has no
 // advice policy, and whether the advice service has answered.
-func (p *planner) ticketsOf(j *workload.Job, ref workload.TaskRef) (map[string]string, bool) {
+func (p *planner) ticketsOf(j *workload.Job, ref workload.TaskRef) (Tickets, bool) {
 	if q, ok := p.in.State.QueueOf(j); !ok || q.Advice == nil {
 		return nil, true
 	}
@@ -390,8 +400,17 @@
 	return p.in.Tickets(ref)
 }
 
+// requestTickets lists a step in the plan's Advice after a task found no worker: another
+// worker may get a ticket. tickets is nil if the step needs none.
+func (p *planner) requestTickets(ref workload.TaskRef, tickets Tickets) {
+	if tickets != nil {
+		ref.Index = 0
+		p.plan.Advice = append(p.plan.Advice, ref)
+	}
+}
+
 // planGang places all members of a gang or none of them.
-func (p *planner) planGang(j *workload.Job, ref workload.TaskRef, waiting int, tickets map[string]string) {
+func (p *planner) planGang(j *workload.Job, ref workload.TaskRef, waiting int, tickets Tickets) {
 	tasks := j.Tasks[ref.Occurrence][ref.Step]
 	if waiting < len(tasks) {
 		return
@@ -420,6 +439,7 @@
 		}
 		if !p.place(j, ref, run+1, pool, team, tickets, rack) {
 			p.rollback(before, step, pool, team)
+			p.requestTickets(ref, tickets)
 			p.recordWaiting(step, pool, team, waiting)
 			return
 		}
@@ -480,7 +500,7 @@
 
 // place assigns a task to the feasible worker with the lowest score and reports
 // whether there is one. The caller has checked the team's limit.
-func (p *planner) place(j *workload.Job, ref workload.TaskRef, run int64, pool *poolHosts, team *teamUsage, tickets map[string]string, rack string) bool {
+func (p *planner) place(j *workload.Job, ref workload.TaskRef, run int64, pool *poolHosts, team *teamUsage, tickets Tickets, rack string) bool {
 	step := &j.Spec.Steps[ref.Step]
 	if rack == "" {
 		rack = step.DataRack
@@ -498,7 +518,7 @@
 			continue
 		}
 		fits = true
-		if tickets != nil && tickets[h.worker.ID] == "" || !p.feasible(h, step, ref) {
+		if !tickets.allow(h.worker) || !p.feasible(h, step, ref) {
 			continue
 		}
 		score := h.score(step, rack, p.in.RemoteFactor)
--- a/workload/plan/plan_test.go
+++ b/workload/plan/plan_test.go
@@ -72,7 +72,7 @@
 func (w *fixture) plan(now workload.Millis) plan.Plan {
 	return plan.Tasks(&plan.Input{
 		State: w.state, Now: now, Condition: func(id string) plan.Condition { return w.conditions[id] },
-		Tickets:      func(workload.TaskRef) (map[string]string, bool) { return nil, false },
+		Tickets:      func(workload.TaskRef) (plan.Tickets, bool) { return nil, false },
 		NotBefore:    func(workload.TaskRef) workload.Millis { return 0 },
 		FailedOn:     func(workload.TaskRef) string { return w.failedOn },
 		RemoteFactor: w.remoteFactor,
--- a/workload/plan/reference_test.go
+++ b/workload/plan/reference_test.go
@@ -176,7 +176,7 @@
 	failedOn := []string{"", "w0"}[rnd.IntN(2)]
 	return &Input{
 		State: s, Now: 200, RemoteFactor: 2, Condition: func(id string) Condition { return conditions[id] },
-		Tickets: func(workload.TaskRef) (map[string]string, bool) { return nil, false },
+		Tickets: func(workload.TaskRef) (Tickets, bool) { return nil, false },
 		NotBefore: func(r workload.TaskRef) workload.Millis {
 			return workload.Millis((r.Index + r.Step + delayed) % 7 / 6 * 1000)
 		},
--- a/workload/plan/suspect.go
+++ b/workload/plan/suspect.go
@@ -76,6 +76,7 @@
 	}
 	if p.trialsOf(j.ID) >= limit || !p.placeSuspect(j, ref, task.Run+1, pool, team, tickets, level) {
 		p.scheduleWake(p.in.Now + trialWake)
+		p.requestTickets(ref, tickets)
 		p.recordWaiting(step, pool, team, 1)
 		return
 	}
@@ -98,7 +99,7 @@
 
 // placeSuspect assigns a task to the feasible worker with the fewest runs. An isolated
 // task that finds no worker without runs keeps new tasks off the one that has the fewest.
-func (p *planner) placeSuspect(j *workload.Job, ref workload.TaskRef, run int64, pool *poolHosts, team *teamUsage, tickets map[string]string, level workload.Suspicion) bool {
+func (p *planner) placeSuspect(j *workload.Job, ref workload.TaskRef, run int64, pool *poolHosts, team *teamUsage, tickets Tickets, level workload.Suspicion) bool {
 	step := &j.Spec.Steps[ref.Step]
 	var best, emptiest *host
 	var bestScore float64
@@ -108,7 +109,7 @@
 			closed++
 			continue
 		}
-		if tickets != nil && tickets[h.worker.ID] == "" || !p.feasible(h, step, ref) {
+		if !tickets.allow(h.worker) || !p.feasible(h, step, ref) {
 			continue
 		}
 		crashedHere := p.crashedAt(j, ref, h)
--- a/workload/plan/suspect_test.go
+++ b/workload/plan/suspect_test.go
@@ -13,7 +13,7 @@
 	return plan.Tasks(&plan.Input{
 		CrashedAt: func(task workload.TaskRef, address string) bool { return w.crashedAt[task.Job] == address },
 		State:     w.state, Condition: func(id string) plan.Condition { return w.conditions[id] },
-		Tickets:   func(workload.TaskRef) (map[string]string, bool) { return nil, false },
+		Tickets:   func(workload.TaskRef) (plan.Tickets, bool) { return nil, false },
 		NotBefore: func(workload.TaskRef) workload.Millis { return 0 },
 		FailedOn:  func(workload.TaskRef) string { return "" },
 		Suspicion: func(ref workload.TaskRef) workload.Suspicion {
