driver: all members of a gang start from one checkpoint

Cause: the checkpoint of an end was stored for the member that reported it and read for each member when its order was sent, so members started from different ones, also if an end was committed between two orders of a run.

Change: an end stores its checkpoint for all members of the gang (a flag of the command, so that entries of older builds keep their meaning), and the value is fixed in the run when it is assigned, for all members in one plan.

--- a/driver/driver.go
+++ b/driver/driver.go
@@ -383,7 +383,7 @@
 	d.assignments++
 	r := &run{
 		ref: c.Task, number: c.Run, worker: c.Worker, incarnation: c.Incarnation, job: j, phase: phaseCommitting,
-		trial: j.SuspicionOf(c.Task), serial: d.assignments,
+		trial: j.SuspicionOf(c.Task), serial: d.assignments, checkpoint: d.state.CheckpointOf(c.Task),
 	}
 	d.runs[c.Task] = r
 	if r.trial != workload.Unsuspected {
--- a/driver/run.go
+++ b/driver/run.go
@@ -43,8 +43,12 @@
 	number      int64
 	worker      string
 	incarnation workload.Millis
-	job         *workload.Job
-	phase       phase
+	// checkpoint is the one to start from, fixed with the assignment: members of a gang are
+	// assigned together, and the end of one may arrive before another is ordered. It is not
+	// known for runs of an earlier leader, which are not ordered again.
+	checkpoint string
+	job        *workload.Job
+	phase      phase
 	// serial numbers the assignments of this leader; it is 0 for an adopted run.
 	serial int64
 	// confirmedAt is when the worker last confirmed the start.
@@ -154,7 +158,7 @@
 	}
 	end := &workload.End{
 		Task: r.ref, Run: r.number, Worker: r.worker, Incarnation: r.incarnation, Outcome: o,
-		Checkpoint: checkpoint, Number: number,
+		Checkpoint: checkpoint, Number: number, GangCheckpoint: true,
 	}
 	s := d.sessions[r.worker]
 	err := d.apply(workload.Command{End: end}, func() { d.ackEnd(s, number) })
--- a/driver/start.go
+++ b/driver/start.go
@@ -44,10 +44,9 @@
 		return
 	}
 	r.phase, r.pace, r.orderedAt, r.sending = phaseOrdered, fullPace, now, true
-	_, t := d.state.TaskOf(r.ref)
 	o := &platform.StartOrder{
 		Task: r.ref, Run: r.number, Payload: r.job.Spec.Payload, Until: d.leaseUntil(s, now), Fence: s.fence,
-		Checkpoint: t.Checkpoint, Ticket: d.ticketOf(r),
+		Checkpoint: r.checkpoint, Ticket: d.ticketOf(r),
 	}
 	if r.number == 1 {
 		d.cfg.Metrics.StartDelaySeconds.Observe(float64(nowMillis()-r.job.Submitted) / 1000)
--- a/workload/apply.go
+++ b/workload/apply.go
@@ -316,6 +316,12 @@
 		}
 		return nil
 	}
+	if c.GangCheckpoint && c.Checkpoint != "" && j.Spec.Steps[c.Task.Step].Gang {
+		tasks := j.Tasks[c.Task.Occurrence][c.Task.Step]
+		for i := range tasks {
+			tasks[i].Checkpoint = c.Checkpoint
+		}
+	}
 	s.endRun(c.Task, j, t, c.Outcome, c.Checkpoint, now)
 	return nil
 }
--- a/workload/command.go
+++ b/workload/command.go
@@ -129,6 +129,9 @@
 	// Settles is set by builds that let the end of an earlier run count. Entries without
 	// it are applied as they were when they were written.
 	Settles bool `cbor:"8,keyasint,omitempty"`
+	// GangCheckpoint is set by builds that store the checkpoint for all members of a gang.
+	// Entries without it are applied as they were when they were written.
+	GangCheckpoint bool `cbor:"9,keyasint,omitempty"`
 }
 
 // Upkeep records that the maintenance of an instance has begun, or that the
--- a/workload/state.go
+++ b/workload/state.go
@@ -215,6 +215,24 @@
 	return j, &tasks[r.Index]
 }
 
+// CheckpointOf returns the checkpoint from which the next run of a task starts, or "". It is
+// the same for all members of a gang: a checkpoint of any of them is valid for all, and
+// entries of older builds stored one for each.
+func (s *State) CheckpointOf(r TaskRef) string {
+	j, t := s.TaskOf(r)
+	if t == nil {
+		return ""
+	}
+	if j.Spec.Steps[r.Step].Gang {
+		for i := range j.Tasks[r.Occurrence][r.Step] {
+			if c := j.Tasks[r.Occurrence][r.Step][i].Checkpoint; c != "" {
+				return c
+			}
+		}
+	}
+	return t.Checkpoint
+}
+
 // MaxAttempts returns the number of failures after which a task fails its job.
 func (s *State) MaxAttempts(j *Job) int {
 	if q, ok := s.QueueOf(j); ok && q.MaxAttempts > 0 {
