workload: a key gives access to the jobs of its own team only

Cause: the state of a job and its cancellation looked the job up by id; the team of the key was used for submissions only.

Change: State.JobFor, the one look-up for requests. On a queue that is not open, and for a job of such a queue, jobs of another team are answered as not existing. Open queues are served as before.

--- a/driver/driver.go
+++ b/driver/driver.go
@@ -535,7 +535,7 @@
 }
 
 func (d *Driver) cancelJob(t workload.Target, resp workload.Response, answer func(workload.Response, error)) {
-	j, ok := d.state.Job(t.Job)
+	j, ok := d.state.JobFor(&t)
 	if !ok {
 		resp.Answer, resp.Reason = workload.AnswerNoJob, "no such job"
 		answer(resp, nil)
--- a/system/leader.go
+++ b/system/leader.go
@@ -188,7 +188,7 @@
 		resp.Pending = s.Pending(target.Queue.Name)
 		return resp
 	}
-	j, ok := s.Job(target.Job)
+	j, ok := s.JobFor(&target)
 	if !ok {
 		resp.Answer, resp.Reason = workload.AnswerNoJob, "no such job"
 		return resp
--- a/workload/request.go
+++ b/workload/request.go
@@ -107,6 +107,22 @@
 	return Target{Queue: q, Team: team, Job: id}, nil
 }
 
+// JobFor returns the job of a target if the request may read and cancel it. Where a key is
+// needed it gives access to the jobs of its own team only: on a queue that is not open, and
+// for a job of such a queue also when the request names an open one.
+func (s *State) JobFor(t *Target) (*Job, bool) {
+	j, ok := s.jobs[t.Job]
+	if !ok {
+		return nil, false
+	}
+	own, known := s.QueueOf(j)
+	open := t.Queue.Open && (!known || own.Open)
+	if !open && j.Team != t.Team {
+		return nil, false
+	}
+	return j, true
+}
+
 // queueAt returns the queue of a host whose prefix is the longest match of a path.
 func (s *State) queueAt(host, path string) *Queue {
 	var best *Queue
