workload: sizes of documents, commands, entries and frames fit into each other

Cause: the operators' interface accepted documents of 4 MiB, the log entries of 2 MiB. A document between them was applied to the leader's copy, could not be proposed, and stopped the driver at each attempt. Batches were bounded by the number of commands, while a submission may have 256 KiB.

Batches are split by their encoded size; the rest keeps its time.

The driver's test log refuses entries above the limit.

--- a/cluster/member.go
+++ b/cluster/member.go
@@ -60,6 +60,8 @@
 	// Silence is how long a voter may be silent before a spare replaces it.
 	Silence time.Duration
 	Machine node.StateMachine[R]
+	// MaxEntryBytes is the maximum size of an entry; 0 selects the default of the log.
+	MaxEntryBytes int
 	// BeforeStart, if set, is called each time before the state machine is
 	// restored from the disk. The restored state may be older than before.
 	BeforeStart func()
@@ -216,7 +218,12 @@
 	if m.cfg.BeforeStart != nil {
 		m.cfg.BeforeStart()
 	}
+	core := consensus.DefaultConfig(0, 0, nil)
+	if m.cfg.MaxEntryBytes > 0 {
+		core.MaxEntryBytes = m.cfg.MaxEntryBytes
+	}
 	started, err := node.Start(node.Config[R]{
+		CoreConfig: &core,
 		Storage:    m.storage(),
 		Transport:  m,
 		Machine:    m.cfg.Machine,
--- a/driver/driver.go
+++ b/driver/driver.go
@@ -28,12 +28,23 @@
 	// proposeTimeout bounds a proposal. A leader that cannot commit within this
 	// time has lost its quorum.
 	proposeTimeout = 3 * time.Second
-	// maxBatch bounds the number of commands in a batch, about 100 bytes each.
+	// maxBatch is the number of commands that wait for the log above which no tasks are
+	// assigned. Entries are bounded by workload.MaxEntryBytes.
 	maxBatch = 2000
 	// pruneInterval is the interval between removals of old jobs.
 	pruneInterval = 5 * time.Second
 )
 
+// pendingCommand is what the driver keeps with a command until it is committed.
+type pendingCommand struct {
+	// at is the time with which the command was applied. Commands of one entry share it.
+	at workload.Millis
+	// size is the size of the encoded command, in bytes.
+	size int
+	// then is called after the commit; it may be nil.
+	then func()
+}
+
 // event is a function executed on the driver's event loop.
 type event func()
 
@@ -55,9 +66,13 @@
 	// The fields below are owned by the event loop.
 	state *workload.State
 	// batch is applied to state with the time batchAt, as replicas will apply it.
-	batch      []workload.Command
-	batchAt    workload.Millis
-	onCommit   []func()
+	batch   []workload.Command
+	batchAt workload.Millis
+	// batchCut is set if an entry has taken a part of batch only. Further commands are
+	// applied with a new time, so that times do not fall behind while the rest waits.
+	batchCut bool
+	// pending has one element for each command of batch.
+	pending    []pendingCommand
 	committing bool
 	needsPlan  bool
 	planAt     workload.Millis
@@ -257,41 +272,66 @@
 func nowMillis() workload.Millis { return time.Now().UnixMilli() }
 
 // apply applies a command to the leader's copy of the state and adds it to the
-// batch. then is called after the commit and may be nil.
+// batch. then is called after the commit and may be nil. A command that no entry of the log
+// can hold is rejected before it is applied.
 func (d *Driver) apply(c workload.Command, then func()) error {
-	if len(d.batch) == 0 {
-		d.batchAt = nowMillis()
+	size, err := workload.CommandSize(&c)
+	if err != nil {
+		return err
+	}
+	if len(d.batch) == 0 || d.batchCut {
+		d.batchAt, d.batchCut = nowMillis(), false
 	}
 	if err := d.state.ApplyOne(&c, d.batchAt); err != nil {
 		return err
 	}
 	d.batch = append(d.batch, c)
-	if then != nil {
-		d.onCommit = append(d.onCommit, then)
-	}
+	d.pending = append(d.pending, pendingCommand{at: d.batchAt, size: size, then: then})
 	d.needsPlan = true
 	d.logProven()
 	d.giveUpTasks()
 	return nil
 }
 
-// flush proposes the batch unless a proposal is already in flight.
+// flush proposes the batch, or as much of it as one entry holds, unless a proposal is already
+// in flight. The rest keeps its time, with which it has been applied, and follows.
 func (d *Driver) flush() {
 	if d.committing || len(d.batch) == 0 {
 		return
 	}
-	b := workload.NewBatch(d.batchAt, d.batch)
-	data, err := workload.EncodeBatch(b)
+	n := d.entryLength()
+	data, err := workload.EncodeBatch(workload.NewBatch(d.pending[0].at, d.batch[:n]))
 	if err != nil {
 		d.cfg.Logger.Error().Err(err).Msg("failed to encode batch; stopping the driver")
 		d.cancel()
 		return
 	}
-	then := d.onCommit
-	d.batch, d.onCommit, d.committing = nil, nil, true
+	var then []func()
+	for _, p := range d.pending[:n] {
+		if p.then != nil {
+			then = append(then, p.then)
+		}
+	}
+	d.batch, d.pending, d.committing = slices.Clone(d.batch[n:]), slices.Clone(d.pending[n:]), true
+	d.batchCut = len(d.batch) > 0
 	d.async(func() { d.propose(data, then) })
 }
 
+// entryLength returns how many commands of the batch fit one entry of the log, at least one.
+func (d *Driver) entryLength() int {
+	sum, n := d.pending[0].size, 1
+	for n < len(d.pending) && d.pending[n].at == d.pending[0].at && sum+d.pending[n].size <= workload.MaxCommandBytes {
+		sum += d.pending[n].size
+		n++
+	}
+	// A move of runs precedes the registration of the incarnation that they move to. Both are
+	// in one entry, so that no leader finds runs of an incarnation that is not registered.
+	if n > 1 && n < len(d.batch) && d.batch[n-1].MoveRuns != nil {
+		n--
+	}
+	return n
+}
+
 // propose commits a batch. A failure stops the driver, because its copy of the state is
 // then ahead of the log, and so does a rejected command, because its copy differs.
 func (d *Driver) propose(data []byte, then []func()) {
@@ -435,11 +475,10 @@
 			old = append(old, id)
 		}
 	}
-	if len(old) == 0 {
-		return
-	}
-	if err := d.apply(workload.Command{RemoveJobs: &workload.RemoveJobs{Jobs: old}}, nil); err != nil {
-		d.cfg.Logger.Error().Err(err).Msg("failed to remove old jobs")
+	for jobs := range slices.Chunk(old, workload.MaxRemovedJobs) {
+		if err := d.apply(workload.Command{RemoveJobs: &workload.RemoveJobs{Jobs: jobs}}, nil); err != nil {
+			d.cfg.Logger.Error().Err(err).Msg("failed to remove old jobs")
+		}
 	}
 }
 
--- a/driver/testenv_test.go
+++ b/driver/testenv_test.go
@@ -44,6 +44,9 @@
 }
 
 func (l *termLog) Propose(_ context.Context, term uint64, data []byte) ([]error, error) {
+	if len(data) > workload.MaxEntryBytes {
+		return nil, errors.New("entry too large") // as the log does
+	}
 	b, err := workload.DecodeBatch(data)
 	if err != nil {
 		return nil, err
--- a/system/core.go
+++ b/system/core.go
@@ -51,7 +51,7 @@
 	member, err := cluster.Open(cluster.Config[[]error]{
 		Self: settings.peerAddress(), Zone: settings.Zone, DataFolder: settings.DataFolder,
 		Seeds: settings.seedPeerAddresses(), Form: settings.FormCluster, Voters: 2*settings.LostDisks + 1, Silence: seconds(settings.CatchUpS),
-		Machine: replica, Link: link, Metrics: cluster.NewMetrics(registry), Log: log,
+		Machine: replica, MaxEntryBytes: workload.MaxEntryBytes, Link: link, Metrics: cluster.NewMetrics(registry), Log: log,
 	})
 	if err != nil {
 		return err
--- a/system/message.go
+++ b/system/message.go
@@ -28,6 +28,7 @@
 	codeUnavailable = "unavailable"
 	codeInvalid     = "invalid"
 	codeNotFound    = "not-found"
+	codeTooLarge    = "too-large"
 	codeUnknown     = peerlink.CodeOutcomeUnknown
 )
 
@@ -86,6 +87,8 @@
 		code = codeInvalid
 	case errors.Is(err, workload.ErrNoJob):
 		code = codeNotFound
+	case errors.Is(err, workload.ErrTooLarge):
+		code = codeTooLarge
 	case errors.Is(err, driver.ErrOutcomeUnknown):
 		code = codeUnknown
 	}
@@ -102,7 +105,12 @@
 			return errors.Wrap(workload.ErrMalformed, remote.Detail)
 		case codeNotFound:
 			return errors.Wrap(workload.ErrNoJob, remote.Detail)
+		case codeTooLarge:
+			return errors.Wrap(workload.ErrTooLarge, remote.Detail)
 		}
 	}
+	if errors.Is(err, peerlink.ErrTooLarge) {
+		return errors.Wrap(workload.ErrTooLarge, err.Error())
+	}
 	return errors.Wrap(platform.ErrUnavailable, err.Error())
 }
--- a/workload/command.go
+++ b/workload/command.go
@@ -15,6 +15,8 @@
 	// ErrNotAssignable is returned when the task, the worker or the team limit does
 	// not permit an assignment.
 	ErrNotAssignable = errors.New("workload: task not assignable")
+	// ErrTooLarge is returned for a command that does not fit an entry of the log.
+	ErrTooLarge = errors.New("workload: too large")
 	// ErrInvalidDocument is returned when a document can't be decoded.
 	ErrInvalidDocument = errors.New("workload: invalid document")
 )
--- a/workload/state.go
+++ b/workload/state.go
@@ -527,6 +527,19 @@
 	return data, errors.Wrap(err, "encode batch")
 }
 
+// CommandSize returns the size of an encoded command, in bytes. Errors wrap ErrTooLarge if it
+// exceeds MaxCommandBytes.
+func CommandSize(c *Command) (int, error) {
+	data, err := encMode.Marshal(c)
+	if err != nil {
+		return 0, errors.Wrap(err, "encode command")
+	}
+	if len(data) > MaxCommandBytes {
+		return 0, errors.Wrapf(ErrTooLarge, "command of %d bytes, at most %d are allowed", len(data), MaxCommandBytes)
+	}
+	return len(data), nil
+}
+
 // DecodeBatch decodes a batch. Errors wrap ErrMalformed.
 func DecodeBatch(data []byte) (*Batch, error) {
 	var b Batch
