relay: batches are bounded by the size of checkpoints and tickets too

Cause: the weight of an order left out its checkpoint and ticket, that of an outcome the checkpoints of its lists. A batch with long ones exceeded a frame of a peer link and was dropped, which leaves all its orders without an outcome.

Measured: TestFullBatchesFitFrames has batches of 20 MB on the code before, frames have 4 MiB; it passes now, as does go test -race ./relay. What remains: a single outcome whose lists alone exceed a frame (over 60 ends with checkpoints of 64 KiB).

--- a/relay/message.go
+++ b/relay/message.go
@@ -75,7 +75,7 @@
 	if o.Start == nil {
 		return 1
 	}
-	return 1 + len(o.Start.Payload)/100
+	return 1 + (len(o.Start.Payload)+len(o.Start.Checkpoint)+len(o.Start.Ticket))/100
 }
 
 // failure identifies the error of a call among those that callers distinguish.
@@ -118,7 +118,11 @@
 	if o.Lists == nil {
 		return 1
 	}
-	return 1 + len(o.Lists.Running) + len(o.Lists.Ended)
+	checkpoints := 0
+	for i := range o.Lists.Ended {
+		checkpoints += len(o.Lists.Ended[i].Checkpoint)
+	}
+	return 1 + len(o.Lists.Running) + len(o.Lists.Ended) + checkpoints/100
 }
 
 // setError encodes the error of a call; err decodes it.
