--- a/driver/driver_test.go
+++ b/driver/driver_test.go
@@ -376,6 +376,8 @@
 			t.Errorf("run on %s, which has no ticket", r.Worker)
 		}
 	}
+	mu.Lock()
+	defer mu.Unlock()
 	if denied != 1 {
 		t.Errorf("the worker without a ticket was queried %d times", denied)
 	}
