--- a/driver/testenv_test.go
+++ b/driver/testenv_test.go
@@ -44,6 +44,9 @@
 }
 
 func (l *termLog) Propose(_ context.Context, term uint64, data []byte) ([]error, error) {
+	if len(data) > workload.MaxEntryBytes {
+		return nil, errors.New("entry too large") // as the log does
+	}
 	b, err := workload.DecodeBatch(data)
 	if err != nil {
 		return nil, err
@@ -172,8 +175,9 @@
 // fakeAdvisor is a driver.Advisor backed by a function.
 type fakeAdvisor func(workers []string) (map[string]string, error)
 
-func (f fakeAdvisor) Advise(_ context.Context, _ string, _ workload.TaskRef, workers []string) (map[string]string, error) {
-	return f(workers)
+func (f fakeAdvisor) Advise(_ context.Context, _ string, _ workload.TaskRef, workers []string) (platform.Advice, error) {
+	tickets, err := f(workers)
+	return platform.Advice{Tickets: tickets}, err
 }
 
 // faultyWorkers executes starts and replaces their results with those of
--- a/workload/apply.go
+++ b/workload/apply.go
@@ -287,7 +287,7 @@
 	case step.AntiAffinity > 0 && s.SameStep(c.Worker, c.Task) >= step.AntiAffinity:
 		return errors.Wrapf(ErrNotAssignable, "worker %s has reached the anti-affinity limit of the step", c.Worker)
 	}
-	if team, ok := s.Team(j.Team); ok && !s.teamUsage[j.Team].Add(step.Need).WithinLimit(team.Limit) {
+	if team, ok := s.Team(j.Team); ok && !team.Limit.Admits(s.teamUsage[j.Team], step.Need) {
 		return errors.Wrapf(ErrNotAssignable, "team %s is at its limit", j.Team)
 	}
 	return nil
@@ -316,6 +316,12 @@
 		}
 		return nil
 	}
+	if c.GangCheckpoint && c.Checkpoint != "" && j.Spec.Steps[c.Task.Step].Gang {
+		tasks := j.Tasks[c.Task.Occurrence][c.Task.Step]
+		for i := range tasks {
+			tasks[i].Checkpoint = c.Checkpoint
+		}
+	}
 	s.endRun(c.Task, j, t, c.Outcome, c.Checkpoint, now)
 	return nil
 }
--- a/workload/command.go
+++ b/workload/command.go
@@ -15,6 +15,8 @@
 	// ErrNotAssignable is returned when the task, the worker or the team limit does
 	// not permit an assignment.
 	ErrNotAssignable = errors.New("workload: task not assignable")
+	// ErrTooLarge is returned for a command that does not fit an entry of the log.
+	ErrTooLarge = errors.New("workload: too large")
 	// ErrInvalidDocument is returned when a document can't be decoded.
 	ErrInvalidDocument = errors.New("workload: invalid document")
 )
@@ -129,6 +131,9 @@
 	// Settles is set by builds that let the end of an earlier run count. Entries without
 	// it are applied as they were when they were written.
 	Settles bool `cbor:"8,keyasint,omitempty"`
+	// GangCheckpoint is set by builds that store the checkpoint for all members of a gang.
+	// Entries without it are applied as they were when they were written.
+	GangCheckpoint bool `cbor:"9,keyasint,omitempty"`
 }
 
 // Upkeep records that the maintenance of an instance has begun, or that the
--- a/workload/plan/plan.go
+++ b/workload/plan/plan.go
@@ -50,15 +50,23 @@
 	Trial, Closed bool
 }
 
+// Tickets returns the ticket for starting the tasks of a step on a worker, or "" if the
+// worker has none.
+type Tickets func(worker *workload.Worker) string
+
+// allow reports whether a worker may run tasks of the step; t is nil if no advice is
+// needed.
+func (t Tickets) allow(w *workload.Worker) bool { return t == nil || t(w) != "" }
+
 // Input is the input of Tasks.
 type Input struct {
 	State *workload.State
 	Now   workload.Millis
 	// Condition returns the leader's observation of a worker.
 	Condition func(worker string) Condition
-	// Tickets returns the advice service's tickets for a step, keyed by worker, and
-	// whether the service has answered.
-	Tickets func(step workload.TaskRef) (map[string]string, bool)
+	// Tickets returns the advice service's tickets for a step, and whether the service has
+	// answered.
+	Tickets func(step workload.TaskRef) (Tickets, bool)
 	// NotBefore returns the earliest time at which a task may be retried; 0 means at
 	// once.
 	NotBefore func(task workload.TaskRef) workload.Millis
@@ -81,7 +89,8 @@
 // Plan is the result of Tasks.
 type Plan struct {
 	Assign []workload.Assign
-	// Advice lists the steps that are waiting for an answer of the advice service.
+	// Advice lists the steps for which the advice service has not answered, or whose
+	// tickets do not suffice to place all waiting tasks.
 	Advice []workload.TaskRef
 	// Wake is the earliest time at which a task that is not due yet can start; 0 if
 	// there is none.
@@ -121,15 +130,17 @@
 	full        bool
 }
 
-// teamUsage is the usage of a team, with the tasks of the plan and those that could
-// not be placed.
+// teamUsage is the usage of a team, with the tasks of the plan.
 type teamUsage struct {
 	used, limit workload.Size
+	// waiting is the demand of the tasks that could not be placed. It is counted once all
+	// assignments are planned, and keeps no task from being assigned.
+	waiting workload.Size
 }
 
-// admits reports whether one more task of a step is within the team's limit.
+// admits reports whether the team's limit permits one more task of a step.
 func (t *teamUsage) admits(step *workload.Step) bool {
-	return t.used.Add(step.Need).WithinLimit(t.limit)
+	return t.limit.Admits(t.used, step.Need)
 }
 
 // planner holds the working state of one plan.
@@ -138,6 +149,8 @@
 	pools map[string]*poolHosts
 	teams map[string]*teamUsage
 	plan  Plan
+	// unplaced lists the tasks that could not be placed, in planning order.
+	unplaced []unplaced
 	// planned counts the assignments of this plan by worker, job, occurrence and
 	// step.
 	planned map[stepOnWorker]int
@@ -145,6 +158,14 @@
 	trials map[string]int
 }
 
+// unplaced is a number of tasks of one step that could not be placed.
+type unplaced struct {
+	step  *workload.Step
+	pool  *poolHosts
+	team  *teamUsage
+	tasks int
+}
+
 // stepOnWorker is the key of planned.
 type stepOnWorker struct {
 	worker     string
@@ -167,6 +188,7 @@
 	for _, c := range jobs {
 		p.planJob(c.job)
 	}
+	p.sumWaiting()
 	return p.plan
 }
 
@@ -360,6 +382,7 @@
 			return
 		}
 		if !p.place(j, ref, tasks[i].Run+1, pool, team, tickets, "") {
+			p.requestTickets(ref, tickets)
 			p.recordWaiting(&j.Spec.Steps[st], pool, team, waiting)
 			return
 		}
@@ -369,7 +392,7 @@
 
 // ticketsOf returns the tickets for a task's step, which are nil if its queue has no
 // advice policy, and whether the advice service has answered.
-func (p *planner) ticketsOf(j *workload.Job, ref workload.TaskRef) (map[string]string, bool) {
+func (p *planner) ticketsOf(j *workload.Job, ref workload.TaskRef) (Tickets, bool) {
 	if q, ok := p.in.State.QueueOf(j); !ok || q.Advice == nil {
 		return nil, true
 	}
@@ -377,8 +400,17 @@
 	return p.in.Tickets(ref)
 }
 
+// requestTickets lists a step in the plan's Advice after a task found no worker: another
+// worker may get a ticket. tickets is nil if the step needs none.
+func (p *planner) requestTickets(ref workload.TaskRef, tickets Tickets) {
+	if tickets != nil {
+		ref.Index = 0
+		p.plan.Advice = append(p.plan.Advice, ref)
+	}
+}
+
 // planGang places all members of a gang or none of them.
-func (p *planner) planGang(j *workload.Job, ref workload.TaskRef, waiting int, tickets map[string]string) {
+func (p *planner) planGang(j *workload.Job, ref workload.TaskRef, waiting int, tickets Tickets) {
 	tasks := j.Tasks[ref.Occurrence][ref.Step]
 	if waiting < len(tasks) {
 		return
@@ -407,25 +439,32 @@
 		}
 		if !p.place(j, ref, run+1, pool, team, tickets, rack) {
 			p.rollback(before, step, pool, team)
+			p.requestTickets(ref, tickets)
 			p.recordWaiting(step, pool, team, waiting)
 			return
 		}
 	}
 }
 
-// recordWaiting adds tasks that could not be placed to the plan's waiting demand. They
-// count against the team's limit, so that a team does not request more capacity
-// than it may use.
+// recordWaiting records tasks that could not be placed.
 func (p *planner) recordWaiting(step *workload.Step, pool *poolHosts, team *teamUsage, tasks int) {
-	sum := p.plan.Waiting[pool.name]
-	for range tasks {
-		if !team.admits(step) {
-			break
+	p.unplaced = append(p.unplaced, unplaced{step: step, pool: pool, team: team, tasks: tasks})
+}
+
+// sumWaiting computes the waiting demand of the plan. A team's assigned and waiting tasks
+// together are bounded by its limit as assignments are, so that it does not request more
+// capacity than it may use. It runs after all assignments, because a task that cannot be placed must not
+// keep later tasks of its team from starting.
+func (p *planner) sumWaiting() {
+	for _, u := range p.unplaced {
+		for range u.tasks {
+			if !u.team.limit.Admits(u.team.used.Add(u.team.waiting), u.step.Need) {
+				break
+			}
+			p.plan.Waiting[u.pool.name] = p.plan.Waiting[u.pool.name].Add(u.step.Reserved())
+			u.team.waiting = u.team.waiting.Add(u.step.Need)
 		}
-		sum = sum.Add(step.Reserved())
-		team.used = team.used.Add(step.Need)
 	}
-	p.plan.Waiting[pool.name] = sum
 }
 
 // rackWithMostFree returns the rack that has the most free processors.
@@ -461,7 +500,7 @@
 
 // place assigns a task to the feasible worker with the lowest score and reports
 // whether there is one. The caller has checked the team's limit.
-func (p *planner) place(j *workload.Job, ref workload.TaskRef, run int64, pool *poolHosts, team *teamUsage, tickets map[string]string, rack string) bool {
+func (p *planner) place(j *workload.Job, ref workload.TaskRef, run int64, pool *poolHosts, team *teamUsage, tickets Tickets, rack string) bool {
 	step := &j.Spec.Steps[ref.Step]
 	if rack == "" {
 		rack = step.DataRack
@@ -479,7 +518,7 @@
 			continue
 		}
 		fits = true
-		if tickets != nil && tickets[h.worker.ID] == "" || !p.feasible(h, step, ref) {
+		if !tickets.allow(h.worker) || !p.feasible(h, step, ref) {
 			continue
 		}
 		score := h.score(step, rack, p.in.RemoteFactor)
--- a/workload/plan/plan_test.go
+++ b/workload/plan/plan_test.go
@@ -72,7 +72,7 @@
 func (w *fixture) plan(now workload.Millis) plan.Plan {
 	return plan.Tasks(&plan.Input{
 		State: w.state, Now: now, Condition: func(id string) plan.Condition { return w.conditions[id] },
-		Tickets:      func(workload.TaskRef) (map[string]string, bool) { return nil, false },
+		Tickets:      func(workload.TaskRef) (plan.Tickets, bool) { return nil, false },
 		NotBefore:    func(workload.TaskRef) workload.Millis { return 0 },
 		FailedOn:     func(workload.TaskRef) string { return w.failedOn },
 		RemoteFactor: w.remoteFactor,
@@ -172,6 +172,72 @@
 	}
 }
 
+// Guards against a job that no worker can run keeping all later jobs of its team from
+// starting, as if it used the team's limit.
+func TestUnplaceableJobDoesNotUseTeamLimit(t *testing.T) {
+	labelled, gang := step(4, 1), step(4, 1)
+	labelled.Requires = "absent"
+	gang.Gang, gang.Requires = true, "absent"
+	for name, unplaceable := range map[string]workload.Step{"label": labelled, "gang": gang, "size": step(1, 4)} {
+		w := newFixture(t, workload.Size{Processors: 4})
+		w.addWorker("w1", 3)
+		w.addWorker("w2", 3)
+		w.addJob("a", "q", 0, unplaceable)
+		w.addJob("b", "q", 1, step(4, 1))
+		p := w.plan(1)
+		if got := assignedJobs(p); len(got) != 4 || got[0] != "b" {
+			t.Errorf("%s: assigned %v, want the 4 tasks of b", name, got)
+		}
+		w.applyPlan(p)
+	}
+}
+
+// Guards against a task that never starts because long-running tasks of its team leave
+// less of the limit than it needs, although the team uses less than half of it. A second
+// such task has to wait.
+func TestTaskStartsWhileTeamUsesHalfOfItsLimit(t *testing.T) {
+	w := newFixture(t, workload.Size{Processors: 20})
+	w.addWorker("w1", 100)
+	w.addJob("lasting", "q", 0, step(1, 9))
+	w.applyPlan(w.plan(0))
+	w.addJob("a", "q", 1, step(2, 12))
+	p := w.plan(1)
+	if got := assignedJobs(p); len(got) != 1 || got[0] != "a" {
+		t.Fatalf("assigned %v, want one task of a", got)
+	}
+	w.applyPlan(p)
+	if got := assignedJobs(w.plan(2)); len(got) != 0 {
+		t.Errorf("assigned %v to a team above its limit", got)
+	}
+}
+
+// Guards against a task that may start but for which no capacity is requested.
+func TestWaitingCountsTaskAdmittedByHalfOfLimit(t *testing.T) {
+	w := newFixture(t, workload.Size{Processors: 20})
+	w.addWorker("w1", 10)
+	w.addJob("lasting", "q", 0, step(1, 9))
+	w.applyPlan(w.plan(0))
+	w.addJob("a", "q", 1, step(2, 12))
+	if got := w.plan(1).Waiting["p"].Processors; got != 12 {
+		t.Errorf("%d cores waiting, want the 12 of one task", got)
+	}
+}
+
+// Guards against a team that requests more capacity than its limit: what runs and what
+// waits count together, in whichever order they are planned.
+func TestDemandOfTeamIsBoundedByItsLimit(t *testing.T) {
+	w := newFixture(t, workload.Size{Processors: 4})
+	w.addWorker("w1", 8)
+	unplaceable := step(4, 1)
+	unplaceable.Requires = "absent"
+	w.addJob("a", "q", 0, unplaceable)
+	w.addJob("b", "q", 1, step(3, 1))
+	p := w.plan(1)
+	if got := p.Waiting["p"].Processors; len(p.Assign) != 3 || got != 1 {
+		t.Errorf("%d cores assigned and %d waiting, want 3 and 1", len(p.Assign), got)
+	}
+}
+
 func TestWaitingCountsUnplacedTasks(t *testing.T) {
 	w := newFixture(t, workload.Size{})
 	w.addWorker("w1", 4)
--- a/workload/state.go
+++ b/workload/state.go
@@ -215,6 +215,24 @@
 	return j, &tasks[r.Index]
 }
 
+// CheckpointOf returns the checkpoint from which the next run of a task starts, or "". It is
+// the same for all members of a gang: a checkpoint of any of them is valid for all, and
+// entries of older builds stored one for each.
+func (s *State) CheckpointOf(r TaskRef) string {
+	j, t := s.TaskOf(r)
+	if t == nil {
+		return ""
+	}
+	if j.Spec.Steps[r.Step].Gang {
+		for i := range j.Tasks[r.Occurrence][r.Step] {
+			if c := j.Tasks[r.Occurrence][r.Step][i].Checkpoint; c != "" {
+				return c
+			}
+		}
+	}
+	return t.Checkpoint
+}
+
 // MaxAttempts returns the number of failures after which a task fails its job.
 func (s *State) MaxAttempts(j *Job) int {
 	if q, ok := s.QueueOf(j); ok && q.MaxAttempts > 0 {
@@ -509,6 +527,19 @@
 	return data, errors.Wrap(err, "encode batch")
 }
 
+// CommandSize returns the size of an encoded command, in bytes. Errors wrap ErrTooLarge if it
+// exceeds MaxCommandBytes.
+func CommandSize(c *Command) (int, error) {
+	data, err := encMode.Marshal(c)
+	if err != nil {
+		return 0, errors.Wrap(err, "encode command")
+	}
+	if len(data) > MaxCommandBytes {
+		return 0, errors.Wrapf(ErrTooLarge, "command of %d bytes, at most %d are allowed", len(data), MaxCommandBytes)
+	}
+	return len(data), nil
+}
+
 // DecodeBatch decodes a batch. Errors wrap ErrMalformed.
 func DecodeBatch(data []byte) (*Batch, error) {
 	var b Batch
