AVAIL: each sending of a voluntary stop checks the budget

Cause: the budget was checked when a stop was decided, and the permission was used for as long as the order was repeated. A stop for a wave or a move that had no effect was sent again after other tasks of the step had become unavailable, and took one too many down. A stop decided while the start had no answer was sent with that answer, unchecked as well.

Change: a stop that only empties an instance (evacuated, moved ahead of a wave, upkeep is due) is marked as voluntary. sendStop, which all orders pass, checks the budget right before it sends one. If the budget does not allow it, the stop is withdrawn, and the run counts as unavailable for as long as an order that was sent may be carried out; a stop that the worker has acknowledged waits instead. Stops of cancelled, failed, superseded or draining runs need no budget, also after a voluntary one.

Class: a permission taken once and used later. Examined in driver (voids, upkeeps, moves, start orders), relay (sends each order once), fleet and planner (permits are replicated and counted), jobs (no budgets): nothing further found. Stops that void a start stay outside the budget: two tasks of a step whose starts have no answer would wait for each other.

--- a/driver/incarnation.go
+++ b/driver/incarnation.go
@@ -58,7 +58,7 @@
 	r.confirmedAt, r.seen, r.stopAcked, r.stopSent = time.Time{}, time.Time{}, time.Time{}, time.Time{}
 	r.progress, r.percent, r.orderedAt = progress{}, 0, time.Now()
 	if s.worker.Pool != d.state.PoolOf(r.job) {
-		r.stopping = true
+		r.stopping, r.voluntary = true, false
 	}
 }
 
--- a/driver/run.go
+++ b/driver/run.go
@@ -52,6 +52,9 @@
 	// stopping is set once the run is to be stopped. stopSent and stopAcked are
 	// the times of the last stop order and of its acknowledgement.
 	stopping bool
+	// voluntary is set while the run is stopped only to empty its instance. Each order to stop
+	// it needs the availability budget.
+	voluntary bool
 	// voiding is set while the run is stopped only because its start has no answer and no
 	// list shows it. It goes on if a list does before a stop is acknowledged.
 	voiding      bool
@@ -286,12 +289,31 @@
 	}
 }
 
-// stopRun requests the end of a run.
+// stopRun requests the end of a run, whatever its availability budget.
 func (d *Driver) stopRun(r *run, why string) {
-	if r.stopping {
+	if r.stopping && !r.voluntary {
 		return
 	}
-	r.stopping = true
+	r.stopping, r.voluntary = true, false
+	d.beginStop(r, why)
+}
+
+// displaceRun requests the end of a run to empty its instance, and reports whether its
+// availability budget allows that now.
+func (d *Driver) displaceRun(r *run, why string) bool {
+	switch {
+	case r.stopping:
+		return true
+	case !d.withinBudget(r):
+		return false
+	}
+	r.stopping, r.voluntary = true, true
+	d.beginStop(r, why)
+	return true
+}
+
+// beginStop sends the first order to stop a run. A start that is not sent yet is withheld.
+func (d *Driver) beginStop(r *run, why string) {
 	d.cfg.Logger.Info().Str("task", r.ref.String()).Int64("run", r.number).Str("worker", r.worker).
 		Str("reason", why).Msg("run stopped")
 	if r.phase != phaseCommitting {
@@ -313,6 +335,10 @@
 	if s == nil || r.stopInFlight || now.Sub(r.stopSent) < stopRetry || !d.cfg.Log.IsLeader(d.cfg.Term) {
 		return
 	}
+	if r.voluntary && !r.voiding && !d.withinBudget(r) {
+		d.withdrawStop(r)
+		return
+	}
 	r.stopInFlight, r.stopSent = true, now
 	endpoint := s.endpoint()
 	d.async(func() {
@@ -323,6 +349,20 @@
 	})
 }
 
+// withdrawStop gives up the stop of a run that its availability budget no longer allows. An
+// order without an answer may yet be carried out, so the run counts as unavailable meanwhile;
+// see mayBeStopped. A stop that the worker has acknowledged stands, and is repeated once the
+// budget allows it.
+func (d *Driver) withdrawStop(r *run) {
+	if !r.stopAcked.IsZero() {
+		return
+	}
+	r.stopping, r.voluntary = false, false
+	d.cfg.Metrics.Decisions.WithLabelValues("withdraw-stop", "budget").Inc()
+	d.cfg.Logger.Info().Str("task", r.ref.String()).Int64("run", r.number).Str("worker", r.worker).
+		Time("last_sent", r.stopSent).Msg("stop withdrawn: other tasks of the step are unavailable")
+}
+
 func (d *Driver) stopAnswered(r *run, s *session, err error) {
 	r.stopInFlight = false
 	d.cfg.Metrics.Orders.WithLabelValues("stop", outcomeOf(err)).Inc()
--- a/driver/wave.go
+++ b/driver/wave.go
@@ -74,11 +74,11 @@
 				continue
 			}
 			step := r.step()
-			if !step.LongRunning || step.MaxUnavailable == 0 || f.d.unavailableTasks(r) >= step.MaxUnavailable {
+			if !step.LongRunning || step.MaxUnavailable == 0 || !f.d.withinBudget(r) {
 				continue
 			}
 			if f.fitsElsewhere(r) {
-				f.d.stopRun(r, "moved ahead of a wave")
+				f.d.displaceRun(r, "moved ahead of a wave")
 				continue
 			}
 			pool := f.d.state.PoolOf(r.job)
@@ -229,7 +229,7 @@
 		}
 	case !blocked && now.Sub(in.cordonAt) >= f.evacuationTimeout(w, now):
 		for _, r := range left {
-			f.d.stopRun(r, "upkeep is due")
+			f.d.displaceRun(r, "upkeep is due")
 		}
 	}
 }
@@ -239,17 +239,22 @@
 // finish.
 func (d *Driver) evacuateRun(r *run) (blocked bool) {
 	step := r.step()
-	if r.stopping {
-		return step.MaxUnavailable > 0
-	}
-	if step.LongRunning && step.MaxUnavailable > 0 && d.unavailableTasks(r) >= step.MaxUnavailable {
-		return true
-	}
-	if step.LongRunning || step.Checkpointing {
-		d.stopRun(r, "evacuated")
-		return step.MaxUnavailable > 0
+	if !r.stopping {
+		if !step.LongRunning && !step.Checkpointing {
+			return false
+		}
+		if !d.displaceRun(r, "evacuated") {
+			return true
+		}
 	}
-	return false
+	return step.MaxUnavailable > 0
+}
+
+// withinBudget reports whether the availability budget of a run's step allows the run to
+// be stopped now.
+func (d *Driver) withinBudget(r *run) bool {
+	step := r.step()
+	return !step.LongRunning || step.MaxUnavailable == 0 || d.unavailableTasks(r) < step.MaxUnavailable
 }
 
 // unavailableTasks counts the other tasks of a run's step that are not known to
