MIXED, LIMIT: a list with an unreadable entry shows nothing to be missing

Cause: entries of the list of instances that cannot be decoded were left out, and the rest was taken for a complete list. After two of them (1.4 s) an instance was removed from its wave for good and the wave was reported as completed; an instance that was down for its upkeep no longer counted as down. A worker that was not named counted as ended, so that its instance could be taken down or moved.

Change: Client.Instances returns the number of unreadable entries. A list with any updates what it shows and is no evidence of absence. Workers are placed by the time of the list that names them. A leader that has not seen an instance whose upkeep has begun counts it as down, until two complete lists lack it.

Class: conclusions from absence in a list. In serve, heartbeats of workers and feeds of endpoints are decoded as a whole: nothing found.

--- a/driver/fleet.go
+++ b/driver/fleet.go
@@ -32,8 +32,8 @@
 	// unknownWorkerGrace is how long an instance without a known worker is left
 	// untouched, so that a worker that has just joined can announce itself.
 	unknownWorkerGrace = 3 * time.Second
-	// departedLists is the number of lists in succession that lack an instance once it has
-	// left the fleet. One is not enough: the pages of a list are read one after the other,
+	// departedLists is the number of complete lists in succession that lack an instance once
+	// it has left the fleet. One is not enough: the pages of a list are read one after the other,
 	// and entries may change places meanwhile.
 	departedLists = 2
 	// maxReportAge is the age of a worker's list beyond which its tasks do not
@@ -66,7 +66,9 @@
 	// changedAt is when the machine service last confirmed an order for the instance.
 	// Lists that were requested before may not show what it did.
 	changedAt time.Time
-	// missing counts the latest lists, in succession, that lack the instance.
+	// listedAt is when the list that the instance was last read from was requested.
+	listedAt time.Time
+	// missing counts the complete lists that lack the instance since one that has it.
 	missing int
 }
 
@@ -82,8 +84,11 @@
 	// poolsLoggedAt is when the demand of the pools was logged last.
 	poolsLoggedAt time.Time
 	listing       bool
-	// asked is when each of the latest lists that were received was requested, oldest
-	// first, at most departedLists of them. No instance is known before the first one.
+	// received is set once a list has been received. No instance is known before.
+	received bool
+	// asked is when each of the latest complete lists was requested, oldest first, at most
+	// departedLists of them. A list with an entry that can't be read is not complete: the
+	// entry may be that of any instance.
 	asked []time.Time
 	// wave is the ID of the wave in progress, and waveSince when this driver first saw
 	// it as such.
@@ -140,7 +145,7 @@
 	if now.Sub(f.listedAt) >= listInterval && !f.listing {
 		f.list(now)
 	}
-	if len(f.asked) == 0 {
+	if !f.received {
 		return
 	}
 	f.findUnplaced()
@@ -164,15 +169,15 @@
 	})
 }
 
-func (f *fleet) listed(list []platform.Instance, asked time.Time, err error) {
+func (f *fleet) listed(list *platform.InstanceList, asked time.Time, err error) {
 	f.listing = false
 	if err != nil {
 		f.d.cfg.Logger.Warn().Err(err).Msg("instances not listed")
 		return
 	}
-	seen := make(map[string]*instance, len(list))
-	byWorker := make(map[string]*instance, len(list))
-	for _, in := range list {
+	seen := make(map[string]*instance, len(list.Instances))
+	byWorker := make(map[string]*instance, len(list.Instances))
+	for _, in := range list.Instances {
 		known := f.instances[in.Name]
 		if known == nil {
 			known = &instance{}
@@ -188,13 +193,17 @@
 		if known.Worker != in.Worker {
 			known.unknownWorkerSince = time.Time{}
 		}
-		known.Instance = in
+		known.Instance, known.listedAt = in, asked
 	}
+	complete := list.Unreadable == 0
 	for name, known := range f.instances {
 		if seen[name] != nil {
 			continue
 		}
-		if known.missing++; known.missing < departedLists {
+		if complete {
+			known.missing++
+		}
+		if known.missing < departedLists {
 			seen[name] = known
 		}
 	}
@@ -203,14 +212,16 @@
 			byWorker[in.Worker] = in
 		}
 	}
-	f.instances, f.byWorker = seen, byWorker
-	f.asked = append(f.asked, asked)
-	f.asked = f.asked[max(0, len(f.asked)-departedLists):]
+	f.instances, f.byWorker, f.received = seen, byWorker, true
+	if complete {
+		f.asked = append(f.asked, asked)
+		f.asked = f.asked[max(0, len(f.asked)-departedLists):]
+	}
 	f.d.needsPlan = true
 }
 
-// hasDeparted reports whether an instance has left the fleet, as far as lists show that
-// were all requested after a time at which it was part of it.
+// hasDeparted reports whether an instance has left the fleet, as far as complete lists
+// show that were all requested after a time at which it was part of it.
 func (f *fleet) hasDeparted(name string, since time.Time) bool {
 	return f.instances[name] == nil && len(f.asked) == departedLists && f.asked[0].After(since)
 }
--- a/driver/session_test.go
+++ b/driver/session_test.go
@@ -178,3 +178,26 @@
 		t.Errorf("%d unavailable tasks once the stop can't be carried out", n)
 	}
 }
+
+// AVAIL: a list with an entry that could not be read was taken as evidence that a worker it did
+// not name was on no instance. Its instance could then be taken down with its runs.
+func TestIncompleteListPlacesNoMissingWorker(t *testing.T) {
+	d, _ := driverOfOneRun(t)
+	s := d.sessions["w"]
+	s.failures = 1 // it may have ended
+	list := &platform.InstanceList{Instances: []platform.Instance{{Name: "m", Worker: "other"}}, Unreadable: 1}
+	d.fleet.listed(list, s.registeredAt.Add(time.Second), nil)
+	if d.fleet.isPlaced(s) {
+		t.Error("placed by a list of which an entry could not be read")
+	}
+	list.Instances = append(list.Instances, platform.Instance{Name: "n", Worker: "w"})
+	d.fleet.listed(list, s.registeredAt.Add(2*time.Second), nil)
+	if !d.fleet.isPlaced(s) {
+		t.Error("not placed by a list that names the worker")
+	}
+	d.fleet.listed(&platform.InstanceList{}, s.registeredAt.Add(3*time.Second), nil)
+	d.fleet.listed(&platform.InstanceList{}, s.registeredAt.Add(4*time.Second), nil)
+	if !d.fleet.isPlaced(s) {
+		t.Error("a worker that does not answer and is in no complete list has not ended")
+	}
+}
--- a/driver/types.go
+++ b/driver/types.go
@@ -39,7 +39,7 @@
 
 // Instances lists instances, moves them between pools and starts their upkeep.
 type Instances interface {
-	Instances(ctx context.Context, address string) ([]platform.Instance, error)
+	Instances(ctx context.Context, address string) (*platform.InstanceList, error)
 	MoveInstance(ctx context.Context, address string, h platform.Holder, instance, pool string) error
 	StartUpkeep(ctx context.Context, address string, h platform.Holder, instance string, wave int64) error
 }
--- a/driver/unplaced.go
+++ b/driver/unplaced.go
@@ -32,14 +32,17 @@
 // isOrdered reports whether an upkeep or a move of the instance is due or under way.
 func (i *instance) isOrdered() bool { return i.wave != 0 || i.moveTo != "" }
 
-// isPlaced reports whether the last list shows on which instance a worker is. A list that was
-// requested before the worker registered may be older than the worker. One that was requested
-// later and does not name the worker shows that it has ended, unless it still answers.
+// isPlaced reports whether a list shows on which instance a worker is. A list that was
+// requested before the worker registered may be older than the worker. A complete one that was
+// requested later and does not name the worker shows that it has ended, unless it still answers.
 func (f *fleet) isPlaced(s *session) bool {
+	if in := f.byWorker[s.worker.ID]; in != nil {
+		return in.listedAt.After(s.registeredAt)
+	}
 	if len(f.asked) == 0 || !f.asked[len(f.asked)-1].After(s.registeredAt) {
 		return false
 	}
-	return f.byWorker[s.worker.ID] != nil || s.failures > 0 || s.replaced
+	return s.failures > 0 || s.replaced
 }
 
 // mayHost reports whether a worker that is not placed may be on an instance, other than as
--- a/driver/wave.go
+++ b/driver/wave.go
@@ -167,13 +167,15 @@
 	}
 }
 
-// down counts the instances of a wave that are cordoned, ordered or down.
+// down counts the instances of a wave that are cordoned, ordered or down. One that no list of
+// this leader has shown may still be down for its upkeep.
 func (f *fleet) down(w *workload.Wave) int {
 	n := 0
 	for _, name := range w.Instances {
 		in := f.instances[name]
 		_, ordered := w.Ordered[name]
-		if ordered || in != nil && (in.wave != 0 || in.State != platform.InstanceUp || !in.upkeepOrderedAt.IsZero()) {
+		unseen := in == nil && w.Begun[name] && !f.hasDeparted(name, time.Time{})
+		if ordered || unseen || in != nil && (in.wave != 0 || in.State != platform.InstanceUp || !in.upkeepOrderedAt.IsZero()) {
 			n++
 		}
 	}
