LOST: all waves advance concurrently, each within its own limit

Cause: only the wave that is due first was advanced. An instance that an earlier wave had cordoned got neither its upkeep nor work until the other wave ended. If it was in both, neither ended: it was skipped because it was cordoned, and it counted as down.

Change: all waves that are not completed are advanced, by deadline. Each counts the instances that are cordoned, ordered or down for itself. An instance in two waves is cordoned for the second upkeep once a list shows it up after the first. A cordon whose upkeep has begun or is not wanted any more is released. While other waves have set instances aside, an instance whose room a long-running task needs is not cordoned, unless its wave would then miss its deadline.

Class: state of one of several that is left behind when another one becomes current. Examined: moves between pools, waves of serve (planner, fleet): nothing found.

--- a/driver/fleet.go
+++ b/driver/fleet.go
@@ -61,6 +61,9 @@
 	// upkeepOrderedAt is set when an upkeep is ordered and cleared when a list
 	// shows the instance up again.
 	upkeepOrderedAt time.Time
+	// upkeepOf is the ID of the wave whose upkeep of the instance this driver has seen begin
+	// last, or 0.
+	upkeepOf int64
 	// lateUntil is until when an order without an answer may yet be carried out.
 	lateUntil time.Time
 	// changedAt is when the machine service last confirmed an order for the instance.
@@ -90,10 +93,8 @@
 	// departedLists of them. A list with an entry that can't be read is not complete: the
 	// entry may be that of any instance.
 	asked []time.Time
-	// wave is the ID of the wave in progress, and waveSince when this driver first saw
-	// it as such.
-	wave      int64
-	waveSince time.Time
+	// waveSince is when this driver first saw each wave that is not completed.
+	waveSince map[int64]time.Time
 	trends    map[string]*plan.Trend
 	// loads is the work that arrives for each pool, and runTimes the observed run
 	// times of each queue's tasks.
@@ -105,8 +106,7 @@
 	ordered map[string]bool
 	// unplaced holds the workers with runs whose instance is not known, as of the last tick.
 	unplaced []*session
-	// leaving holds the workers whose instances the current wave has yet to take
-	// down.
+	// leaving holds the workers whose instances a wave has yet to take down.
 	leaving     map[string]bool
 	relocatedAt time.Time
 	// relocationDemand is the capacity, by pool, required by a task that has to
@@ -122,7 +122,7 @@
 	f := &fleet{
 		d: d, instances: map[string]*instance{}, byWorker: map[string]*instance{}, trends: map[string]*plan.Trend{},
 		loads: map[string]*plan.Load{}, runTimes: map[string]*runTimes{}, orders: orders,
-		ordered: map[string]bool{},
+		ordered: map[string]bool{}, waveSince: map[int64]time.Time{},
 	}
 	f.findOrdered()
 	return f
@@ -149,7 +149,7 @@
 		return
 	}
 	f.findUnplaced()
-	f.advanceWave(now)
+	f.advanceWaves(now)
 	// After an outage tasks wait until the workers have announced themselves in this term.
 	if f.d.knewCapacities(now) && now.Sub(f.plannedAt) >= movesInterval {
 		f.plannedAt = now
--- a/driver/wave.go
+++ b/driver/wave.go
@@ -1,6 +1,7 @@
 package driver
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -19,40 +20,77 @@
 // wave, shorter than the time a relocated task takes to become available again.
 const relocateInterval = 100 * time.Millisecond
 
-// advanceWave advances the current wave.
-func (f *fleet) advanceWave(now time.Time) {
-	f.leaving = nil
-	for _, w := range f.d.state.Waves() {
+// advanceWaves advances all waves that are not completed. Those that are due first come
+// first where waves compete for an instance or for an availability budget.
+func (f *fleet) advanceWaves(now time.Time) {
+	waves := f.openWaves()
+	for _, w := range waves {
+		if _, seen := f.waveSince[w.ID]; !seen {
+			f.waveSince[w.ID] = now
+		}
 		f.resumeOrdered(w, now)
+		f.removeDeparted(w)
 	}
-	wave := f.nextWave()
-	if wave == nil {
+	f.releaseCordoned()
+	f.markLeaving(waves)
+	if len(waves) == 0 {
 		f.relocationDemand = nil
 		return
 	}
-	if f.wave != wave.ID {
-		f.wave, f.waveSince = wave.ID, now
+	for _, w := range waves {
+		f.cordon(w, now)
 	}
-	f.removeDeparted(wave)
-	f.cordon(wave, now)
-	f.markLeaving(wave)
 	if now.Sub(f.relocatedAt) >= relocateInterval {
 		f.relocatedAt = now
 		f.relocateBeforeWave(now)
 	}
-	for _, name := range wave.Instances {
-		if in := f.instances[name]; in != nil && in.wave == wave.ID {
-			f.evacuate(wave, in, now)
+	for _, w := range waves {
+		for _, name := range w.Instances {
+			if in := f.instances[name]; in != nil && in.wave == w.ID {
+				f.evacuate(w, in, now)
+			}
+		}
+	}
+}
+
+// openWaves returns the waves that are not completed, by deadline.
+func (f *fleet) openWaves() []*workload.Wave {
+	var waves []*workload.Wave
+	for _, w := range f.d.state.Waves() {
+		if w.Completed() {
+			delete(f.waveSince, w.ID)
+			continue
+		}
+		waves = append(waves, w)
+	}
+	slices.SortFunc(waves, func(a, b *workload.Wave) int {
+		return cmp.Or(cmp.Compare(a.Deadline, b.Deadline), cmp.Compare(a.ID, b.ID))
+	})
+	return waves
+}
+
+// releaseCordoned releases the instances that are cordoned for an upkeep that has begun or is
+// not wanted any more, as a late answer may show.
+func (f *fleet) releaseCordoned() {
+	for _, in := range f.instances {
+		if in.wave == 0 || in.callInFlight {
+			continue
+		}
+		if w := f.d.state.Waves()[in.wave]; w == nil || !w.IsPending(in.Name) {
+			in.wave = 0
+			f.d.needsPlan = true
 		}
 	}
 }
 
-// markLeaving records the workers whose instances the wave has yet to take down.
-func (f *fleet) markLeaving(w *workload.Wave) {
+// markLeaving records the workers whose instances a wave has yet to take down.
+func (f *fleet) markLeaving(waves []*workload.Wave) {
 	f.leaving = map[string]bool{}
-	for _, name := range w.Instances {
-		if in := f.instances[name]; in != nil && in.Worker != "" && w.IsPending(name) {
-			f.leaving[in.Worker] = true
+	for _, w := range waves {
+		for _, name := range w.Instances {
+			if in := f.instances[name]; in != nil && in.Worker != "" && w.IsPending(name) {
+				f.leaving[in.Worker] = true
+			}
 		}
 	}
 }
@@ -87,18 +125,22 @@
 	}
 }
 
-// fitsElsewhere reports whether a worker outside the wave has room for a run's
-// task.
+// fitsElsewhere reports whether a worker outside the waves has room for a run's task.
 func (f *fleet) fitsElsewhere(r *run) bool {
+	return f.hasRoom(r.ref, r.job, func(w *workload.Worker) bool { return w.ID != r.worker && !f.leaving[w.ID] })
+}
+
+// hasRoom reports whether one of the selected workers has room for a task.
+func (f *fleet) hasRoom(ref workload.TaskRef, j *workload.Job, selected func(*workload.Worker) bool) bool {
 	d := f.d
 	now := time.Now()
-	step := r.step()
-	for _, w := range d.state.PoolWorkers(d.state.PoolOf(r.job)) {
-		if w.ID == r.worker || f.leaving[w.ID] || w.Draining || w.Lost || !d.condition(w.ID, now).Usable {
+	step := &j.Spec.Steps[ref.Step]
+	for _, w := range d.state.PoolWorkers(d.state.PoolOf(j)) {
+		if !selected(w) || w.Draining || w.Lost || !d.condition(w.ID, now).Usable {
 			continue
 		}
 		fits := d.state.Reserved(w.ID).Add(step.Reserved()).Fits(w.Capacity)
-		apart := step.AntiAffinity == 0 || d.state.SameStep(w.ID, r.ref) < step.AntiAffinity
+		apart := step.AntiAffinity == 0 || d.state.SameStep(w.ID, ref) < step.AntiAffinity
 		if fits && apart && (step.Requires == "" || slices.Contains(w.Labels, step.Requires)) {
 			return true
 		}
@@ -106,22 +148,11 @@
 	return false
 }
 
-// nextWave returns the wave with the earliest deadline that is not completed.
-func (f *fleet) nextWave() *workload.Wave {
-	var next *workload.Wave
-	for _, w := range f.d.state.Waves() {
-		if !w.Completed() && (next == nil || w.Deadline < next.Deadline || w.Deadline == next.Deadline && w.ID < next.ID) {
-			next = w
-		}
-	}
-	return next
-}
-
 // removeDeparted removes instances from a wave that have left the fleet since it was
 // started. Lists that were requested before may be older than the instance.
 func (f *fleet) removeDeparted(w *workload.Wave) {
 	for _, name := range w.Instances {
-		if w.IsPending(name) && f.hasDeparted(name, f.waveSince) {
+		if w.IsPending(name) && f.hasDeparted(name, f.waveSince[w.ID]) {
 			f.d.cfg.Logger.Info().Str("instance", name).Int64("wave", w.ID).Time("first_list", f.asked[0]).
 				Time("last_list", f.asked[len(f.asked)-1]).Msg("instance left the fleet before its upkeep")
 			f.commit(&workload.Upkeep{Wave: w.ID, Instance: name, Left: true})
@@ -167,32 +198,147 @@
 	}
 }
 
-// down counts the instances of a wave that are cordoned, ordered or down. One that no list of
-// this leader has shown may still be down for its upkeep.
+// down counts the instances of a wave that are cordoned, ordered or down for it.
 func (f *fleet) down(w *workload.Wave) int {
 	n := 0
 	for _, name := range w.Instances {
-		in := f.instances[name]
-		_, ordered := w.Ordered[name]
-		unseen := in == nil && w.Begun[name] && !f.hasDeparted(name, time.Time{})
-		if ordered || unseen || in != nil && (in.wave != 0 || in.State != platform.InstanceUp || !in.upkeepOrderedAt.IsZero()) {
+		if f.isDown(w, name) {
 			n++
 		}
 	}
 	return n
 }
 
-// cordon selects the next instances of a wave, those with the fewest runs first.
+// isDown reports whether an instance counts as down for a wave. One that no list of this
+// leader has shown may still be down for the upkeep that has begun.
+func (f *fleet) isDown(w *workload.Wave, name string) bool {
+	in := f.instances[name]
+	_, ordered := w.Ordered[name]
+	switch {
+	case ordered:
+		return true
+	case in == nil:
+		return w.Begun[name] && !f.hasDeparted(name, time.Time{})
+	case in.wave != 0:
+		return in.wave == w.ID
+	}
+	away := in.State != platform.InstanceUp || !in.upkeepOrderedAt.IsZero()
+	return away && !f.downForOther(w, in)
+}
+
+// downForOther reports whether an instance that is down is so for the upkeep of another wave.
+// If an earlier leader has begun the upkeeps of several waves, it may be down for any of them.
+func (f *fleet) downForOther(w *workload.Wave, in *instance) bool {
+	if in.upkeepOf != 0 {
+		return in.upkeepOf != w.ID
+	}
+	if w.Begun[in.Name] {
+		return false
+	}
+	for _, other := range f.d.state.Waves() {
+		if _, ordered := other.Ordered[in.Name]; other.ID != w.ID && (ordered || other.Begun[in.Name]) {
+			return true
+		}
+	}
+	return false
+}
+
+// othersAside reports whether other waves than w have set instances aside. Waves together may
+// set aside more instances than the limit of each.
+func (f *fleet) othersAside(w *workload.Wave) bool {
+	for _, in := range f.instances {
+		down := in.State == platform.InstanceUpkeep || !in.upkeepOrderedAt.IsZero()
+		if in.wave != 0 && in.wave != w.ID || in.wave == 0 && down && f.downForOther(w, in) {
+			return true
+		}
+	}
+	return false
+}
+
+// displaced returns the long-running tasks that have to leave a cordoned instance or are not
+// assigned, with their jobs.
+func (f *fleet) displaced() map[workload.TaskRef]*workload.Job {
+	tasks := f.waitingLongRunning()
+	for _, in := range f.instances {
+		if in.wave != 0 {
+			f.addLongRunning(tasks, in)
+		}
+	}
+	return tasks
+}
+
+// addLongRunning adds the long-running tasks on an instance, with their jobs.
+func (f *fleet) addLongRunning(tasks map[workload.TaskRef]*workload.Job, in *instance) {
+	for ref, j := range f.d.state.Runs(in.Worker) {
+		if j.Spec.Steps[ref.Step].LongRunning {
+			tasks[ref] = j
+		}
+	}
+}
+
+// takesRoom reports whether cordoning an instance would leave a long-running task without
+// room: one on it that fits nowhere else, or a displaced one that fits only here. Each task is
+// considered by itself.
+func (f *fleet) takesRoom(in *instance, displaced map[workload.TaskRef]*workload.Job) bool {
+	elsewhere := func(o *workload.Worker) bool { return o.ID != in.Worker }
+	here := func(o *workload.Worker) bool { return o.ID == in.Worker }
+	own := map[workload.TaskRef]*workload.Job{}
+	f.addLongRunning(own, in)
+	for ref, j := range own {
+		if !f.hasRoom(ref, j, elsewhere) {
+			return true
+		}
+	}
+	for ref, j := range displaced {
+		if f.hasRoom(ref, j, here) && !f.hasRoom(ref, j, elsewhere) {
+			return true
+		}
+	}
+	return false
+}
+
+// waitingLongRunning returns the long-running tasks that are not assigned, with their jobs.
+func (f *fleet) waitingLongRunning() map[workload.TaskRef]*workload.Job {
+	waiting := map[workload.TaskRef]*workload.Job{}
+	for _, j := range f.d.state.Active() {
+		if j.Runnable() == 0 || !j.Spec.LongRunning() {
+			continue
+		}
+		for k := range j.Tasks {
+			for st := range j.Tasks[k] {
+				for i := range j.Tasks[k][st] {
+					if j.Spec.Steps[st].LongRunning && j.Tasks[k][st][i].State == workload.TaskWaiting {
+						waiting[workload.TaskRef{Job: j.ID, Occurrence: k, Step: st, Index: i}] = j
+					}
+				}
+			}
+		}
+	}
+	return waiting
+}
+
+// cordon selects the next instances of a wave, those with the fewest runs first. While other
+// waves have set instances aside, one whose room long-running tasks need waits, unless the
+// wave would miss its deadline.
 func (f *fleet) cordon(w *workload.Wave, now time.Time) {
-	for free := w.MaxDown - f.down(w); free > 0; free-- {
+	free := w.MaxDown - f.down(w)
+	if free <= 0 {
+		return
+	}
+	careful := f.evacuationTimeout(w, now) > 0 && f.othersAside(w)
+	for ; free > 0; free-- {
+		var displaced map[workload.TaskRef]*workload.Job
+		if careful {
+			displaced = f.displaced()
+		}
 		var best *instance
 		for _, name := range w.Instances {
 			in := f.instances[name]
-			if in == nil || !w.IsPending(name) || in.wave != 0 || in.moveTo != "" ||
-				in.State != platform.InstanceUp || !f.runsKnown(in, now) {
-				continue
-			}
-			if best == nil || f.runCount(in) < f.runCount(best) {
+			switch {
+			case in == nil || !w.IsPending(name) || !f.mayCordon(in, now):
+			case best != nil && f.runCount(in) >= f.runCount(best):
+			case careful && f.takesRoom(in, displaced):
+			default:
 				best = in
 			}
 		}
@@ -206,6 +352,12 @@
 	}
 }
 
+// mayCordon reports whether an instance is up, is neither moving nor cordoned or down for
+// another wave, and has no runs that are not known.
+func (f *fleet) mayCordon(in *instance, now time.Time) bool {
+	return in.wave == 0 && in.moveTo == "" && in.State == platform.InstanceUp && in.upkeepOrderedAt.IsZero() && f.runsKnown(in, now)
+}
+
 // evacuate empties a cordoned instance within the availability budgets and takes it
 // down once it is empty. Runs are stopped if waiting longer for their ends would miss the
 // wave's deadline. No run is left to the upkeep to end: an order that an earlier leader
@@ -327,7 +479,7 @@
 	if err == nil {
 		d.cfg.Logger.Info().Str("instance", in.Name).Str("worker", in.Worker).Int64("wave", wave).
 			Uint64("term", d.cfg.Term).Msg("instance down for upkeep")
-		in.wave, in.upkeepOrderedAt, in.changedAt = 0, time.Now(), time.Now()
+		in.wave, in.upkeepOf, in.upkeepOrderedAt, in.changedAt = 0, wave, time.Now(), time.Now()
 		f.commit(&workload.Upkeep{Wave: wave, Instance: in.Name})
 		d.loseIdleWorker(worker, "upkeep")
 		return
