HARM: the pace in force is repeated while an earlier order may change it

Cause: a pace order without an answer may be carried out up to 15 s later, after the pace was lowered. The driver took the answered lower pace to be in force and ordered nothing else.

Change: the driver keeps the pace orders that may yet be carried out. While one of them is for another pace than the one in force, that one is sent again every 200 ms. If an order is answered after a newer one was sent, the pace in force is sent once more. Answered orders cause no further calls.

Class: an order that sets a value and may be carried out after a newer one. A new leader takes the pace of adopted runs to be 100 percent; that is left as it is.

--- a/driver/pace.go
+++ b/driver/pace.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 )
 
@@ -18,8 +19,19 @@
 	// lowTailTime is how long tail latencies must stay low before the pace is
 	// raised. The tail is measured over half a second.
 	lowTailTime = 700 * time.Millisecond
+	// paceRepeat is the interval at which the pace in force is sent again while an earlier
+	// order may change it. A raise that is carried out late is corrected within this time and
+	// that of a call, which leaves the rest of a second for the pace to take effect and to
+	// show in the tail, measured over half a second.
+	paceRepeat = 200 * time.Millisecond
 )
 
+// paceOrder is an order to change the pace of a run that may yet be carried out.
+type paceOrder struct {
+	percent int
+	sent    time.Time
+}
+
 // pace slows filling runs while a serving task on the same worker is close to its
 // latency target. The pace is reduced by halving and raised in fixed steps.
 func (d *Driver) pace(s *session, now time.Time) {
@@ -71,18 +83,53 @@
 	}
 }
 
+// sendPace orders the pace of a run.
 func (d *Driver) sendPace(s *session, r *run, percent int) {
-	r.pace = percent
+	o := &paceOrder{percent: percent, sent: time.Now()}
+	r.pace, r.pacedAt = percent, o.sent
+	r.paceOrders = append(r.paceOrders, o)
 	endpoint := s.endpoint()
 	d.async(func() {
 		err := d.call(callTimeout, func(ctx context.Context) error {
 			return d.cfg.Workers.Pace(ctx, endpoint, r.ref, r.number, percent, s.fence)
 		})
-		d.postReply(func() {
-			d.cfg.Metrics.Orders.WithLabelValues("pace", outcomeOf(err)).Inc()
-			if err != nil && r.pace == percent {
-				r.pace = -1 // resent when the next list arrives
-			}
-		})
+		d.postReply(func() { d.paceAnswered(s, r, o, err) })
 	})
 }
+
+// paceAnswered handles the result of a pace order. An order without an answer may be carried
+// out after newer ones, and so may one that is answered after a newer one was sent.
+func (d *Driver) paceAnswered(s *session, r *run, o *paceOrder, err error) {
+	d.cfg.Metrics.Orders.WithLabelValues("pace", outcomeOf(err)).Inc()
+	if isAnswer(err) {
+		r.paceOrders = slices.DeleteFunc(r.paceOrders, func(other *paceOrder) bool { return other == o })
+	}
+	if err != nil && r.pace == o.percent {
+		r.pace = -1 // resent when the next list arrives
+	}
+	if err == nil && r.pacedAt.After(o.sent) && o.percent != s.fillPace && d.isCurrent(s, r) {
+		d.sendPace(s, r, s.fillPace)
+	}
+}
+
+// isCurrent reports whether a run is tracked on the incarnation of its worker that the session
+// is of.
+func (d *Driver) isCurrent(s *session, r *run) bool {
+	return d.runs[r.ref] == r && d.sessions[r.worker] == s && s.worker.Incarnation == r.incarnation
+}
+
+// repeatPace sends the pace in force of a filling run again while an earlier order for another
+// pace may yet be carried out.
+func (d *Driver) repeatPace(r *run, now time.Time) {
+	if len(r.paceOrders) == 0 || now.Sub(r.pacedAt) < paceRepeat {
+		return
+	}
+	r.paceOrders = slices.DeleteFunc(r.paceOrders, func(o *paceOrder) bool { return now.Sub(o.sent) > lateOrderTime+paceRepeat })
+	s := d.sessions[r.worker]
+	if s == nil || r.phase != phaseStarted || !d.isCurrent(s, r) {
+		return
+	}
+	if slices.ContainsFunc(r.paceOrders, func(o *paceOrder) bool { return o.percent != s.fillPace }) {
+		d.sendPace(s, r, s.fillPace)
+	}
+}
--- a/driver/run.go
+++ b/driver/run.go
@@ -87,6 +87,10 @@
 	percent  int
 	tail     int64
 	pace     int
+	// pacedAt is when the pace was ordered last, and paceOrders are the orders that may yet be
+	// carried out, oldest first.
+	pacedAt    time.Time
+	paceOrders []*paceOrder
 }
 
 func (r *run) step() *workload.Step { return &r.job.Spec.Steps[r.ref.Step] }
@@ -379,9 +383,11 @@
 	}
 }
 
-// retryRuns repeats stop orders that have not taken effect.
+// retryRuns repeats stop orders that have not taken effect, and paces that may be changed by
+// earlier orders.
 func (d *Driver) retryRuns(now time.Time) {
 	for _, r := range d.runs {
+		d.repeatPace(r, now)
 		if (r.stopping || r.voiding) && r.phase != phaseCommitting && r.phase != phaseOrdered && now.Sub(r.stopSent) > stopRetry {
 			d.sendStop(r)
 		}
