AVAIL: a move that may yet be carried out keeps its instance from work and from other moves

Found by the search for the class of the late pace order: an order that sets a value and may be carried out after a newer one.

Cause: a move without an answer may be carried out up to 15 s later. Its repetition could be refused (the instance is not up), which made the leader drop the move and start tasks on the instance; or be carried out, and the instance moved back to where demand needed it. In both cases the first order then took the instance away with tasks at work, without a stop and without regard to a budget.

Change: a refusal leaves the move in progress while an earlier order may be carried out, as for upkeeps. An instance is no candidate for a move meanwhile (driver/pools.go).

Left: moves that an earlier leader has ordered are not in the log.

--- a/driver/pools.go
+++ b/driver/pools.go
@@ -193,7 +193,9 @@
 	default:
 		p.Ready = free && d.inService(session, now)
 	}
-	p.Movable = free && idle && !leaving && f.runsKnown(i, now)
+	// A move that may yet be carried out would take the instance back from where the next one
+	// puts it, with the tasks that run there by then.
+	p.Movable = free && idle && !leaving && !now.Before(i.lateUntil) && f.runsKnown(i, now)
 	return p
 }
 
@@ -247,12 +249,14 @@
 	d.cfg.Logger.Warn().Err(err).Str("instance", i.Name).Str("to", to).Msg("move not carried out")
 	i.retryAt = time.Now().Add(machineRetryDelay(err))
 	var refusal *platform.Refusal
-	if !errors.As(err, &refusal) {
+	switch {
+	case !errors.As(err, &refusal):
 		i.recordLate(err)
-	} else {
+	case refusal.Reason == platform.ReasonFence:
+		i.moveTo = ""
+		d.cancel()
+	case time.Now().Before(i.lateUntil): // an earlier order without an answer may yet be carried out
+	default:
 		i.moveTo = ""
-		if refusal.Reason == platform.ReasonFence {
-			d.cancel()
-		}
 	}
 }
