LOST: an instance that budgets hold up is released if it is needed for work

Cause: a cordoned instance waits for as long as an availability budget does not allow its runs to be stopped. If a task of the step is unavailable for good, it got neither its upkeep nor work, and no other instance of its wave took its turn.

Change: an instance that budgets have held up for 10 s, with no stop in progress, is released if tasks wait for room in its pool or another instance of its wave can take its turn. It is cordoned again once the budgets allow it. The budget still takes precedence over the deadline. Instances with an ordered upkeep are not released.

--- a/driver/fleet.go
+++ b/driver/fleet.go
@@ -47,8 +47,12 @@
 	// full is the largest capacity that the instance has been listed with.
 	full workload.Size
 	// wave is the ID of the wave that cordoned the instance, or 0.
-	wave         int64
-	cordonAt     time.Time
+	wave     int64
+	cordonAt time.Time
+	// blockedSince is since when availability budgets have kept every stop on a cordoned
+	// instance back, and released is set once it was released for that.
+	blockedSince time.Time
+	released     bool
 	callInFlight bool
 	retryAt      time.Time
 	// moveTo is the target pool of a move in progress.
--- a/driver/wave.go
+++ b/driver/wave.go
@@ -20,6 +20,11 @@
 // wave, shorter than the time a relocated task takes to become available again.
 const relocateInterval = 100 * time.Millisecond
 
+// maxBlocked is how long availability budgets may hold up a cordoned instance that is needed
+// for work. A displaced task runs again within 6 s where capacity allows, so a task that is
+// unavailable for longer may be so for good.
+const maxBlocked = 10 * time.Second
+
 // advanceWaves advances all waves that are not completed. Those that are due first come
 // first where waves compete for an instance or for an availability budget.
 func (f *fleet) advanceWaves(now time.Time) {
@@ -345,7 +350,7 @@
 		if best == nil {
 			return
 		}
-		best.wave, best.cordonAt = w.ID, now
+		best.wave, best.cordonAt, best.blockedSince, best.released = w.ID, now, time.Time{}, false
 		f.d.needsPlan = true
 		f.d.cfg.Logger.Info().Str("instance", best.Name).Str("worker", best.Worker).Int64("wave", w.ID).
 			Int("runs", len(f.d.state.Runs(best.Worker))).Msg("instance cordoned for upkeep")
@@ -353,8 +358,12 @@
 }
 
 // mayCordon reports whether an instance is up, is neither moving nor cordoned or down for
-// another wave, and has no runs that are not known.
+// another wave, and has no runs that are not known. One that was released waits until
+// availability budgets allow it.
 func (f *fleet) mayCordon(in *instance, now time.Time) bool {
+	if in.released && f.isBlocked(in) {
+		return false
+	}
 	return in.wave == 0 && in.moveTo == "" && in.State == platform.InstanceUp && in.upkeepOrderedAt.IsZero() && f.runsKnown(in, now)
 }
 
@@ -366,7 +375,7 @@
 	if in.callInFlight || now.Before(in.retryAt) || !f.runsKnown(in, now) {
 		return
 	}
-	blocked := false
+	blocked, stopping := false, false
 	var left []*run
 	for ref := range f.d.state.Runs(in.Worker) {
 		r := f.d.runs[ref]
@@ -375,6 +384,16 @@
 		}
 		left = append(left, r)
 		blocked = f.d.evacuateRun(r) || blocked
+		stopping = stopping || r.stopping
+	}
+	switch {
+	case !blocked || stopping:
+		in.blockedSince = time.Time{}
+	case in.blockedSince.IsZero():
+		in.blockedSince = now
+	case now.Sub(in.blockedSince) >= maxBlocked && f.releaseHelps(w, in, now):
+		f.releaseBlocked(w, in)
+		return
 	}
 	switch {
 	case len(left) == 0:
@@ -388,6 +407,41 @@
 	}
 }
 
+// releaseHelps reports whether tasks wait for room in a blocked instance's pool, or another
+// instance of its wave can take its turn. An instance with an ordered upkeep is not released.
+func (f *fleet) releaseHelps(w *workload.Wave, in *instance, now time.Time) bool {
+	if _, ordered := w.Ordered[in.Name]; ordered || !in.upkeepOrderedAt.IsZero() {
+		return false
+	}
+	if f.d.waiting[in.Pool] != (workload.Size{}) {
+		return true
+	}
+	return slices.ContainsFunc(w.Instances, func(name string) bool {
+		o := f.instances[name]
+		return o != nil && o != in && w.IsPending(name) && f.mayCordon(o, now) && !f.isBlocked(o)
+	})
+}
+
+// releaseBlocked ends the cordon of an instance that availability budgets hold up. It is not
+// cordoned again before they allow its runs to be stopped.
+func (f *fleet) releaseBlocked(w *workload.Wave, in *instance) {
+	in.wave, in.blockedSince, in.released = 0, time.Time{}, true
+	f.d.needsPlan = true
+	f.d.cfg.Logger.Info().Str("instance", in.Name).Str("worker", in.Worker).Int64("wave", w.ID).
+		Int("runs", f.runCount(in)).Msg("instance released: availability budgets hold up its upkeep")
+}
+
+// isBlocked reports whether an availability budget keeps a run on an instance from being
+// stopped now.
+func (f *fleet) isBlocked(in *instance) bool {
+	for ref := range f.d.state.Runs(in.Worker) {
+		if r := f.d.runs[ref]; r != nil && !r.stopping && !f.d.withinBudget(r) {
+			return true
+		}
+	}
+	return false
+}
+
 // evacuateRun stops a run if it is long-running or checkpointing, and reports
 // whether an availability budget prevents ending it now. Short tasks are left to
 // finish.
--- a/driver/waves_test.go
+++ b/driver/waves_test.go
@@ -201,3 +201,34 @@
 	}
 	w.checkConsistency()
 }
+
+// LOST: an instance stayed cordoned for as long as a budget did not allow its last task to be
+// stopped, here for good, and received no work meanwhile.
+func TestInstanceBlockedByBudgetIsReleased(t *testing.T) {
+	w := newTestEnv(t)
+	service := newLastingFleet(t, w, 2)
+	w.submitLasting(2)
+	w.waitFor("tasks at work", func() bool { return w.runningOn(service, "m0")+w.runningOn(service, "m1") == 2 })
+	workers := map[string]*platformtest.Worker{}
+	w.mu.Lock()
+	for _, m := range service.Snapshot() {
+		workers[m.Name] = w.workers[m.Worker]
+	}
+	w.mu.Unlock()
+	workers["m1"].Drain() // its task fits nowhere else
+	w.waitFor("task of the draining worker ended", func() bool { return w.runningOn(service, "m1") == 0 })
+	w.startWave(1, "m0")
+	w.waitForLists(service, 1) // m0 is cordoned
+	w.submit(jobID(1), step(1))
+	w.waitFor("task started", func() bool { return len(w.historyOf(jobID(1))) > 0 })
+	if runs := workers["m0"].History(); runs[0].How != "" {
+		t.Errorf("the task that the budget protects was %s", runs[0].How)
+	}
+	if resp := w.request(workload.VerbCancel, jobID(1)); resp.Answer != workload.AnswerOK {
+		t.Fatal(resp.Answer)
+	}
+	service.StopWorker("m1")
+	service.StartWorker("m1") // the waiting task starts here, and the budget allows the upkeep
+	w.waitForWave()
+	w.checkConsistency()
+}
