Control log: evacuation of availability zones

An operator had no way to keep new work out of an availability zone that is about to be lost.

EvacuateZone and RestoreZone are commands of the control log, idempotent by operation, with the calls POST /v1/availability-zones/ZONE/evacuate and /restore. The delegate (instances and jobs) is told the list after each change and restore.

An order carries the configuration version that was in force when it was received, and each accepted order gets a new one. A call that a suspended daemon passes on after the operator has ordered the opposite is refused as a conflict, also after the tombstone of the newer order was discarded.

Measured: go test -race ./control/... green; the random commands include the orders and compare the evacuated zones with a model.

--- a/api/problem.go
+++ b/api/problem.go
@@ -45,6 +45,7 @@
 	CodeInternal         Code = "internal"
 	CodeOperatorRequired Code = "operator-required"
 	CodeRequestMismatch  Code = "request-mismatch"
+	CodeUnknownZone      Code = "unknown-zone"
 )
 
 // ProblemMediaType is the media type of a problem document.
--- a/control/command.go
+++ b/control/command.go
@@ -46,6 +46,9 @@
 	Tick *Tick `cbor:"17,keyasint,omitempty"`
 	// Fleet is an opaque command for the Delegate.
 	Fleet []byte `cbor:"18,keyasint,omitempty"`
+
+	EvacuateZone *EvacuateZone `cbor:"19,keyasint,omitempty"`
+	RestoreZone  *RestoreZone  `cbor:"20,keyasint,omitempty"`
 }
 
 // ApplyDocument makes a document the document in force.
@@ -99,6 +102,26 @@
 	Term uint64 `cbor:"4,keyasint"`
 }
 
+// EvacuateZone orders that nothing be started in an availability zone until
+// RestoreZone. What runs there continues. It is idempotent.
+type EvacuateZone struct {
+	OperationID string `cbor:"1,keyasint"`
+	Actor       string `cbor:"2,keyasint,omitempty"`
+	Zone        string `cbor:"3,keyasint"`
+	// BaseVersion is the configuration version that was in force when the order was
+	// received. An order that arrives after a newer one for the zone is refused.
+	BaseVersion uint64 `cbor:"4,keyasint"`
+}
+
+// RestoreZone ends the evacuation of an availability zone. It is idempotent.
+type RestoreZone struct {
+	OperationID string `cbor:"1,keyasint"`
+	Actor       string `cbor:"2,keyasint,omitempty"`
+	Zone        string `cbor:"3,keyasint"`
+	// BaseVersion is as in EvacuateZone.
+	BaseVersion uint64 `cbor:"4,keyasint"`
+}
+
 // Tick is a command without data.
 type Tick struct{}
 
@@ -141,6 +164,7 @@
 	RefusedTooManyDaemons  RefusalCode = "too-many-daemons"
 	RefusedMalformed       RefusalCode = "malformed"
 	RefusedFleet           RefusalCode = "fleet"
+	RefusedUnknownZone     RefusalCode = "unknown-zone"
 )
 
 // Refusal describes why a command was refused. A refused command changes nothing.
@@ -173,6 +197,16 @@
 	DocumentApplied(doc *api.Document)
 }
 
+// ZoneDelegate is implemented by a Delegate whose state has availability zones.
+type ZoneDelegate interface {
+	// HasZone reports whether the delegate's state contains anything in the zone.
+	HasZone(zone string) bool
+	// SetEvacuatedZones replaces the list of evacuated zones, which is sorted. It is
+	// called after each change of the list and after each Restore: the list is part of
+	// the control snapshot, not of the delegate's.
+	SetEvacuatedZones(zones []string)
+}
+
 // DocumentChecker is implemented by a Delegate that can refuse a document, for
 // example one that removes a pool in use. The result must depend only on the
 // delegate's state and the document.
--- a/control/delta.go
+++ b/control/delta.go
@@ -23,6 +23,8 @@
 	Keys     []KeyRecord    `cbor:"6,keyasint,omitempty"`
 	Daemons  []Daemon       `cbor:"7,keyasint,omitempty"`
 	Arbiters []Arbiter      `cbor:"8,keyasint,omitempty"`
+
+	Evacuations []ZoneEvacuation `cbor:"9,keyasint,omitempty"`
 }
 
 // ErrOtherCluster is returned for a view, delta or snapshot of another cluster.
@@ -66,7 +68,7 @@
 	return &next, nil
 }
 
-// mergeRecords merges the keys, daemons and arbiters of d into v. It copies the
+// mergeRecords merges the keys, daemons, arbiters and evacuations of d into v. It copies the
 // affected maps first, because other views share them.
 func (v *View) mergeRecords(d *Delta) {
 	if len(d.Keys) > 0 {
@@ -95,6 +97,16 @@
 	for _, a := range d.Arbiters {
 		v.arbiters[a.Zone] = a
 	}
+	if len(d.Evacuations) > 0 {
+		v.evacuations = cloneMap(v.evacuations)
+	}
+	for _, e := range d.Evacuations {
+		if e.Ended {
+			delete(v.evacuations, e.Zone)
+			continue
+		}
+		v.evacuations[e.Zone] = e
+	}
 }
 
 // cloneMap returns a writable copy of m, also if m is nil.
--- a/control/httpapi/httpapi.go
+++ b/control/httpapi/httpapi.go
@@ -1,5 +1,5 @@
 // Package httpapi implements the HTTP API with which operators manage the control
-// state: documents, their history, and team keys. Every request requires an
+// state: documents, their history, team keys and evacuations of availability zones. Every request requires an
 // operator key in the "Authorization: Bearer" header. Errors are returned as
 // problem documents (api.Problem).
 //
@@ -33,6 +33,7 @@
 	paramWait             = "wait"
 	paramTeam             = "team"
 	paramKey              = "key"
+	paramZone             = "zone"
 	paramFormat           = "format"
 )
 
@@ -92,6 +93,8 @@
 	e.GET("/v1/teams/:team/keys", h.requireOperator(h.listKeys))
 	e.GET("/v1/keys", h.requireOperator(h.listKeys))
 	e.DELETE("/v1/keys/:key", h.requireOperator(h.withdrawKey))
+	e.POST("/v1/availability-zones/:zone/evacuate", h.requireOperator(h.evacuateZone))
+	e.POST("/v1/availability-zones/:zone/restore", h.requireOperator(h.restoreZone))
 }
 
 // handler handles a request of the given operator. Errors other than *api.Problem
--- a/control/httpapi/httpapi_test.go
+++ b/control/httpapi/httpapi_test.go
@@ -188,6 +188,40 @@
 	}
 }
 
+// TestZoneOrders guards against orders for zones that are answered before they are in
+// the state, rejected when repeated, or accepted for a zone that contains nothing.
+func TestZoneOrders(t *testing.T) {
+	f := newFixture(t)
+	const path = "/v1/availability-zones/oita/"
+	if got, _ := f.call("POST", path+"evacuate?operation=a", "", 404); got["code"] != "unknown-zone" || got["run"] != "not-run" {
+		t.Fatalf("unknown zone: %v", got)
+	}
+	register := &control.Command{RegisterDaemon: &control.RegisterDaemon{Name: "oita-1", Incarnation: "i", Zone: "oita", Address: "10.0.0.1:1"}}
+	if r := f.service.state.Apply(f.service.state.Index()+1, register); r.Refusal != nil {
+		t.Fatal(r.Refusal)
+	}
+	f.call("POST", path+"evacuate", "", 400)
+	for _, repeated := range []any{nil, true} {
+		got, _ := f.call("POST", path+"evacuate?operation=b", "", 200)
+		if got["repeated"] != repeated || got["version"] != 2.0 || !f.service.View().ZoneEvacuated("oita") {
+			t.Fatalf("evacuate: %v", got)
+		}
+	}
+	if e := f.service.View().Evacuations(); len(e) != 1 || e[0].Actor != "ops" || e[0].OperationID != "b" {
+		t.Fatalf("evacuations %+v", e)
+	}
+	f.service.barrierErr = errors.New("no quorum")
+	if got, _ := f.call("POST", path+"restore?operation=c", "", 503); got["run"] != "not-run" {
+		t.Fatalf("without a quorum: %v", got)
+	}
+	f.service.barrierErr = nil
+	f.call("POST", path+"restore?operation=c", "", 200)
+	f.call("POST", path+"evacuate?operation=b", "", 200)
+	if f.service.View().ZoneEvacuated("oita") {
+		t.Fatal("a repeated operation undid a newer one")
+	}
+}
+
 // TestProblems runs the request table in testdata/problems and compares the status,
 // headers and body of each response.
 func TestProblems(t *testing.T) {
--- a/control/httpapi/problem.go
+++ b/control/httpapi/problem.go
@@ -56,6 +56,8 @@
 		return unavailableProblem(api.RunNot, r.Detail)
 	case control.RefusedUnknownTeam, control.RefusedNotFound:
 		status, code = http.StatusNotFound, api.CodeNotFound
+	case control.RefusedUnknownZone:
+		status, code = http.StatusNotFound, api.CodeUnknownZone
 	case control.RefusedMalformed, control.RefusedFleet:
 		status, code = http.StatusBadRequest, api.CodeInvalidField
 	}
--- a/control/operations.go
+++ b/control/operations.go
@@ -100,6 +100,12 @@
 	case cmd.WithdrawKey != nil:
 		id = cmd.WithdrawKey.OperationID
 		hashLengthPrefixed(h, "withdraw", cmd.WithdrawKey.KeyID)
+	case cmd.EvacuateZone != nil:
+		id = cmd.EvacuateZone.OperationID
+		hashLengthPrefixed(h, "evacuate-zone", cmd.EvacuateZone.Zone)
+	case cmd.RestoreZone != nil:
+		id = cmd.RestoreZone.OperationID
+		hashLengthPrefixed(h, "restore-zone", cmd.RestoreZone.Zone)
 	default:
 		return "", 0, false
 	}
@@ -130,6 +136,8 @@
 		c.Allot != nil,
 		c.Tick != nil,
 		c.Fleet != nil,
+		c.EvacuateZone != nil,
+		c.RestoreZone != nil,
 	} {
 		if isSet {
 			n++
--- a/control/property_test.go
+++ b/control/property_test.go
@@ -28,6 +28,7 @@
 	firstResults  map[string]Result // by operation id
 	acceptedBases map[uint64]bool   // base versions of accepted documents
 	validKeys     map[string]string // team by key text
+	evacuated     map[string]bool   // by zone
 	encodedViews  map[uint64][]byte // encoded configuration by version
 	relays        []*Holder
 	daemons       []*Holder
@@ -43,6 +44,7 @@
 		firstResults:  make(map[string]Result),
 		acceptedBases: make(map[uint64]bool),
 		validKeys:     make(map[string]string),
+		evacuated:     make(map[string]bool),
 		encodedViews:  make(map[uint64][]byte),
 	}
 	for range 3 {
@@ -63,7 +65,7 @@
 	team := fmt.Sprintf("team-%d", h.rng.IntN(4))
 	zone := fmt.Sprintf("z%d", 1+h.rng.IntN(2))
 	var c *Command
-	switch h.rng.IntN(9) {
+	switch h.rng.IntN(11) {
 	case 0, 1:
 		base := h.state.docVersion - min(h.state.docVersion, uint64(h.rng.IntN(3)/2))
 		c = applyDocumentCommand(op, base, h.document())
@@ -75,6 +77,10 @@
 		c = &Command{RegisterDaemon: &RegisterDaemon{Name: "d-" + zone, Incarnation: "i", Zone: zone, Address: "10.0.0.1:1"}}
 	case 7:
 		c = &Command{AssignArbiter: &AssignArbiter{Zone: zone, Daemon: "d-" + zone, Incarnation: "i", Term: uint64(h.rng.IntN(9))}}
+	case 8:
+		c = &Command{EvacuateZone: &EvacuateZone{OperationID: op, Zone: zone, BaseVersion: h.zoneBase()}}
+	case 9:
+		c = &Command{RestoreZone: &RestoreZone{OperationID: op, Zone: zone, BaseVersion: h.zoneBase()}}
 	default:
 		g := quota.Grant{Zone: zone, Term: h.state.Ledger().Term(zone), Team: team, Units: int64(h.rng.IntN(4))}
 		c = &Command{Allot: &quota.Command{Grants: []quota.Grant{g}}}
@@ -83,6 +89,11 @@
 	return c
 }
 
+// zoneBase returns the base version of an order for a zone; some are outdated.
+func (h *simulation) zoneBase() uint64 {
+	return h.state.version - min(h.state.version, uint64(h.rng.IntN(3)/2))
+}
+
 // document returns a random document; a few are invalid.
 func (h *simulation) document() api.Document {
 	doc := testDocument(h.rng.IntN(5), max(h.rng.IntN(40)-1, -1))
@@ -161,12 +172,17 @@
 				delete(h.validKeys, text)
 			}
 		}
+	case c.EvacuateZone != nil:
+		h.evacuated[c.EvacuateZone.Zone] = true
+	case c.RestoreZone != nil:
+		delete(h.evacuated, c.RestoreZone.Zone)
 	}
 	return nil
 }
 
 // compare checks that replicas have equal snapshots, that a version never changes its
-// content, and that exactly the valid keys of the model authorize.
+// content, that exactly the valid keys of the model authorize, and that
+// exactly its evacuated zones are evacuated.
 func (h *simulation) compare() error {
 	a, err := h.state.Snapshot()
 	if err != nil {
@@ -204,6 +220,11 @@
 			return fmt.Errorf("key %s authorizes %q, want %q", key.ID, team, want)
 		}
 	}
+	for _, zone := range []string{"z1", "z2"} {
+		if v.ZoneEvacuated(zone) != h.evacuated[zone] {
+			return fmt.Errorf("zone %s evacuated: %t, want %t", zone, v.ZoneEvacuated(zone), h.evacuated[zone])
+		}
+	}
 	return h.distribute()
 }
 
--- a/control/snapshot.go
+++ b/control/snapshot.go
@@ -31,6 +31,8 @@
 	Ledger           quota.LedgerState  `cbor:"14,keyasint"`
 	Fleet            []byte             `cbor:"15,keyasint,omitempty"`
 	Parts            partVersions       `cbor:"16,keyasint"`
+	// Evacuations is missing in snapshots of builds that had none.
+	Evacuations []ZoneEvacuation `cbor:"17,keyasint,omitempty"`
 }
 
 // Snapshot returns the canonical encoding of the state. It has no checksum; the
@@ -52,6 +54,7 @@
 		History:          s.history,
 		Ledger:           s.ledger.State(),
 		Parts:            s.parts,
+		Evacuations:      sortedValues(s.evacuations),
 	}
 	if s.opts.Fleet != nil {
 		fleet, err := s.opts.Fleet.Snapshot()
@@ -85,6 +88,7 @@
 		if err := s.opts.Fleet.Restore(in.Fleet); err != nil {
 			return errors.Wrap(err, "restore the fleet state")
 		}
+		next.tellEvacuatedZones()
 	}
 	*s = *next
 	return nil
@@ -112,6 +116,12 @@
 	for _, a := range in.Arbiters {
 		s.arbiters[a.Zone] = a
 	}
+	for _, e := range in.Evacuations {
+		s.evacuations[e.Zone] = e
+		if e.Ended {
+			s.tombstones++
+		}
+	}
 	s.compactedVersion = in.CompactedVersion
 	s.history = in.History
 	s.ledger = quota.RestoreLedger(s.opts.Bounds, &in.Ledger)
--- a/control/state.go
+++ b/control/state.go
@@ -12,8 +12,8 @@
 const (
 	// HistoryLen is the number of documents in the history.
 	HistoryLen = 64
-	// maxTombstones is the maximum number of withdrawn keys and deregistered daemons
-	// kept for incremental deltas. Deltas from versions before a discarded tombstone
+	// maxTombstones is the maximum number of withdrawn keys, deregistered daemons and
+	// ended evacuations kept for incremental deltas. Deltas from versions before a discarded tombstone
 	// are full.
 	maxTombstones = 1_024
 	// maxClusterTime limits cluster time, so that adding intervals cannot overflow.
@@ -61,8 +61,9 @@
 	keys             map[string]KeyRecord // includes withdrawn keys
 	daemons          map[string]Daemon    // includes deregistered daemons
 	arbiters         map[string]Arbiter
-	tombstones       int    // number of withdrawn keys and deregistered daemons stored
-	compactedVersion uint64 // version of the newest discarded tombstone
+	evacuations      map[string]ZoneEvacuation // includes ended ones
+	tombstones       int                       // number of withdrawn keys, deregistered daemons and ended evacuations stored
+	compactedVersion uint64                    // version of the newest discarded tombstone
 	ops              *operationTable
 	history          []HistoryEntry
 	ledger           *quota.Ledger
@@ -85,6 +86,8 @@
 		arbiters: make(map[string]Arbiter),
 		ops:      newOperationTable(),
 		ledger:   quota.NewLedger(opts.Bounds),
+
+		evacuations: make(map[string]ZoneEvacuation),
 	}
 }
 
@@ -147,6 +150,10 @@
 		return Result{}
 	case cmd.Fleet != nil:
 		return s.applyFleet(cmd.Fleet)
+	case cmd.EvacuateZone != nil:
+		return s.evacuateZone(cmd.EvacuateZone, cmd.UnixMilli)
+	case cmd.RestoreZone != nil:
+		return s.restoreZone(cmd.RestoreZone)
 	}
 	return Result{} // Tick
 }
@@ -237,6 +244,11 @@
 			d.Arbiters = append(d.Arbiters, a)
 		}
 	}
+	for _, e := range sortedValues(s.evacuations) {
+		if e.Version > from && (!full || !e.Ended) {
+			d.Evacuations = append(d.Evacuations, e)
+		}
+	}
 	return d
 }
 
@@ -257,6 +269,11 @@
 			versions = append(versions, d.Version)
 		}
 	}
+	for _, e := range s.evacuations {
+		if e.Ended {
+			versions = append(versions, e.Version)
+		}
+	}
 	s.compactedVersion = max(s.compactedVersion, median(versions))
 	for id, k := range s.keys {
 		if k.Withdrawn && k.Version <= s.compactedVersion {
@@ -270,4 +287,10 @@
 			s.tombstones--
 		}
 	}
+	for zone, e := range s.evacuations {
+		if e.Ended && e.Version <= s.compactedVersion {
+			delete(s.evacuations, zone)
+			s.tombstones--
+		}
+	}
 }
--- a/control/table_test.go
+++ b/control/table_test.go
@@ -24,6 +24,12 @@
 					d.Fatalf(t, "%v", err)
 				}
 				return fmt.Sprintf("version %d\n", s.Version())
+			case "zones":
+				out := ""
+				for _, e := range s.View().Evacuations() {
+					out += fmt.Sprintf("%s evacuated by %s with %s at version %d\n", e.Zone, e.Actor, e.OperationID, e.Version)
+				}
+				return out
 			case "authorize":
 				team, err := s.View().Authorize(testKey(intArg(t, d, "key")).Text)
 				return fmt.Sprintf("%s %v\n", team, err)
@@ -48,6 +54,12 @@
 		return &Command{RegisterDaemon: &RegisterDaemon{
 			Name: stringArg(t, d, "name"), Incarnation: stringArg(t, d, "inc"), Zone: stringArg(t, d, "zone"), Address: "10.0.0.1:7000",
 		}}
+	case "evacuate", "restore-zone":
+		op, zone, base := stringArg(t, d, "op"), stringArg(t, d, "zone"), uint64(intArg(t, d, "base"))
+		if d.Cmd == "evacuate" {
+			return &Command{EvacuateZone: &EvacuateZone{OperationID: op, Actor: "ops", Zone: zone, BaseVersion: base}}
+		}
+		return &Command{RestoreZone: &RestoreZone{OperationID: op, Zone: zone, BaseVersion: base}}
 	case "deregister":
 		return &Command{DeregisterDaemon: &DeregisterDaemon{Name: stringArg(t, d, "name")}}
 	case "assign":
--- a/control/view.go
+++ b/control/view.go
@@ -17,6 +17,8 @@
 	keys       map[string]KeyRecord
 	daemons    map[string]Daemon
 	arbiters   map[string]Arbiter
+	// evacuations holds the evacuated zones.
+	evacuations map[string]ZoneEvacuation
 }
 
 // KeyRecord is the stored record of a team key. It holds the hash, not the secret.
@@ -55,6 +57,20 @@
 	Version uint64 `cbor:"5,keyasint"`
 }
 
+// ZoneEvacuation is the evacuation of an availability zone: nothing is started there.
+type ZoneEvacuation struct {
+	Zone string `cbor:"1,keyasint"`
+	// Version is the configuration version of the latest order for the zone.
+	Version uint64 `cbor:"2,keyasint"`
+	// Actor, OperationID and UnixMilli describe the order that began the evacuation,
+	// for display only.
+	Actor       string `cbor:"3,keyasint,omitempty"`
+	OperationID string `cbor:"4,keyasint,omitempty"`
+	UnixMilli   int64  `cbor:"5,keyasint,omitempty"`
+	// Ended marks the tombstone of an evacuation that has ended.
+	Ended bool `cbor:"6,keyasint,omitempty"`
+}
+
 // NewView returns the empty view of a cluster, at version 0.
 func NewView(cluster string) *View {
 	doc := &api.Document{}
@@ -138,6 +154,15 @@
 // Daemons returns all registered daemons, sorted by name.
 func (v *View) Daemons() []Daemon { return sortedValues(v.daemons) }
 
+// ZoneEvacuated reports whether an availability zone is evacuated.
+func (v *View) ZoneEvacuated(zone string) bool {
+	_, ok := v.evacuations[zone]
+	return ok
+}
+
+// Evacuations returns the evacuations in force, sorted by zone.
+func (v *View) Evacuations() []ZoneEvacuation { return sortedValues(v.evacuations) }
+
 // FullDelta returns the complete view as a delta, for a receiver that has no base
 // version.
 func (v *View) FullDelta() *Delta {
@@ -148,6 +173,8 @@
 		Keys:     sortedValues(v.keys),
 		Daemons:  sortedValues(v.daemons),
 		Arbiters: sortedValues(v.arbiters),
+
+		Evacuations: sortedValues(v.evacuations),
 	}
 	if v.docVersion > 0 {
 		d.Document = documentDelta(v.doc, v.docVersion, allParts)
--- a/daemon/operatorservice.go
+++ b/daemon/operatorservice.go
@@ -50,11 +50,19 @@
 func (s operatorService) Barrier(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
+	start := clock.Now()
 	r, err := s.plane.askLeader(ctx, reportRequest{Confirm: true})
 	if err != nil {
 		return err
 	}
-	return s.plane.catchUp(ctx, r.Version)
+	if err := s.plane.catchUp(ctx, r.Version); err != nil {
+		return err
+	}
+	if waited := clock.Since(start); waited > readTimeout {
+		// The timer of ctx stands still while the machine is suspended.
+		return errors.Errorf("reading the version took %s", waited)
+	}
+	return nil
 }
 
 // InForce implements httpapi.Service.
