Jobs: nothing is assigned or started on workers of an evacuated zone

The state refuses assignments to workers of an evacuated zone, so a plan made before the evacuation can't start anything after it; the scheduler treats these workers as closed. What runs there continues: it is left out of shares and preemptions, which would stop tasks without freeing usable capacity.

A job that was assigned but not reported as started is withdrawn by the new command to workers 'withdraw': a worker that has not started the task answers not-started, and the job is assigned elsewhere. 'stop' was ruled out: it cuts a task short whose start crossed the heartbeat. A worker that does not know the command keeps the job assigned until the zone is restored. Heartbeats list such tasks in the new state 'not-started': one listed as ended counts as started, and a job that is not idempotent would fail; one that is not listed could be started by a reply that overtakes the acknowledgement.

The simulation now evacuates zones; with the state's check off it finds the violation.

--- a/daemon/controllog.go
+++ b/daemon/controllog.go
@@ -70,6 +70,17 @@
 	return errors.Wrap(d.jobs.Restore(img.Jobs), "jobs")
 }
 
+// HasZone implements control.ZoneDelegate.
+func (d *fleetDelegate) HasZone(zone string) bool {
+	return d.state.HasZone(zone) || d.jobs.HasZone(zone)
+}
+
+// SetEvacuatedZones implements control.ZoneDelegate.
+func (d *fleetDelegate) SetEvacuatedZones(zones []string) {
+	d.jobs.SetEvacuatedZones(zones)
+	d.jobsChanged()
+}
+
 // CheckDocument implements control.DocumentChecker.
 func (d *fleetDelegate) CheckDocument(doc *api.Document) []api.Fault {
 	cfg := fleet.ConfigOf(doc)
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -61,6 +61,11 @@
 	return i, ok
 }
 
+// HasZone reports whether any instance is in the availability zone.
+func (s *State) HasZone(zone string) bool {
+	return s.counts[failureDomain{api.ScopeZone, zone}].members > 0
+}
+
 // put inserts i, or replaces the instance with the same ID, and updates the
 // indexes.
 func (s *State) put(i *Instance) {
--- a/jobs/assign.go
+++ b/jobs/assign.go
@@ -42,6 +42,9 @@
 	if w == nil || w.State != Ready || w.Pool != j.Spec.Pool {
 		return refuse(CodeWorker, "worker %q is not ready in pool %q", c.Worker, j.Spec.Pool)
 	}
+	if s.inEvacuatedZone(w.ID) && !s.opts.ignoreEvacuations {
+		return refuse(CodeWorker, "worker %q is in the evacuated zone %q", w.ID, w.Zone)
+	}
 	if s.now > w.Until {
 		return refuse(CodeWorker, "the lease of worker %q has lapsed", c.Worker)
 	}
--- a/jobs/crash_test.go
+++ b/jobs/crash_test.go
@@ -32,7 +32,7 @@
 				sim.apply(jobs.Change{SetTeams: &jobs.SetTeams{Teams: sim.teams}})
 				sim.workers = nil
 				for n := range c.workers {
-					sim.workers = append(sim.workers, &modelWorker{id: fmt.Sprint("w", n), tasks: map[string]*modelTask{}})
+					sim.workers = append(sim.workers, &modelWorker{id: fmt.Sprint("w", n), zone: "z", tasks: map[string]*modelTask{}})
 				}
 				sim.submitDeadly(c.innocents, c.deadly)
 				sim.runReliably(4_000)
--- a/jobs/datadriven_test.go
+++ b/jobs/datadriven_test.go
@@ -1,6 +1,7 @@
 package jobs_test
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"strconv"
@@ -82,6 +83,9 @@
 		if len(changes) == 0 {
 			return "nothing\n"
 		}
+	case "evacuated":
+		sc.state.SetEvacuatedZones(strings.Fields(d.Input))
+		return "ok\n"
 	case "show":
 		return sc.show(d.Input)
 	case "teams":
@@ -123,7 +127,7 @@
 	case "heartbeat":
 		sc.seq++
 		h := &jobs.Heartbeat{
-			Worker: id, Zone: "z", Rack: "r-" + id, Pool: "p", Capacity: r.size(), Slots: 8,
+			Worker: id, Zone: cmp.Or(r.opts["zone"], "z"), Rack: "r-" + id, Pool: "p", Capacity: r.size(), Slots: 8,
 			Incarnation: r.opts["incarnation"] + "i", Seq: sc.seq, Leaving: r.has("leaving"),
 		}
 		if r.opts["rack"] != "" {
--- a/jobs/export_test.go
+++ b/jobs/export_test.go
@@ -12,6 +12,7 @@
 	IncarnationCheck
 	LateSuccessCheck
 	ConfirmationCheck
+	EvacuationCheck
 )
 
 // Disable disables the given safety check.
@@ -22,4 +23,5 @@
 	s.opts.ignorePastIncarnations = c == IncarnationCheck
 	s.opts.ignoreConfirmation = c == ConfirmationCheck
 	s.opts.ignoreLateSuccess = c == LateSuccessCheck
+	s.opts.ignoreEvacuations = c == EvacuationCheck
 }
--- a/jobs/httpapi/commands.go
+++ b/jobs/httpapi/commands.go
@@ -16,6 +16,10 @@
 	CommandThrottle   CommandName = "throttle"
 	CommandCheckpoint CommandName = "checkpoint"
 	CommandStop       CommandName = "stop"
+	// CommandWithdraw withdraws a start that the worker may not have received. A worker
+	// that has not started the task answers with the outcome not-started and does not
+	// start it; otherwise the task continues.
+	CommandWithdraw CommandName = "withdraw"
 )
 
 // Command is an instruction to a worker about one task. Commands are repeated
@@ -48,6 +52,8 @@
 		reports[tasks[n].ID] = &tasks[n]
 	}
 	out := []Command{}
+	w := view.Worker(worker)
+	evacuated := w != nil && view.InEvacuatedZone(w)
 	for _, j := range view.TasksOf(worker) {
 		r := reports[j.ID]
 		if r != nil && r.Epoch != j.Epoch {
@@ -55,7 +61,11 @@
 			continue
 		}
 		delete(reports, j.ID)
-		if name := commandFor(j, r); name != "" {
+		name := commandFor(j, r)
+		if name == CommandStart && evacuated {
+			name = CommandWithdraw
+		}
+		if name != "" {
 			out = append(out, commandOf(name, j))
 		}
 	}
--- a/jobs/httpapi/worker.go
+++ b/jobs/httpapi/worker.go
@@ -23,6 +23,9 @@
 	TaskStopping TaskState = "stopping"
 	// TaskEnded tasks have an outcome that has not been acknowledged yet.
 	TaskEnded TaskState = "ended"
+	// TaskNotStarted tasks were stopped or withdrawn before their start, and this
+	// outcome has not been acknowledged yet.
+	TaskNotStarted TaskState = "not-started"
 )
 
 // Task is a task in a heartbeat.
@@ -113,6 +116,10 @@
 		Incarnation: b.Incarnation, Seq: b.Seq, Leaving: b.Leaving, LeaseEpoch: b.LeaseEpoch,
 	}
 	for _, t := range b.Tasks {
+		if t.State == TaskNotStarted {
+			// The state takes reported tasks for started ones.
+			continue
+		}
 		hb.Tasks = append(hb.Tasks, jobs.TaskReport{ID: t.ID, Epoch: t.Epoch, Used: t.Used.Clamp()})
 	}
 	return hb
@@ -138,13 +145,16 @@
 }
 
 // waitForCommands returns the commands for the worker once one other than
-// renew is due, or the current ones after the wait.
+// renew or withdraw is due, or the current ones after the wait. A worker that
+// does not know withdraw gets it again in every reply.
 func (h *handlers) waitForCommands(ctx context.Context, view *jobs.View, w *jobs.Worker, tasks []Task, wait time.Duration) []Command {
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	for {
 		out := Commands(view, w.ID, tasks)
-		if slices.ContainsFunc(out, func(c Command) bool { return c.Command != CommandRenew }) {
+		if slices.ContainsFunc(out, func(c Command) bool {
+			return c.Command != CommandRenew && c.Command != CommandWithdraw
+		}) {
 			return out
 		}
 		next, changed := h.service.Watch()
--- a/jobs/httpapi/worker_test.go
+++ b/jobs/httpapi/worker_test.go
@@ -182,3 +182,83 @@
 			jobs.Change{Assign: &jobs.Assign{ID: ":x", Worker: "w1"}})
 	}
 }
+
+// TestStartIsWithheldInEvacuatedZone guards against a start of an assignment that was
+// committed before the evacuation of the worker's zone, and against a command that stops
+// a task there.
+func TestStartIsWithheldInEvacuatedZone(t *testing.T) {
+	state := jobs.New()
+	apply := func(changes ...jobs.Change) {
+		t.Helper()
+		for _, r := range state.Apply(jobs.Command{At: 1_000, Changes: changes, Rules: jobs.CurrentRules}).Changes {
+			if r.Refused != "" {
+				t.Fatal(r)
+			}
+		}
+	}
+	heartbeat := &jobs.Heartbeat{
+		Worker: "w", Zone: "oita", Rack: "r", Pool: "p", Capacity: jobs.Size{Processors: 9}, Slots: 9, Incarnation: "1", Seq: 1,
+	}
+	spec := jobs.Spec{Pool: "p", Size: jobs.Size{Processors: 1}, RunTime: 1}
+	apply(jobs.Change{SetTeams: &jobs.SetTeams{Teams: []jobs.Team{{Name: "a", Share: 1, Limit: 9}}}},
+		jobs.Change{Heartbeat: heartbeat},
+		jobs.Change{Submit: &jobs.Submit{ID: "a:runs", Team: "a", Spec: spec}}, jobs.Change{Assign: &jobs.Assign{ID: "a:runs", Worker: "w"}},
+		jobs.Change{Submit: &jobs.Submit{ID: "a:waits", Team: "a", Spec: spec}}, jobs.Change{Assign: &jobs.Assign{ID: "a:waits", Worker: "w"}})
+	commands := func() string {
+		var out []string
+		for _, c := range Commands(state.View(), "w", []Task{{ID: "a:runs", Epoch: 1, State: TaskRunning}}) {
+			out = append(out, string(c.Command)+" "+c.Task)
+		}
+		return strings.Join(out, ", ")
+	}
+	for _, c := range []struct {
+		evacuated []string
+		want      string
+	}{
+		{nil, "renew a:runs, start a:waits"},
+		{[]string{"oita"}, "renew a:runs, withdraw a:waits"},
+		{[]string{"fukuoka"}, "renew a:runs, start a:waits"},
+	} {
+		state.SetEvacuatedZones(c.evacuated)
+		if got := commands(); got != c.want {
+			t.Errorf("evacuated %v: commands %s, want %s", c.evacuated, got, c.want)
+		}
+	}
+}
+
+// TestWithdrawnTaskCountsAsNotStarted guards against a job that is not idempotent and
+// fails, because a heartbeat listed its withdrawn task before the outcome arrived, and
+// against a start in the reply to that heartbeat: the worker may drop the task meanwhile.
+func TestWithdrawnTaskCountsAsNotStarted(t *testing.T) {
+	f := &fakeService{now: 1_000, state: jobs.New()}
+	e := echo.New()
+	RegisterWorkers(e, f)
+	call := func(method, path, body string) string {
+		w := httptest.NewRecorder()
+		e.ServeHTTP(w, httptest.NewRequest(method, path, strings.NewReader(body)))
+		return w.Body.String()
+	}
+	beat := func(seq, tasks string) string {
+		return call(http.MethodPut, "/v1/workers/w", `{"zone":"z","rack":"r","pool":"p","capacity":{"processors":1},"slots":1,"incarnation":"1","seq":`+seq+`,"tasks":[`+tasks+`]}`)
+	}
+	beat("1", "")
+	f.state.Apply(jobs.Command{At: f.now, Rules: jobs.CurrentRules, Changes: []jobs.Change{
+		{SetTeams: &jobs.SetTeams{Teams: []jobs.Team{{Name: "a", Share: 1, Limit: 9}}}},
+		{Submit: &jobs.Submit{ID: "a:1", Team: "a", Spec: jobs.Spec{Pool: "p", Size: jobs.Size{Processors: 1}, RunTime: 1}}},
+		{Assign: &jobs.Assign{ID: "a:1", Worker: "w"}},
+	}})
+	f.state.SetEvacuatedZones([]string{"z"})
+	if answer := beat("2", ""); !strings.Contains(answer, `"command":"withdraw"`) {
+		t.Fatal(answer)
+	}
+	f.state.SetEvacuatedZones(nil)
+	if answer := beat("3", `{"task":"a:1","epoch":1,"state":"not-started"}`); !strings.Contains(answer, `"commands":[]`) {
+		t.Fatal(answer)
+	}
+	if answer := call(http.MethodPost, "/v1/workers/w/tasks/a:1", `{"epoch":1,"outcome":"not-started"}`); !strings.Contains(answer, `"accepted"`) {
+		t.Fatal(answer)
+	}
+	if j := f.state.View().Job("a:1"); j.MayHaveRun {
+		t.Fatalf("the job counts as started: %+v", j.History)
+	}
+}
--- a/jobs/outcome.go
+++ b/jobs/outcome.go
@@ -135,9 +135,13 @@
 	if j.State == Stopping && j.Intent == StopCancel {
 		return s.transition(j, EventCancel, c.Reason, func(n *Job) { n.MayHaveRun = n.RanBefore })
 	}
+	// A start that was withheld because the worker's zone is evacuated is no failure.
+	withheld := s.inEvacuatedZone(c.Worker)
 	return s.transition(j, EventRequeue, c.Reason, func(n *Job) {
 		n.MayHaveRun = n.RanBefore
-		n.recordFailure(c.Worker)
+		if !withheld {
+			n.recordFailure(c.Worker)
+		}
 	})
 }
 
--- a/jobs/random_test.go
+++ b/jobs/random_test.go
@@ -24,8 +24,8 @@
 }
 
 // TestRandomRuns checks the state against simulated workers that freeze, restart
-// and report late, under bulk cancellations, stale plans and restarts of the
-// state.
+// and report late, under bulk cancellations, stale plans, evacuations of zones and
+// restarts of the state.
 func TestRandomRuns(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		sim := newSimulation(func(n int) int { return rapid.IntRange(0, n-1).Draw(t, "draw") }, jobs.NoSafetyCheck)
@@ -81,6 +81,7 @@
 		{"past", jobs.IncarnationCheck, ""},
 		{"late", jobs.LateSuccessCheck, ""},
 		{"confirmation", jobs.ConfirmationCheck, ""},
+		{"evacuation", jobs.EvacuationCheck, ""},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			inside, model := 0, 0
--- a/jobs/scheduler/plan.go
+++ b/jobs/scheduler/plan.go
@@ -101,10 +101,16 @@
 	for _, w := range p.view.Workers {
 		q := p.poolOf(w.Pool)
 		pw := w.Placement()
-		pw.Open = pw.Open && p.view.Now <= w.Until
+		evacuated := p.view.InEvacuatedZone(w)
+		pw.Open = pw.Open && p.view.Now <= w.Until && !evacuated
 		for _, j := range p.view.TasksOf(w.ID) {
 			size := sizeOf(j)
 			pw.Used = pw.Used.Add(size)
+			if evacuated {
+				// The task continues: stopping it would free no capacity that another
+				// job may use, and its use is no part of the shares of what is left.
+				continue
+			}
 			q.running = append(q.running, placement.Running{
 				Task: j.Task(), Worker: w.ID, Size: size, Started: j.Since, Stage: stageOf(j), StageSince: j.StageSince,
 			})
--- a/jobs/simulation_test.go
+++ b/jobs/simulation_test.go
@@ -28,7 +28,7 @@
 
 // modelWorker implements the worker protocol with its own clock.
 type modelWorker struct {
-	id          string
+	id, zone    string
 	incarnation int
 	seq         uint64
 	leaseEpoch  uint64
@@ -65,6 +65,8 @@
 	crashes map[string]int
 	// longestRestart bounds the time for which a crashed worker is away.
 	longestRestart int
+	// evacuated lists the evacuated zones.
+	evacuated []string
 	// reliable delivers every message immediately.
 	reliable bool
 	// silentEpochs keeps the workers from telling their lease epoch, as workers of
@@ -74,6 +76,8 @@
 	off          jobs.SafetyCheck
 }
 
+var modelZones = []string{"z1", "z2"}
+
 var modelTeams = []jobs.Team{{Name: "a", Share: 2, Limit: 3}, {Name: "b", Share: 1, Limit: 1}}
 
 func newSimulation(draw func(int) int, off jobs.SafetyCheck) *simulation {
@@ -85,7 +89,7 @@
 	sim.silentEpochs = off == jobs.IncarnationCheck
 	sim.apply(jobs.Change{SetTeams: &jobs.SetTeams{Teams: sim.teams}})
 	for n := range 4 {
-		sim.workers = append(sim.workers, &modelWorker{id: fmt.Sprint("w", n), failing: n == 3, tasks: map[string]*modelTask{}})
+		sim.workers = append(sim.workers, &modelWorker{id: fmt.Sprint("w", n), zone: modelZones[n%2], failing: n == 3, tasks: map[string]*modelTask{}})
 	}
 	return sim
 }
@@ -111,6 +115,9 @@
 	}
 	for n := range changes {
 		sim.noteSuccess(&changes[n], &r.Changes[n])
+		if a := changes[n].Assign; a != nil && r.Changes[n].Refused == "" && sim.inEvacuatedZone(a.Worker) {
+			sim.violationf("%s was assigned to %s in an evacuated zone", a.ID, a.Worker)
+		}
 	}
 	return r
 }
@@ -203,7 +210,7 @@
 func (sim *simulation) heartbeat(m *modelWorker) {
 	m.seq++
 	hb := &jobs.Heartbeat{
-		Worker: m.id, Zone: "z", Rack: "r" + m.id, Pool: "p", Capacity: jobs.Size{Processors: 8_000, MemoryMB: 8_000},
+		Worker: m.id, Zone: m.zone, Rack: "r" + m.id, Pool: "p", Capacity: jobs.Size{Processors: 8_000, MemoryMB: 8_000},
 		Slots: 4, Incarnation: fmt.Sprint("i", m.incarnation), Seq: m.seq,
 	}
 	if leaseEpoch := m.leaseEpoch; !sim.silentEpochs {
@@ -212,6 +219,10 @@
 	var tasks []httpapi.Task
 	for _, id := range slices.Sorted(maps.Keys(m.tasks)) {
 		t := m.tasks[id]
+		if t.kind == jobs.OutcomeNotStarted {
+			tasks = append(tasks, httpapi.Task{ID: id, Epoch: t.epoch, State: httpapi.TaskNotStarted})
+			continue
+		}
 		tasks = append(tasks, httpapi.Task{ID: id, Epoch: t.epoch, State: t.state})
 		hb.Tasks = append(hb.Tasks, jobs.TaskReport{ID: id, Epoch: t.epoch, Used: jobs.Size{Processors: 1_500}})
 	}
@@ -235,6 +246,7 @@
 		case worker.Incarnation == hb.Incarnation:
 			lease = worker.Until - view.Now - jobs.DriftMargin
 			commands = httpapi.Commands(view, m.id, tasks)
+			sim.checkCommands(m, commands)
 		case worker.Candidate != nil && worker.Candidate.Incarnation == hb.Incarnation:
 			epoch = worker.Candidate.LeaseEpoch
 		default:
@@ -256,7 +268,7 @@
 		case c.Command == httpapi.CommandStart && t == nil && sim.now < m.until:
 			m.tasks[c.Task] = &modelTask{epoch: c.Epoch, state: httpapi.TaskRunning, end: sim.now + 500 + jobs.Millis(sim.draw(9_000))}
 			sim.started(c.Task, c.Start)
-		case c.Command == httpapi.CommandStop && t == nil:
+		case (c.Command == httpapi.CommandStop || c.Command == httpapi.CommandWithdraw) && t == nil:
 			m.tasks[c.Task] = &modelTask{epoch: c.Epoch, state: httpapi.TaskEnded, kind: jobs.OutcomeNotStarted}
 		case c.Command == httpapi.CommandStop && t.epoch == c.Epoch && t.state == httpapi.TaskRunning:
 			t.state, t.kind = httpapi.TaskEnded, jobs.OutcomeStopped
@@ -340,7 +352,7 @@
 // step performs one random action.
 func (sim *simulation) step() {
 	m := sim.workers[sim.draw(len(sim.workers))]
-	switch sim.draw(12) {
+	switch sim.draw(13) {
 	case 0, 1:
 		sim.submit()
 	case 2:
@@ -363,6 +375,8 @@
 		sim.apply(jobs.Change{Lose: &jobs.WorkerAction{Worker: m.id}})
 	case 7:
 		sim.assignRandomJob(m)
+	case 12:
+		sim.evacuateRandomZones()
 	default:
 		sim.plan()
 	}
@@ -381,6 +395,31 @@
 	}
 }
 
+// evacuateRandomZones evacuates no zone, one zone or all zones.
+func (sim *simulation) evacuateRandomZones() {
+	sim.setEvacuated([][]string{nil, {"z1"}, {"z2"}, modelZones}[sim.draw(4)])
+}
+
+func (sim *simulation) setEvacuated(zones []string) {
+	sim.evacuated = zones
+	sim.state.SetEvacuatedZones(zones)
+}
+
+func (sim *simulation) inEvacuatedZone(worker string) bool {
+	return slices.ContainsFunc(sim.workers, func(m *modelWorker) bool {
+		return m.id == worker && slices.Contains(sim.evacuated, m.zone)
+	})
+}
+
+// checkCommands checks that no start is sent to a worker in an evacuated zone.
+func (sim *simulation) checkCommands(m *modelWorker, commands []httpapi.Command) {
+	for _, c := range commands {
+		if c.Command == httpapi.CommandStart && sim.inEvacuatedZone(m.id) {
+			sim.violationf("%s is to start %s in an evacuated zone", m.id, c.Task)
+		}
+	}
+}
+
 // assignRandomJob assigns a random job to the worker, as a faulty scheduler could.
 func (sim *simulation) assignRandomJob(m *modelWorker) {
 	if len(sim.ids) == 0 {
@@ -416,6 +455,7 @@
 	if again, _ := n.Snapshot(); !slices.Equal(again, b) {
 		sim.violationf("the snapshot of the restored state differs")
 	}
+	n.SetEvacuatedZones(sim.evacuated)
 	sim.state = n
 }
 
@@ -432,8 +472,11 @@
 
 // finishJobs runs the workers without freezes until no job is open. It checks
 // that every job finished or was parked, and that no job that started counts as
-// not run.
+// not run. An evacuated zone stays so unless all are.
 func (sim *simulation) finishJobs() {
+	if len(sim.evacuated) == len(modelZones) {
+		sim.setEvacuated(nil)
+	}
 	for round := 0; round < 400 && (round < 50 || sim.openJobs() > 0); round++ {
 		sim.advance(1_000)
 		for _, m := range sim.workers {
--- a/jobs/state.go
+++ b/jobs/state.go
@@ -24,6 +24,8 @@
 	ignoreConfirmation bool
 	// ignoreLateSuccess refuses the success of earlier assignments.
 	ignoreLateSuccess bool
+	// ignoreEvacuations assigns jobs to workers in evacuated zones.
+	ignoreEvacuations bool
 }
 
 // State is the replicated state of jobs and workers. It is not safe for
@@ -55,6 +57,10 @@
 	onWorker   map[string][]*Job
 	running    map[string]int
 
+	// evacuated is the set of evacuated zones. It belongs to the control state and is
+	// not part of the snapshot.
+	evacuated map[string]struct{}
+
 	view *View
 	opts options
 }
@@ -74,6 +80,31 @@
 // Now returns the time of the newest command.
 func (s *State) Now() Millis { return s.now }
 
+// SetEvacuatedZones replaces the list of evacuated zones. Jobs are not assigned to
+// workers of these zones. The caller sets the list again after Restore.
+func (s *State) SetEvacuatedZones(zones []string) {
+	s.view = nil
+	s.evacuated = make(map[string]struct{}, len(zones))
+	for _, z := range zones {
+		s.evacuated[z] = struct{}{}
+	}
+}
+
+// HasZone reports whether any known worker is in the availability zone.
+func (s *State) HasZone(zone string) bool {
+	return slices.ContainsFunc(s.workerList, func(w *Worker) bool { return w.Zone == zone })
+}
+
+// inEvacuatedZone reports whether the worker is in an evacuated zone.
+func (s *State) inEvacuatedZone(worker string) bool {
+	w := s.workers[worker]
+	if w == nil {
+		return false
+	}
+	_, evacuated := s.evacuated[w.Zone]
+	return evacuated
+}
+
 // putJob stores j in place of the job with the same id and updates the indexes.
 func (s *State) putJob(j *Job) {
 	old := s.jobs[j.ID]
--- a/jobs/view.go
+++ b/jobs/view.go
@@ -23,6 +23,8 @@
 	version  uint64
 	onWorker map[string][]*Job
 	running  map[string]int
+	// evacuated is shared with the state, which replaces it and never modifies it.
+	evacuated map[string]struct{}
 }
 
 // View returns a read-only snapshot. It is cached until the next command, so
@@ -34,6 +36,7 @@
 	v := &View{
 		version: s.version, Now: s.now, Jobs: slices.Clone(s.jobList), Workers: slices.Clone(s.workerList),
 		Samples: slices.Clone(s.samples), running: maps.Clone(s.running), onWorker: maps.Clone(s.onWorker),
+		evacuated: s.evacuated,
 	}
 	for _, name := range slices.Sorted(maps.Keys(s.teams)) {
 		v.Teams = append(v.Teams, s.teams[name])
@@ -71,6 +74,12 @@
 	return v.Workers[at]
 }
 
+// InEvacuatedZone reports whether the worker is in an evacuated availability zone.
+func (v *View) InEvacuatedZone(w *Worker) bool {
+	_, evacuated := v.evacuated[w.Zone]
+	return evacuated
+}
+
 // TasksOf returns the jobs that may be running on the worker, in order of submission.
 func (v *View) TasksOf(worker string) []*Job { return v.onWorker[worker] }
 
--- a/standin/worker/core.go
+++ b/standin/worker/core.go
@@ -95,6 +95,9 @@
 	for _, id := range slices.Sorted(maps.Keys(c.tasks)) {
 		t := c.tasks[id]
 		report := httpapi.Task{ID: id, Epoch: t.epoch, State: t.state, Stage: t.stage}
+		if t.outcome.Outcome == string(jobs.OutcomeNotStarted) {
+			report.State = httpapi.TaskNotStarted
+		}
 		if now-t.began >= c.behaviour.ReportLag {
 			report.Used = c.used(t)
 		}
@@ -154,6 +157,8 @@
 	switch {
 	case cmd.Command == httpapi.CommandStop:
 		t.end(jobs.OutcomeNotStarted, "stopped before the start")
+	case cmd.Command == httpapi.CommandWithdraw:
+		t.end(jobs.OutcomeNotStarted, "start withdrawn")
 	case cmd.Command == httpapi.CommandStart && cmd.Start != nil && now < c.until:
 		t.start, t.began, t.state = *cmd.Start, now, httpapi.TaskRunning
 		t.ends = now + time.Duration(float64(cmd.Start.RunTime.Std())*factor(c.behaviour.RunFactor))
