Requests: arbiters grant no slot in an evacuated availability zone

The arbiter of an evacuated zone treats its endpoints as having no slots. Asks that wait and new ones are forwarded to zones with endpoints, or refused as no-endpoint, which callers are told as not run; asks of other zones are refused at once, so that they wait at home. A grant is not sent again after the evacuation. Requests that run continue, and keep slot and unit.

The credit of other zones, half of their free slots for each summary, was ruled out as bound for forwarding out of an evacuated zone: it places about a hundred requests a second on a hundred free slots. Their arbiters queue and refuse by their own limits. Demand for units of the teams' limits is reported as zero, since the units would lie idle.

Each daemon logs evacuations in force, the leader the committed orders; there are a gauge of evacuated zones and a counter of withheld asks, and GET /v1/status lists evacuated zones.

--- a/daemon/arbiterhost.go
+++ b/daemon/arbiterhost.go
@@ -53,6 +53,8 @@
 	newLimiter func(term uint64) limiterHandle
 	// arbiterOf returns the arbiters of other zones.
 	arbiterOf func(zone string) (arbiterRef, bool)
+	// evacuated reports whether the zone is evacuated by the view in force.
+	evacuated func() bool
 
 	mu      sync.Mutex
 	reg     *endpoint.Registry
@@ -68,6 +70,10 @@
 	forwards  map[waiterKey]context.CancelFunc
 	// unclaimed holds grants that nobody waited for, until they are released.
 	unclaimed []waiterKey
+	// withheld is set while the zone is evacuated; withheldAsks counts the asks made
+	// or waiting meanwhile.
+	withheld     bool
+	withheldAsks uint64
 }
 
 func newArbiterHost(zone string, link *peerlink.Node, log zerolog.Logger) *arbiterHost {
@@ -102,15 +108,47 @@
 	}
 }
 
+// updateEvacuation applies the evacuation of the zone, or its end, by the view in force.
+func (h *arbiterHost) updateEvacuation() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.readEvacuation() || h.arb == nil {
+		return
+	}
+	for team := range h.waitingOf {
+		h.reportWaiting(team)
+	}
+	h.deliver(h.arb.SetEvacuated(clock.Now(), h.withheld))
+}
+
+// readEvacuation updates withheld and reports whether it changed. The lock is held.
+func (h *arbiterHost) readEvacuation() bool {
+	before := h.withheld
+	h.withheld = h.evacuated()
+	if h.withheld && !before {
+		h.withheldAsks += uint64(len(h.waiters))
+	}
+	return h.withheld != before
+}
+
+// withheldAskCount returns the number of asks that got no slot of this zone because it
+// was evacuated.
+func (h *arbiterHost) withheldAskCount() uint64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.withheldAsks
+}
+
 // start begins a term. Recovery tells what earlier terms may have left.
 func (h *arbiterHost) start(term uint64, recovery arbiter.Recovery) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.stopLocked()
 	now := clock.Now()
+	h.readEvacuation()
 	h.limiter = h.newLimiter(term)
 	h.reg.ShareLoad(now.Add(recoveryShareLoad))
-	h.arb = arbiter.New(now, arbiter.Options{Zone: h.zone, Term: term, Recovery: recovery}, h.cfg, h.reg, h.limiter)
+	h.arb = arbiter.New(now, arbiter.Options{Zone: h.zone, Term: term, Recovery: recovery, Evacuated: h.withheld}, h.cfg, h.reg, h.limiter)
 }
 
 // recoveryShareLoad is how long after a change of arbiter every announcement
@@ -196,6 +234,9 @@
 	}
 	h.end(key, askOutcome{})
 	h.addWaiter(key, w)
+	if h.withheld {
+		h.withheldAsks++
+	}
 	h.deliver(h.arb.Ask(clock.Now(), ask))
 	h.mu.Unlock()
 	select {
@@ -229,12 +270,22 @@
 		return
 	}
 	h.waitingOf[team] += n
-	h.limiter.SetWaiting(team, h.waitingOf[team])
+	h.reportWaiting(team)
 	if h.waitingOf[team] == 0 {
 		delete(h.waitingOf, team)
 	}
 }
 
+// reportWaiting tells the limiter how many asks of a team wait. An evacuated zone
+// starts none of them and needs no units of the team's limit for them.
+func (h *arbiterHost) reportWaiting(team string) {
+	n := h.waitingOf[team]
+	if h.withheld {
+		n = 0
+	}
+	h.limiter.SetWaiting(team, n)
+}
+
 // giveUp ends an ask whose handler is gone, unless a repeated ask took its place.
 func (h *arbiterHost) giveUp(key waiterKey, w *waitingAsk) {
 	h.mu.Lock()
--- a/daemon/controllog.go
+++ b/daemon/controllog.go
@@ -272,6 +272,18 @@
 	return l.jobs.View(), l.jobsNews
 }
 
+// jobsInZone returns the number of jobs that may be running on workers of the zone.
+func (l *controlLog) jobsInZone(zone string) int {
+	v, _ := l.jobsView()
+	n := 0
+	for _, w := range v.Workers {
+		if w.Zone == zone {
+			n += len(v.TasksOf(w.ID))
+		}
+	}
+	return n
+}
+
 // fleetView returns a snapshot of the fleet.
 func (l *controlLog) fleetView() fleet.View {
 	l.mu.Lock()
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/rand"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -136,6 +137,7 @@
 		return plane.newLimiter(d.ctx, zone, term, func() { d.host.tick(clock.Now()) })
 	}
 	d.host.arbiterOf = plane.ArbiterOf
+	d.host.evacuated = func() bool { return plane.holder.View().ZoneEvacuated(zone) }
 	d.zone = newZoneMonitor(d.self, zone, d.set.ArbiterOrder(zone), d.link, plane, d.log)
 	d.zone.onChange = d.arbiterChanged
 	plane.zoneArbiter = func() arbiterRef {
@@ -189,6 +191,12 @@
 	d.metrics.gauge("configuration_version", "Version of the configuration in force.", func() float64 {
 		return float64(d.control.holder.View().Version())
 	})
+	d.metrics.gauge("evacuated_availability_zones", "Availability zones that are evacuated.", func() float64 {
+		return float64(len(d.control.holder.View().Evacuations()))
+	})
+	d.metrics.counterFunc("withheld_asks_total", "Asks that got no slot of this zone because it was evacuated.", func() float64 {
+		return float64(d.host.withheldAskCount())
+	})
 }
 
 // spareConnections is the number of idle connections that all daemons together
@@ -273,10 +281,11 @@
 	return names
 }
 
-// followView hands each new document to the arbiter, and tells arbiter and
-// records which daemon processes have ended.
+// followView hands each new document and the evacuation of the zone to the arbiter, and
+// tells arbiter and records which daemon processes have ended.
 func (d *Daemon) followView() {
 	var have uint64
+	var evacuations []control.ZoneEvacuation
 	incarnations := make(map[string]string)
 	for {
 		changed := d.control.holder.Changed()
@@ -286,6 +295,9 @@
 			d.host.setDocument(*v.Document())
 			d.log.Info().Uint64("version", v.Version()).Uint64("document", have).Msg("configuration in force")
 		}
+		d.host.updateEvacuation()
+		d.logEvacuations(evacuations, v.Evacuations())
+		evacuations = v.Evacuations()
 		for _, dm := range v.Daemons() {
 			d.noteIncarnation(incarnations, dm)
 		}
@@ -297,6 +309,23 @@
 	}
 }
 
+// logEvacuations logs which evacuations came into force on this daemon, and which ended.
+func (d *Daemon) logEvacuations(before, after []control.ZoneEvacuation) {
+	contains := func(list []control.ZoneEvacuation, zone string) bool {
+		return slices.ContainsFunc(list, func(e control.ZoneEvacuation) bool { return e.Zone == zone })
+	}
+	for _, e := range after {
+		if !contains(before, e.Zone) {
+			d.log.Info().Str("zone", e.Zone).Str("operation", e.OperationID).Str("operator", e.Actor).Msg("availability zone evacuated")
+		}
+	}
+	for _, e := range before {
+		if !contains(after, e.Zone) {
+			d.log.Info().Str("zone", e.Zone).Msg("availability zone restored")
+		}
+	}
+}
+
 // noteIncarnation handles a daemon that registered another incarnation than
 // before: the process of the former one has ended.
 func (d *Daemon) noteIncarnation(known map[string]string, dm control.Daemon) {
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -126,9 +126,7 @@
 // watchLink exports the counts of the peer links.
 func (m *metrics) watchLink(link *peerlink.Node) {
 	gauge := func(name, help string, value func(peerlink.StatsSnapshot) int64) {
-		m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
-			Namespace: metricsNamespace, Name: name, Help: help,
-		}, func() float64 { return float64(value(link.Stats())) }))
+		m.counterFunc(name, help, func() float64 { return float64(value(link.Stats())) })
 	}
 	gauge("peer_sent_bytes_total", "Bytes of frames sent to peers.", func(s peerlink.StatsSnapshot) int64 { return s.BytesSent })
 	gauge("peer_received_bytes_total", "Bytes of frames received from peers.", func(s peerlink.StatsSnapshot) int64 { return s.BytesReceived })
@@ -144,6 +142,13 @@
 	}, value))
 }
 
+// counterFunc exports a count kept elsewhere.
+func (m *metrics) counterFunc(name, help string, value func() float64) {
+	m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Namespace: metricsNamespace, Name: name, Help: help,
+	}, value))
+}
+
 // handler serves the metrics in the text format.
 func (m *metrics) handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -99,6 +99,8 @@
 	Leader      string       `json:"leader,omitempty"`
 	Arbiter     string       `json:"arbiter,omitempty"`
 	ArbiterTerm uint64       `json:"arbiter_term"`
+	// EvacuatedZones lists the evacuated zones by the configuration in force here.
+	EvacuatedZones []EvacuationStatus `json:"evacuated_availability_zones"`
 	// Arbiters lists the zones' arbiters by the control log.
 	Arbiters []ArbiterStatus `json:"arbiters"`
 	Daemons  []MemberStatus  `json:"daemons"`
@@ -132,6 +134,14 @@
 	Frozen bool `json:"frozen,omitempty"`
 }
 
+// EvacuationStatus describes the evacuation of an availability zone.
+type EvacuationStatus struct {
+	Zone      string `json:"availability_zone"`
+	Operator  string `json:"operator,omitempty"`
+	Operation string `json:"operation,omitempty"`
+	Since     int64  `json:"since_unix_ms"`
+}
+
 // ArbiterStatus names the arbiter of a zone.
 type ArbiterStatus struct {
 	Zone   string `json:"availability_zone"`
@@ -178,6 +188,12 @@
 		s.VouchedAgo = api.Duration(v.Age.Round(time.Millisecond))
 	}
 	s.Slots = d.host.status()
+	s.EvacuatedZones = []EvacuationStatus{}
+	for _, e := range v.Evacuations() {
+		s.EvacuatedZones = append(s.EvacuatedZones, EvacuationStatus{
+			Zone: e.Zone, Operator: e.Actor, Operation: e.OperationID, Since: e.UnixMilli,
+		})
+	}
 	for _, a := range v.Arbiters() {
 		s.Arbiters = append(s.Arbiters, ArbiterStatus{Zone: a.Zone, Daemon: a.Daemon, Term: a.Term})
 	}
--- a/daemon/propose.go
+++ b/daemon/propose.go
@@ -91,6 +91,7 @@
 	result, err := started.Propose(ctx, b)
 	switch {
 	case err == nil:
+		c.logZoneOrder(cmd, &result, started.Status().Term)
 		return result, nil
 	case errors.Is(err, consensus.ErrNotLeader), errors.Is(err, consensus.ErrQueueFull),
 		errors.Is(err, node.ErrStopped), errors.Is(err, node.ErrSuperseded):
@@ -100,6 +101,30 @@
 	}
 }
 
+// logZoneOrder logs a committed order to evacuate or restore a zone.
+func (c *controlPlane) logZoneOrder(cmd *control.Command, r *control.Result, term uint64) {
+	var zone, operation, operator, message string
+	switch {
+	case cmd.EvacuateZone != nil:
+		o := cmd.EvacuateZone
+		zone, operation, operator, message = o.Zone, o.OperationID, o.Actor, "evacuation of availability zone committed"
+	case cmd.RestoreZone != nil:
+		o := cmd.RestoreZone
+		zone, operation, operator, message = o.Zone, o.OperationID, o.Actor, "restore of availability zone committed"
+	default:
+		return
+	}
+	if r.Refusal != nil {
+		message = "order for availability zone refused"
+	}
+	e := c.log.Info().Str("zone", zone).Str("operation", operation).Str("operator", operator).
+		Uint64("term", term).Uint64("version", r.Version).Bool("repeated", r.Repeated)
+	if r.Refusal != nil {
+		e = e.Str("code", string(r.Refusal.Code)).Str("detail", r.Refusal.Detail)
+	}
+	e.Int("jobs", c.machine.jobsInZone(zone)).Msg(message)
+}
+
 // clusterClock returns the clock of the present leadership, or nil when this
 // node does not lead. A new leader first applies all entries of earlier terms.
 func (c *controlPlane) clusterClock(ctx context.Context, started *node.Node[control.Result]) *control.Clock {
--- a/dispatch/arbiter/arbiter.go
+++ b/dispatch/arbiter/arbiter.go
@@ -39,6 +39,7 @@
 	registryVersion uint64
 	seq             uint64 // sequence number of the latest grant
 	arrivals        uint64 // sequence number of the latest ask
+	evacuated       bool   // no slot is granted
 	waiting         int
 	forwarded       int
 
@@ -64,6 +65,7 @@
 		mutations:  mut,
 		reg:        reg,
 		limiter:    limiter,
+		evacuated:  opts.Evacuated,
 		now:        now,
 		services:   make(map[string]*service),
 		queues:     make(map[string]*queue),
--- a/dispatch/arbiter/ask.go
+++ b/dispatch/arbiter/ask.go
@@ -98,7 +98,7 @@
 		if a.forward(s, w) {
 			return nil
 		}
-		if s.ready > 0 || a.now.Sub(s.noEndpointSince) >= a.opts.EndpointGrace {
+		if s.ready > 0 || a.now.Sub(s.noEndpointSince) >= a.opts.EndpointGrace || a.withheld() && w.ask.Hops > 0 {
 			return a.noEndpoint(s)
 		}
 	}
@@ -209,13 +209,15 @@
 }
 
 // endAsksWithoutEndpoint forwards or refuses the asks waiting for a service that
-// has had no endpoint for at least EndpointGrace.
+// has had no endpoint for at least EndpointGrace. In an evacuated zone, asks are
+// forwarded before, and those of other zones refused.
 func (a *Arbiter) endAsksWithoutEndpoint(s *service) {
-	if s.ready > 0 || s.waiting == 0 || a.now.Sub(s.noEndpointSince) < a.opts.EndpointGrace {
+	expired := a.now.Sub(s.noEndpointSince) >= a.opts.EndpointGrace
+	if s.ready > 0 || s.waiting == 0 || !expired && !a.withheld() {
 		return
 	}
 	for _, w := range waitersOf(s) {
-		if !a.forwardWaiting(s, w) {
+		if !a.forwardWaiting(s, w) && (expired || w.ask.Hops > 0) {
 			a.refuseWaiter(w, a.noEndpoint(s))
 		}
 	}
--- a/dispatch/arbiter/options.go
+++ b/dispatch/arbiter/options.go
@@ -13,6 +13,9 @@
 	// is used once.
 	Zone string
 	Term uint64
+	// Evacuated is set if the zone is evacuated at the start of the term; see
+	// SetEvacuated.
+	Evacuated bool
 	// Recovery describes the possible holders of a predecessor's grants.
 	Recovery Recovery
 	// StartWithin bounds the time from an origin's receipt of a grant to the
@@ -122,4 +125,5 @@
 	ignoreSlots       bool // grants ignore occupied slots
 	ignoreStalls      bool // latest starts are not extended after a suspension
 	ignoreForwardHops bool // asks from other zones are forwarded again
+	ignoreEvacuation  bool // grants slots of an evacuated zone
 }
--- a/dispatch/arbiter/overflow.go
+++ b/dispatch/arbiter/overflow.go
@@ -15,6 +15,7 @@
 	zone       string
 	receivedAt time.Time
 	credits    map[string]int // number of asks that may still be forwarded, by service
+	endpoints  map[string]int // number of endpoints that may get work, by service
 }
 
 // Summary returns the zone's totals per service as of the latest input, for the
@@ -44,9 +45,11 @@
 		zone:       sum.Zone,
 		receivedAt: a.now,
 		credits:    make(map[string]int, len(sum.Services)),
+		endpoints:  make(map[string]int, len(sum.Services)),
 	}
 	for _, s := range sum.Services {
 		spare := float64(s.Free - s.Waiting)
+		p.endpoints[s.Service] = s.Endpoints
 		p.credits[s.Service] = int(math.Ceil(max(spare, 0) * a.opts.OverflowShare))
 	}
 	a.peers[sum.Zone] = p
@@ -98,11 +101,14 @@
 }
 
 // peerWithMostCredits returns the zone with the most forwarding credit for the
-// service among those with a current summary, or nil if none has any.
+// service among those with a current summary, or nil if none has any. An evacuated
+// zone forwards without credit too, to zones that have endpoints: its asks can't be
+// granted here, and the other zone's arbiter queues or refuses them.
 func (a *Arbiter) peerWithMostCredits(name string) *peer {
 	var best *peer
 	for _, p := range a.peers {
-		if p.credits[name] <= 0 || a.now.Sub(p.receivedAt) > a.opts.PeerStale {
+		mayTake := p.credits[name] > 0 || a.withheld() && p.endpoints[name] > 0
+		if !mayTake || a.now.Sub(p.receivedAt) > a.opts.PeerStale {
 			continue
 		}
 		if best == nil || p.credits[name] > best.credits[name] ||
--- a/dispatch/arbiter/place.go
+++ b/dispatch/arbiter/place.go
@@ -205,6 +205,8 @@
 // checkGrant checks the invariants of a grant before it is sent.
 func (a *Arbiter) checkGrant(gr *grant) {
 	sl := gr.slots
+	invariant.Check(!a.evacuated, invariant.LeavingGetsNoWork,
+		"grant %d of term %d on endpoint %q in the evacuated zone %q", gr.Grant.ID.Seq, gr.Grant.ID.Term, sl.id, a.opts.Zone)
 	invariant.Check(a.reg.MayGrant(a.now, sl.id), invariant.LeavingGetsNoWork,
 		"grant %d of term %d on endpoint %q, which may not be granted work", gr.Grant.ID.Seq, gr.Grant.ID.Term, sl.id)
 	invariant.Check(sl.occupied+sl.unknown <= sl.limit(), invariant.SlotBound,
--- a/dispatch/arbiter/random_test.go
+++ b/dispatch/arbiter/random_test.go
@@ -59,7 +59,7 @@
 	alive := slices.DeleteFunc(slices.Clone(sim.origins), func(origin *simOrigin) bool { return !origin.alive })
 	origin := alive[sim.random.intN(len(alive))]
 	p := sim.processes[sim.random.intN(len(sim.processes))]
-	switch sim.random.intN(21) {
+	switch sim.random.intN(22) {
 	case 0, 1, 2, 3, 4, 5:
 		sim.newAsk(origin)
 	case 6:
@@ -90,6 +90,11 @@
 		if sim.random.intN(3) == 0 {
 			sim.reconfigure()
 		}
+	case 17:
+		if sim.random.intN(2) == 0 {
+			sim.evacuated = !sim.evacuated
+			sim.handleEvents(sim.arb.SetEvacuated(sim.now, sim.evacuated))
+		}
 	default:
 		steps := []int{1, 1, 1, 2, 2, 4, 4, 20, 80}
 		sim.advance(time.Duration(steps[sim.random.intN(len(steps))]) * simStep)
@@ -280,6 +285,8 @@
 	}
 	sim.doc = sim.document()
 	sim.handleEvents(sim.arb.SetConfig(sim.now, NewConfig(sim.doc)))
+	sim.evacuated = false
+	sim.handleEvents(sim.arb.SetEvacuated(sim.now, false))
 	sim.advance(12 * time.Second)
 	for key, id := range sim.pending {
 		if id == (dispatch.GrantID{}) {
@@ -298,7 +305,7 @@
 }
 
 // TestRandomRuns checks the invariants under random schedules of asks,
-// cancellations, restarts, partitions, drains, time-outs, lost origins and
+// cancellations, restarts, partitions, drains, time-outs, lost origins, evacuations and
 // successions. The simulation tracks the requests that are really running,
 // independently of the arbiter.
 func TestRandomRuns(t *testing.T) {
@@ -339,6 +346,7 @@
 		{"successor assumes free slots", mutations{assumeFree: true}},
 		{"suspensions are not detected", mutations{ignoreStalls: true}},
 		{"slots are not counted", mutations{ignoreSlots: true}},
+		{"evacuations are ignored", mutations{ignoreEvacuation: true}},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
--- a/dispatch/arbiter/release.go
+++ b/dispatch/arbiter/release.go
@@ -113,7 +113,7 @@
 func (a *Arbiter) resendGrant(gr *grant) bool {
 	sl := gr.slots
 	same := sl.incarnation == gr.Grant.EndpointIncarnation && sl.address == gr.Grant.Address
-	if !same || !a.reg.MayGrant(a.now, sl.id) {
+	if !same || !a.reg.MayGrant(a.now, sl.id) || a.withheld() {
 		a.stopResending(gr)
 		return false
 	}
--- a/dispatch/arbiter/simulation_test.go
+++ b/dispatch/arbiter/simulation_test.go
@@ -86,6 +86,7 @@
 	nextID    int
 	suspended bool     // the arbiter's process is suspended
 	buffer    []func() // messages that arrive during the suspension
+	evacuated bool     // the arbiter's zone is evacuated
 	breach    string
 	granted   int
 	refused   int
@@ -140,7 +141,7 @@
 
 func (sim *simulation) start(rec Recovery) {
 	sim.term++
-	opts := Options{Zone: "oita", Term: sim.term, Recovery: rec}
+	opts := Options{Zone: "oita", Term: sim.term, Recovery: rec, Evacuated: sim.evacuated}
 	sim.limiter = &countingLimiter{limit: sim.limit, used: make(map[string]int), breach: func(s string) { sim.recordBreach("%s", s) }}
 	sim.arb = newArbiter(sim.now, opts, sim.mutations, NewConfig(sim.doc), sim.reg, sim.limiter)
 }
@@ -203,6 +204,9 @@
 	for _, ev := range events {
 		switch ev := ev.(type) {
 		case Granted:
+			if sim.evacuated {
+				sim.recordBreach("%s was granted a slot in the evacuated zone", ev.Grant.RequestID)
+			}
 			sim.handleGranted(ev)
 		case Refused:
 			sim.handleRefused(ev)
--- a/dispatch/arbiter/slots.go
+++ b/dispatch/arbiter/slots.go
@@ -93,7 +93,7 @@
 		return
 	}
 	capacity := 0
-	if sl.ready || a.mutations.leavingGetsWork {
+	if (sl.ready || a.mutations.leavingGetsWork) && !a.withheld() {
 		capacity = sl.limit()
 	}
 	free := max(capacity-sl.occupied-sl.unknown, 0)
--- a/dispatch/arbiter/tables_test.go
+++ b/dispatch/arbiter/tables_test.go
@@ -54,11 +54,14 @@
 	limits unitLimiter
 	grants map[string]dispatch.Grant
 	latest api.Announcement
+	// evacuated is set while the zone is evacuated.
+	evacuated bool
 }
 
 func (tb *tableTest) reset(slots int) {
 	tb.now = epoch
 	tb.term = 0
+	tb.evacuated = false
 	tb.doc = testDocument(slots,
 		api.Team{Name: "one", Share: 1}, api.Team{Name: "two", Share: 2}, api.Team{Name: "three", Share: 3})
 	tb.doc.Services[0].Queues[1].MaxQueued = 4
@@ -70,7 +73,7 @@
 
 func (tb *tableTest) start(rec Recovery) {
 	tb.term++
-	opts := Options{Zone: "oita", Term: tb.term, Recovery: rec}
+	opts := Options{Zone: "oita", Term: tb.term, Recovery: rec, Evacuated: tb.evacuated}
 	tb.arb = New(tb.now, opts, NewConfig(tb.doc), tb.reg, tb.limits)
 }
 
@@ -135,8 +138,11 @@
 		tb.limits[first(d)] = tb.number(d, "units", 0)
 		return tb.show(tb.arb.LimitChanged(tb.now, first(d)))
 	case "peer":
-		sum := endpoint.ServiceSummary{Service: "counter", Free: tb.number(d, "free", 0)}
+		sum := endpoint.ServiceSummary{Service: "counter", Endpoints: tb.number(d, "endpoints", 0), Free: tb.number(d, "free", 0)}
 		return tb.show(tb.arb.ApplyPeerSummary(tb.now, endpoint.Summary{Zone: first(d), Services: []endpoint.ServiceSummary{sum}}))
+	case "evacuate", "restore":
+		tb.evacuated = d.Cmd == "evacuate"
+		return tb.show(tb.arb.SetEvacuated(tb.now, tb.evacuated))
 	case "lose":
 		return tb.show(tb.arb.OriginLost(tb.now, testOrigin(first(d))))
 	case "succeed":
