Planner: instances in evacuated zones are no capacity and no donors

A pool whose instances in an evacuated zone still counted got no replacement, and a shortage could be covered with an instance on which nothing may start.

The planner is given the evacuated zones. Their instances count neither as capacity of their pool nor towards the minimum size that the pool keeps when it gives one away, and are never chosen for a move. A move that was in progress goes on without counting for its target. Waves take instances there within the budgets, also where the demand would forbid it elsewhere. The maximum size of a pool still counts all instances, as in the fleet state.

--- a/daemon/controllog.go
+++ b/daemon/controllog.go
@@ -284,9 +284,13 @@
 	return n
 }
 
-// fleetView returns a snapshot of the fleet.
-func (l *controlLog) fleetView() fleet.View {
+// fleetView returns a snapshot of the fleet and the evacuated zones.
+func (l *controlLog) fleetView() (fleet.View, []string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.fleet.View()
+	var evacuated []string
+	for _, e := range l.state.View().Evacuations() {
+		evacuated = append(evacuated, e.Zone)
+	}
+	return l.fleet.View(), evacuated
 }
--- a/daemon/fleetapi.go
+++ b/daemon/fleetapi.go
@@ -148,7 +148,7 @@
 	if err := c.node.running().ReadIndex(readCtx); err != nil {
 		return FleetStatus{}, noControl()
 	}
-	v := c.machine.fleetView()
+	v, _ := c.machine.fleetView()
 	st := FleetStatus{Instances: []InstanceStatus{}, Waves: []WaveStatus{}}
 	for _, i := range v.Instances {
 		st.Instances = append(st.Instances, instanceStatus(i))
--- a/daemon/planning.go
+++ b/daemon/planning.go
@@ -81,12 +81,12 @@
 // round makes one plan and commits its commands, each of which the state
 // checks again.
 func (p *fleetPlanner) round(ctx context.Context) {
-	view := p.plane.machine.fleetView()
+	view, evacuated := p.plane.machine.fleetView()
 	if len(view.Instances) == 0 {
 		return
 	}
 	p.observe(view)
-	snapshot := planner.Snapshot{Now: nowMillis(), Fleet: view, Demand: p.forecast.Demand()}
+	snapshot := planner.Snapshot{Now: nowMillis(), Fleet: view, Demand: p.forecast.Demand(), EvacuatedZones: evacuated}
 	commands := planner.Plan(snapshot, view.Config.Objective)
 	for _, cmd := range commands[:min(len(commands), maxCommandsPerPlan)] {
 		p.commit(ctx, cmd)
--- a/planner/datadriven_test.go
+++ b/planner/datadriven_test.go
@@ -58,6 +58,9 @@
 			b.apply(t, c)
 		}
 		return ""
+	case "evacuated":
+		b.snap.EvacuatedZones = strings.Fields(d.Input)
+		return ""
 	case "start-wave":
 		b.apply(t, fleet.Command{Actor: fleet.Actor{Role: fleet.RoleOperator}, StartWave: &fleet.WaveCommand{Wave: "kernel"}})
 		return ""
--- a/planner/moves.go
+++ b/planner/moves.go
@@ -55,15 +55,19 @@
 // shortage returns the number of instances missing from the pool for its lasting
 // demand.
 func (p *pool) shortage(t Tuning) float64 {
-	return p.targetSize(p.demand.Low, t) - float64(p.remaining+p.incoming)
+	return p.targetSize(p.demand.Low, t) - float64(p.capacity())
 }
 
 // excess returns the number of instances of the pool beyond its lasting demand
 // and the deadband.
 func (p *pool) excess(t Tuning) float64 {
-	return float64(p.remaining+p.incoming) - p.targetSize(p.demand.High, t) - t.Deadband
+	return float64(p.capacity()) - p.targetSize(p.demand.High, t) - t.Deadband
 }
 
+// capacity returns the number of instances that can serve the pool's demand, now or
+// once the moves in progress are complete.
+func (p *pool) capacity() int { return p.remaining + p.incoming - p.withheldIncoming }
+
 // donor returns the pool to move an instance to p from: the spare pool if it can
 // shrink, otherwise the pool with the largest excess of at least one instance,
 // or nil if there is none.
@@ -84,9 +88,11 @@
 }
 
 // canShrink reports whether one more instance may leave the pool without
-// violating its minimum size.
+// violating its minimum size. Instances in evacuated zones don't count towards it.
 func (p *pool) canShrink() bool {
-	return len(p.active) > 0 && p.members-p.outgoing-1 >= p.config.MinInstances
+	members := p.members - p.withheld
+	outgoing := p.outgoing - p.withheldOutgoing
+	return len(p.active) > 0 && members-outgoing-1 >= p.config.MinInstances
 }
 
 // proposeMove proposes to move one instance, if the size limits and availability
@@ -107,7 +113,8 @@
 }
 
 // canGrow reports whether one more instance may join the pool without violating
-// its maximum size.
+// its maximum size. The fleet state checks the same bound, so instances in evacuated
+// zones count.
 func (p *pool) canGrow() bool {
 	return p.config.MaxInstances == 0 || p.members+p.incoming+1 <= p.config.MaxInstances
 }
--- a/planner/plan.go
+++ b/planner/plan.go
@@ -1,6 +1,8 @@
 package planner
 
 import (
+	"slices"
+
 	"magnoliastand.example/api"
 	"magnoliastand.example/fleet"
 )
@@ -12,6 +14,9 @@
 	// Demand holds the forecasts of the pools that the planner may resize. Pools
 	// without a forecast keep their size. The spare pool needs none.
 	Demand []Demand
+	// EvacuatedZones lists the availability zones in which nothing is started. Their
+	// instances are no capacity of their pools.
+	EvacuatedZones []string
 	// Suspects lists the instances that fail tasks which succeed elsewhere.
 	Suspects []string
 }
@@ -31,16 +36,20 @@
 type pool struct {
 	config api.Pool
 	demand *Demand
-	// active holds the available instances.
+	// active holds the available instances outside evacuated zones.
 	active []*fleet.Instance
-	// remaining counts the instances that are or will be available and that are
-	// not moving to another pool.
+	// remaining counts the instances outside evacuated zones that are or will be
+	// available and that are not moving to another pool.
 	remaining int
-	// members counts all instances.
-	members int
-	// outgoing and incoming count the moves in progress from and to the pool.
-	outgoing int
-	incoming int
+	// members counts all instances, withheld those of them in evacuated zones.
+	members  int
+	withheld int
+	// outgoing and incoming count the moves in progress from and to the pool,
+	// withheldOutgoing and withheldIncoming those of instances in evacuated zones.
+	outgoing         int
+	incoming         int
+	withheldOutgoing int
+	withheldIncoming int
 }
 
 // Plan returns the commands that bring the fleet closer to the objective: the
@@ -94,13 +103,26 @@
 		return
 	}
 	p.members++
+	withheld := r.withheld(i)
+	if withheld {
+		p.withheld++
+	}
 	if i.Permit != nil && i.Permit.Purpose != fleet.PurposeMaintenance && i.Permit.Target != i.Pool {
 		p.outgoing++
+		if withheld {
+			p.withheldOutgoing++
+		}
 		if to := r.poolsByName[i.Permit.Target]; to != nil {
 			to.incoming++
+			if withheld {
+				to.withheldIncoming++
+			}
 		}
 		return
 	}
+	if withheld {
+		return
+	}
 	switch i.State {
 	case fleet.Active:
 		p.active = append(p.active, i)
@@ -111,6 +133,11 @@
 	}
 }
 
+// withheld reports whether the instance is in an evacuated zone.
+func (r *planRound) withheld(i *fleet.Instance) bool {
+	return slices.Contains(r.snapshot.EvacuatedZones, i.Zone)
+}
+
 func (r *planRound) propose(c fleet.Command, reason string) {
 	c.At = r.snapshot.Now
 	c.Actor = fleet.Actor{Role: fleet.RolePlanner}
--- a/planner/waves.go
+++ b/planner/waves.go
@@ -62,7 +62,9 @@
 		}
 		p := fleet.PermitDrain{Purpose: fleet.PurposeMaintenance, Wave: w.Name}
 		if r.proposeDrain(d.Instance, p, "wave "+w.Name) {
-			r.poolsByName[d.Pool].remaining--
+			if !r.withheld(d.Instance) {
+				r.poolsByName[d.Pool].remaining--
+			}
 			available--
 		}
 	}
@@ -110,11 +112,11 @@
 }
 
 // canDrainForWave reports whether the pool keeps enough instances for its demand
-// without the instance. If WavesRespectDemand is not set, only the availability
-// budgets restrict a wave.
+// without the instance. One in an evacuated zone serves no demand. If
+// WavesRespectDemand is not set, only the availability budgets restrict a wave.
 func (r *planRound) canDrainForWave(i *fleet.Instance) bool {
 	p := r.poolsByName[i.Pool]
-	if p == nil || p.demand == nil || !r.tuning.WavesRespectDemand {
+	if p == nil || p.demand == nil || !r.tuning.WavesRespectDemand || r.withheld(i) {
 		return true
 	}
 	return p.serving() > int(math.Ceil(p.demand.High*(1+minMargin)))
