Command line: zone evacuate and zone restore

magnoliastand zone evacuate ZONE and zone restore ZONE order over any daemon and wait until the order is in force everywhere (exit code 4 otherwise); status shows the evacuated zones.

--- a/cmd/magnoliastand/document.go
+++ b/cmd/magnoliastand/document.go
@@ -149,6 +149,12 @@
 	if err != nil {
 		return errors.WithMessagef(err, "operation %s", operation)
 	}
+	return c.printChange(body)
+}
+
+// printChange prints the answer to a change. It returns an error if the change is not
+// in force on every daemon.
+func (c *client) printChange(body []byte) error {
 	if err := c.printIndented(body); err != nil {
 		return err
 	}
--- a/cmd/magnoliastand/operations.go
+++ b/cmd/magnoliastand/operations.go
@@ -122,6 +122,51 @@
 	}
 }
 
+func zoneCommand(s streams) *ffcli.Command {
+	return &ffcli.Command{
+		Name:       "zone",
+		ShortUsage: "magnoliastand zone evacuate ZONE | zone restore ZONE",
+		ShortHelp:  "Evacuates and restores an availability zone.",
+		FlagSet:    newFlags("zone", s),
+		Exec:       func(context.Context, []string) error { return errHelp },
+		Subcommands: []*ffcli.Command{
+			zoneOrderCommand(s, "evacuate", "Starts nothing in a zone until it is restored; what runs there continues."),
+			zoneOrderCommand(s, "restore", "Ends the evacuation of a zone."),
+		},
+	}
+}
+
+func zoneOrderCommand(s streams, order, help string) *ffcli.Command {
+	fs := newFlags("zone "+order, s)
+	c := &client{streams: s}
+	c.register(fs)
+	operation := fs.String("operation-id", "", "id of this operation; send the same again after a lost answer")
+	wait := fs.Duration("wait", defaultWait, "how long to wait until the order is in force on every daemon")
+	return &ffcli.Command{
+		Name:       order,
+		ShortUsage: "magnoliastand zone " + order + " [--operation-id ID] ZONE",
+		ShortHelp:  help,
+		FlagSet:    fs,
+		Options:    options(),
+		Exec: func(ctx context.Context, args []string) error {
+			zone, err := oneArgument(args, "the availability zone")
+			if err != nil {
+				return err
+			}
+			if *operation == "" {
+				*operation = newOperationID()
+			}
+			query := url.Values{"operation": {*operation}, "wait": {wait.String()}}
+			path := "/v1/availability-zones/" + url.PathEscape(zone) + "/" + order + "?" + query.Encode()
+			body, err := c.call(ctx, http.MethodPost, path, nil, nil)
+			if err != nil {
+				return errors.WithMessagef(err, "operation %s", *operation)
+			}
+			return c.printChange(body)
+		},
+	}
+}
+
 func drainCommand(s streams) *ffcli.Command {
 	fs := newFlags("drain", s)
 	c := &client{streams: s}
--- a/cmd/magnoliastand/root.go
+++ b/cmd/magnoliastand/root.go
@@ -37,7 +37,7 @@
 		Exec:    func(context.Context, []string) error { return errHelp },
 		Subcommands: []*ffcli.Command{
 			serveCommand(s), coreCommand(s), edgeCommand(s), checkCommand(s), applyCommand(s), getCommand(s), keyCommand(s),
-			waveCommand(s), drainCommand(s), statusCommand(s), reportCommand(s), explainCommand(s),
+			waveCommand(s), drainCommand(s), zoneCommand(s), statusCommand(s), reportCommand(s), explainCommand(s),
 			endpointCommand(s), loadCommand(s), versionCommand(s),
 		},
 	}
--- a/cmd/magnoliastand/status.go
+++ b/cmd/magnoliastand/status.go
@@ -21,7 +21,7 @@
 	return &ffcli.Command{
 		Name:       "status",
 		ShortUsage: "magnoliastand status",
-		ShortHelp:  "Shows leader, arbiters, daemons and the version in force on each.",
+		ShortHelp:  "Shows leader, arbiters, evacuated zones, daemons and the version in force on each.",
 		FlagSet:    fs,
 		Options:    options(),
 		Exec: func(ctx context.Context, _ []string) error {
