Operators' calls whose path can't be stored are refused as invalid

Cause: a path parameter outside UTF-8 (a zone, a key id, a team) makes a command that the log refuses to encode. The call was answered 503 with run 'unknown', and an operator repeated it for ever. Change: the command is encoded before it is proposed; 400 invalid-field, not run. Documents are decoded from text and are not encoded twice. Measured: the new test fails without the change (503 for the first call).

--- a/control/httpapi/httpapi.go
+++ b/control/httpapi/httpapi.go
@@ -184,6 +184,11 @@
 
 // propose commits a command and converts refusals and errors to problems.
 func (h *handlers) propose(c *echo.Context, cmd *control.Command) (control.Result, error) {
+	if cmd.ApplyDocument == nil { // a document has been decoded from text and is large
+		if _, err := control.EncodeCommand(cmd); err != nil {
+			return control.Result{}, fieldProblem("path", "the path or the body can't be stored: %s", err)
+		}
+	}
 	r, err := h.service.Propose(c.Request().Context(), cmd)
 	if err != nil {
 		return r, proposeProblem(err)
--- a/control/httpapi/httpapi_test.go
+++ b/control/httpapi/httpapi_test.go
@@ -222,6 +222,24 @@
 	}
 }
 
+// TestPathOutsideUTF8IsRefused guards against a call that is answered as of unknown
+// outcome, and so repeated for ever, although its command can't be stored.
+func TestPathOutsideUTF8IsRefused(t *testing.T) {
+	f := newFixture(t)
+	f.service.err = errors.New("encode control command")
+	for _, call := range []struct{ method, target string }{
+		{"POST", "/v1/availability-zones/%FF/evacuate?operation=a"},
+		{"POST", "/v1/availability-zones/%FF/restore?operation=b"},
+		{"DELETE", "/v1/keys/%FF?operation=c"},
+		{"POST", "/v1/teams/%FF/keys?operation=d"},
+	} {
+		got, _ := f.call(call.method, call.target, "", 400)
+		if got["code"] != "invalid-field" || got["run"] != "not-run" {
+			t.Errorf("%s %s: %v", call.method, call.target, got)
+		}
+	}
+}
+
 // TestProblems runs the request table in testdata/problems and compares the status,
 // headers and body of each response.
 func TestProblems(t *testing.T) {
