--- a/daemon/controllog.go
+++ b/daemon/controllog.go
@@ -70,6 +70,17 @@
 	return errors.Wrap(d.jobs.Restore(img.Jobs), "jobs")
 }
 
+// HasZone implements control.ZoneDelegate.
+func (d *fleetDelegate) HasZone(zone string) bool {
+	return d.state.HasZone(zone) || d.jobs.HasZone(zone)
+}
+
+// SetEvacuatedZones implements control.ZoneDelegate.
+func (d *fleetDelegate) SetEvacuatedZones(zones []string) {
+	d.jobs.SetEvacuatedZones(zones)
+	d.jobsChanged()
+}
+
 // CheckDocument implements control.DocumentChecker.
 func (d *fleetDelegate) CheckDocument(doc *api.Document) []api.Fault {
 	cfg := fleet.ConfigOf(doc)
@@ -261,9 +272,25 @@
 	return l.jobs.View(), l.jobsNews
 }
 
-// fleetView returns a snapshot of the fleet.
-func (l *controlLog) fleetView() fleet.View {
+// jobsInZone returns the number of jobs that may be running on workers of the zone.
+func (l *controlLog) jobsInZone(zone string) int {
+	v, _ := l.jobsView()
+	n := 0
+	for _, w := range v.Workers {
+		if w.Zone == zone {
+			n += len(v.TasksOf(w.ID))
+		}
+	}
+	return n
+}
+
+// fleetView returns a snapshot of the fleet and the evacuated zones.
+func (l *controlLog) fleetView() (fleet.View, []string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.fleet.View()
+	var evacuated []string
+	for _, e := range l.state.View().Evacuations() {
+		evacuated = append(evacuated, e.Zone)
+	}
+	return l.fleet.View(), evacuated
 }
