--- a/workload/apply.go
+++ b/workload/apply.go
@@ -60,6 +60,8 @@
 		return s.clearSuspicion(c.ClearSuspicion)
 	case c.OrderUpkeep != nil:
 		return s.orderUpkeep(c.OrderUpkeep)
+	case c.EvacuateZone != nil:
+		return s.evacuateZone(c.EvacuateZone, now)
 	case c.RemoveJobs != nil:
 		return s.removeFinished(c.RemoveJobs)
 	}
@@ -278,6 +280,8 @@
 		return errors.Wrapf(ErrNotAssignable, "worker %s is lost or has another incarnation", c.Worker)
 	case w.Draining:
 		return errors.Wrapf(ErrNotAssignable, "worker %s is draining", c.Worker)
+	case s.IsEvacuated(w.Zone):
+		return errors.Wrapf(ErrNotAssignable, "worker %s is in zone %s, which is evacuated", c.Worker, w.Zone)
 	case w.Pool != s.PoolOf(j):
 		return errors.Wrapf(ErrNotAssignable, "worker %s is in pool %s", c.Worker, w.Pool)
 	case step.Requires != "" && !slices.Contains(w.Labels, step.Requires):
--- a/workload/command.go
+++ b/workload/command.go
@@ -15,6 +15,8 @@
 	// ErrNotAssignable is returned when the task, the worker or the team limit does
 	// not permit an assignment.
 	ErrNotAssignable = errors.New("workload: task not assignable")
+	// ErrUnknownZone is returned when the deployment has no such availability zone.
+	ErrUnknownZone = errors.New("workload: unknown availability zone")
 	// ErrInvalidDocument is returned when a document can't be decoded.
 	ErrInvalidDocument = errors.New("workload: invalid document")
 )
@@ -54,6 +56,7 @@
 	Crash          *Crash          `cbor:"13,keyasint,omitempty"`
 	ClearSuspicion *ClearSuspicion `cbor:"14,keyasint,omitempty"`
 	OrderUpkeep    *OrderUpkeep    `cbor:"15,keyasint,omitempty"`
+	EvacuateZone   *EvacuateZone   `cbor:"16,keyasint,omitempty"`
 }
 
 // PutDocument stores a document. It has no effect unless its version is higher
@@ -149,6 +152,13 @@
 	Withdrawn bool   `cbor:"4,keyasint,omitempty"`
 }
 
+// EvacuateZone starts or finishes the evacuation of an availability zone: meanwhile no task is
+// assigned to its workers. It is idempotent.
+type EvacuateZone struct {
+	Zone   string `cbor:"1,keyasint"`
+	Finish bool   `cbor:"2,keyasint,omitempty"`
+}
+
 // RemoveJobs removes finished jobs that have no assigned task.
 type RemoveJobs struct {
 	Jobs []string `cbor:"1,keyasint"`
--- a/workload/fuzz_test.go
+++ b/workload/fuzz_test.go
@@ -37,6 +37,8 @@
 		{Register: &workload.Worker{ID: "w", Incarnation: 5, Pool: "p", Address: "a", Capacity: workload.Size{Processors: 8, MemoryMB: 8}}},
 		{End: &workload.End{Task: workload.TaskRef{Job: "k"}, Run: 1, Worker: "w", Incarnation: 5, Outcome: workload.OutcomeFailed, Settles: true}},
 		{End: &workload.End{Task: workload.TaskRef{Job: "k"}, Run: 1, Worker: "w", Incarnation: 5, Outcome: workload.OutcomeDone, Settles: true}},
+		{EvacuateZone: &workload.EvacuateZone{Zone: "z"}},
+		{EvacuateZone: &workload.EvacuateZone{Zone: "z", Finish: true}},
 	}
 	for n := range commands {
 		data, err := workload.EncodeBatch(&workload.Batch{Now: 5, Commands: commands[:n+1]})
--- a/workload/state.go
+++ b/workload/state.go
@@ -38,6 +38,8 @@
 	jobs    map[string]*Job
 	workers map[string]*Worker
 	waves   map[int64]*Wave
+	// zones holds the zones that are evacuated, or were within evacuationMemory.
+	zones map[string]ZoneEvacuation
 	// departures are in the order in which they were committed.
 	departures []departure
 	// silences are silent workers whose runs were given up, oldest first.
@@ -82,6 +84,7 @@
 	s.raw, s.doc, s.retained = nil, Document{}, retained{}
 	s.queues, s.pools, s.teams, s.keys = map[string]*Queue{}, map[string]*Pool{}, map[string]*Team{}, map[string]string{}
 	s.jobs, s.workers, s.waves = map[string]*Job{}, map[string]*Worker{}, map[int64]*Wave{}
+	s.zones = map[string]ZoneEvacuation{}
 	s.runs, s.reserved, s.teamUsage = map[string]map[TaskRef]*Job{}, map[string]Size{}, map[string]Size{}
 	s.pending, s.active = map[string]int{}, map[string]*Job{}
 	s.colocations, s.poolMembers = map[string]Colocation{}, map[string][]*Worker{}
@@ -243,6 +246,8 @@
 	Silences   []silence   `cbor:"6,keyasint,omitempty"`
 	AppliedAt  Millis      `cbor:"7,keyasint,omitempty"`
 	Retained   *retained   `cbor:"8,keyasint,omitempty"`
+	// Zones are sorted by name. Snapshots of builds that don't evacuate zones have none.
+	Zones []ZoneEvacuation `cbor:"9,keyasint,omitempty"`
 }
 
 // Snapshot encodes the state without its derived indexes. Jobs, workers and waves
@@ -261,6 +266,9 @@
 	for _, id := range slices.Sorted(maps.Keys(s.waves)) {
 		snap.Waves = append(snap.Waves, s.waves[id])
 	}
+	for _, zone := range slices.Sorted(maps.Keys(s.zones)) {
+		snap.Zones = append(snap.Zones, s.zones[zone])
+	}
 	b, err := encMode.Marshal(snap)
 	return b, errors.Wrap(err, "encode snapshot")
 }
@@ -292,6 +300,9 @@
 	for i := range s.silences {
 		s.countSilentRuns(&s.silences[i].Crash, 1)
 	}
+	for _, z := range snap.Zones {
+		s.zones[z.Zone] = z
+	}
 	for _, w := range snap.Workers {
 		s.setWorker(w)
 	}
