driver: no task is started in an evacuated zone

Workers of an evacuated zone are not usable in plans. A start that was decided before the evacuation is withheld when its assignment is committed; an order without a reply is not sent again. Runs go on: holds, stops and budgets are not changed.

--- a/driver/capacity.go
+++ b/driver/capacity.go
@@ -61,12 +61,17 @@
 }
 
 // withdrawRepeats keeps start orders without a reply from being sent again to a worker that
-// drains or is over its capacity. Whether they were carried out is settled by its lists.
+// drains, is over its capacity or is in an evacuated zone. Whether they were carried out is
+// settled by its lists. In an evacuated zone, orders that were not sent yet are withheld too.
 func (d *Driver) withdrawRepeats(w *workload.Worker) {
-	if !w.Draining && d.state.Reserved(w.ID).Fits(w.Capacity) {
+	evacuated := d.state.IsEvacuated(w.Zone)
+	if !w.Draining && !evacuated && d.state.Reserved(w.ID).Fits(w.Capacity) {
 		return
 	}
 	for _, r := range d.runsOn(w.ID, w.Incarnation) {
 		r.unrepeated.Store(true)
+		if evacuated {
+			r.withheld.Store(true)
+		}
 	}
 }
--- a/driver/metrics.go
+++ b/driver/metrics.go
@@ -13,6 +13,9 @@
 	// Crashes counts workers that crashed under runs, GivenUp the tasks that were given
 	// up for it.
 	Crashes, GivenUp prometheus.Counter
+	// WithheldStarts counts starts that were decided on and withheld because the zone of
+	// their worker is evacuated.
+	WithheldStarts prometheus.Counter
 	// Decisions counts other decisions by kind and reason.
 	Decisions *prometheus.CounterVec
 	// CommitSeconds measures the time from a proposal to its commit.
@@ -39,6 +42,8 @@
 			Name: "magnoliastand_worker_crashes_total", Help: "Workers that crashed under their runs."}),
 		GivenUp: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "magnoliastand_tasks_given_up_total", Help: "Tasks given up because workers crashed under them."}),
+		WithheldStarts: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "magnoliastand_zone_withheld_starts_total", Help: "Starts withheld because the zone of their worker is evacuated."}),
 		Decisions: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "magnoliastand_decisions_total", Help: "Decisions of the leader."}, []string{"kind", "reason"}),
 		CommitSeconds: prometheus.NewHistogram(prometheus.HistogramOpts{
@@ -52,6 +57,6 @@
 		Panics: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "magnoliastand_driver_panics_total", Help: "Drivers stopped by a panic."}),
 	}
-	r.MustRegister(m.Orders, m.Ends, m.SupersededEnds, m.Crashes, m.GivenUp, m.Decisions, m.CommitSeconds, m.StartDelaySeconds, m.EventLagSeconds, m.Panics)
+	r.MustRegister(m.Orders, m.Ends, m.SupersededEnds, m.Crashes, m.GivenUp, m.WithheldStarts, m.Decisions, m.CommitSeconds, m.StartDelaySeconds, m.EventLagSeconds, m.Panics)
 	return m
 }
--- a/driver/run.go
+++ b/driver/run.go
@@ -65,6 +65,9 @@
 	// again.
 	sending    bool
 	unrepeated atomic.Bool
+	// withheld is set once the zone of the run's worker is evacuated: a start order that is
+	// not under way is not sent any more.
+	withheld atomic.Bool
 	// orderedAt is when the start was ordered, or taken over from an earlier leader.
 	orderedAt time.Time
 	// trial is how likely the task was to crash its worker when it was assigned.
--- a/driver/session.go
+++ b/driver/session.go
@@ -226,7 +226,7 @@
 		return plan.Condition{}
 	}
 	c := plan.Condition{
-		Usable:  d.inService(s, now) && d.knowsCapacity(s, now),
+		Usable:  d.inService(s, now) && d.knowsCapacity(s, now) && !d.state.IsEvacuated(s.worker.Zone),
 		Penalty: s.decayedFailureScore(now) * failurePenalty, Leaving: d.fleet.leaving[worker],
 	}
 	d.trialOn(worker, &c)
--- a/driver/start.go
+++ b/driver/start.go
@@ -31,6 +31,11 @@
 		d.endRun(r, workload.OutcomeNotRun, "", 0, "start withheld")
 		return
 	}
+	if d.state.IsEvacuated(s.worker.Zone) {
+		d.cfg.Metrics.WithheldStarts.Inc()
+		d.endRun(r, workload.OutcomeNotRun, "", 0, "start withheld: zone evacuated")
+		return
+	}
 	if s.unassigned > 0 {
 		d.endRun(r, workload.OutcomeNotRun, "", 0, "start withheld: worker runs an unassigned task")
 		return
@@ -63,6 +68,10 @@
 	var clock workload.Millis
 	var err, unanswered error
 	for range startAttempts {
+		if r.withheld.Load() {
+			err = errZoneEvacuated
+			break
+		}
 		err = d.call(startTimeout, func(ctx context.Context) (err error) {
 			clock, err = d.cfg.Workers.Start(ctx, endpoint, o)
 			return err
@@ -118,6 +127,10 @@
 	case errors.As(err, &refusal):
 		d.startRefused(r, s, refusal, now)
 		return
+	case errors.Is(err, errZoneEvacuated):
+		d.cfg.Metrics.WithheldStarts.Inc()
+		d.endRun(r, workload.OutcomeNotRun, "", 0, "start withheld: zone evacuated")
+		return
 	case errors.Is(err, errLeaseLost): // the worker has no part in it
 		d.endRun(r, workload.OutcomeNotRun, "", 0, outcomeOf(err))
 		return
--- a/driver/testenv_test.go
+++ b/driver/testenv_test.go
@@ -95,6 +95,8 @@
 	stopTime time.Duration
 	// announce is the interval between announcements of workers.
 	announce time.Duration
+	// zones are those of the deployment for drivers started from now on.
+	zones []string
 	// orders sends orders to the workers.
 	orders platform.Workers
 	// startFault, if set, replaces the result of a start, given the number of the
@@ -153,7 +155,7 @@
 		w.t.Fatal("failed to copy state")
 	}
 	d := driver.New(driver.Config{
-		Name: fmt.Sprint("d", term), Term: term, State: state, Log: &termLog{w.log, term}, Workers: w.orders, Advisor: w.advisor, AdviceAddress: "advice",
+		Name: fmt.Sprint("d", term), Term: term, State: state, Log: &termLog{w.log, term}, Zones: w.zones, Workers: w.orders, Advisor: w.advisor, AdviceAddress: "advice",
 		Instances: w.client, MachineAddress: w.machines, Metrics: w.metrics, Logger: zerolog.Nop(),
 		Timing: driver.Timing{
 			MaxLease: w.lease, Announce: w.announce, KeepFinished: time.Minute, Migrate: 200 * time.Millisecond,
@@ -217,6 +219,9 @@
 func (w *testEnv) StartWave(ctx context.Context, wave *workload.Wave, within workload.Millis) error {
 	return w.current().StartWave(ctx, wave, within)
 }
+func (w *testEnv) EvacuateZone(ctx context.Context, zone string, finish bool) error {
+	return w.current().EvacuateZone(ctx, &driver.ZoneOrder{Zone: zone, Finish: finish, Expired: func() bool { return false }})
+}
 func (w *testEnv) WaveCompleted(context.Context, int64) (bool, error) { return false, nil }
 
 // worker starts a simulated worker, which announces itself until the test ends or
--- a/driver/types.go
+++ b/driver/types.go
@@ -69,6 +69,8 @@
 	Fences *Fences
 	State  *workload.State
 	Log    Log
+	// Zones lists the availability zones of the deployment; empty if they are not known.
+	Zones []string
 	// Workers sends orders to workers. Calls may return slightly after their
 	// context ends.
 	Workers   platform.Workers
