platform, system: calls that evacuate a zone

POST /evacuate/ZONE/start and /finish on every core, forwarded to the leader and answered once the order is committed. 404 for the start of a zone that neither the new setting availability_zones (list or table) nor a known worker has; 503 for every other failure, which the operator tries again elsewhere.

An order that is late must not undo a newer one. The leader gives a reading of its clock, the order comes back with it and with the time that it spent at the core; the sum bounds its age without comparing clocks.

The gauge magnoliastand_evacuated_zones is that of the committed state.

--- a/system/core.go
+++ b/system/core.go
@@ -72,8 +72,9 @@
 		Name: settings.Name, Workers: orders, Advisor: client, Instances: client, AdviceAddress: settings.AdviceAddress,
 		MachineAddress: settings.InstancesAddress, InstanceOrdersPerS: settings.InstanceOrdersPerS,
 		RemoteFactor: settings.RemoteFactor, Timing: settings.timing(), ReportTo: settings.OperatorsListen,
-		Metrics: driver.NewMetrics(registry), Logger: log,
+		Metrics: driver.NewMetrics(registry), Logger: log, Zones: settings.AvailabilityZones,
 	}}
+	registry.MustRegister(evacuatedZones(replica))
 	c.registerHandlers()
 	return c.serve(ctx, registry)
 }
@@ -98,6 +99,8 @@
 	c.link.Handle(methodDocument, handler(c.leader.document))
 	c.link.Handle(methodStartWave, handler(c.leader.startWave))
 	c.link.Handle(methodWaveStatus, handler(c.leader.waveStatus))
+	c.link.Handle(methodZoneTime, handler(c.leader.zoneTime))
+	c.link.Handle(methodZone, handler(c.leader.evacuateZone))
 }
 
 // serve runs the servers, the log member and the leader until ctx ends or the
--- a/system/leader.go
+++ b/system/leader.go
@@ -127,13 +127,19 @@
 // currentDriver returns the driver if this daemon holds the leader lease of the
 // driver's term.
 func (l *leader) currentDriver() (*driver.Driver, error) {
+	d, _, err := l.current()
+	return d, err
+}
+
+// current is currentDriver with the tenure of the driver.
+func (l *leader) current() (*driver.Driver, *tenure, error) {
 	l.mu.Lock()
 	d, t := l.driver, l.tenure
 	l.mu.Unlock()
 	if d == nil || !t.IsLeader(t.term) {
-		return nil, errors.Wrap(platform.ErrUnavailable, "this daemon does not lead")
+		return nil, nil, errors.Wrap(platform.ErrUnavailable, "this daemon does not lead")
 	}
-	return d, nil
+	return d, t, nil
 }
 
 // read calls f with the committed state. It fails unless this daemon holds the
--- a/system/leader_test.go
+++ b/system/leader_test.go
@@ -39,7 +39,10 @@
 // testMember is a member of a log with the leader that it runs while it leads.
 type testMember struct {
 	*leader
+	name string
 	link *peerlink.Node
+	// daemon is a core daemon around the member, without its servers.
+	daemon *core
 }
 
 // formLog starts n members of a log, whose leaders send orders to workers. They don't lead
@@ -55,7 +58,7 @@
 			t.Fatal(err)
 		}
 		listeners[i], seeds[i] = l, l.Addr().String()
-		all[i] = &testMember{link: testLink(t, seeds[i])}
+		all[i] = &testMember{name: seeds[i], link: testLink(t, seeds[i])}
 	}
 	for i, m := range all {
 		state := newReplica(platform.DecodeDocument)
@@ -77,6 +80,7 @@
 				Timing: driver.Timing{MaxLease: 6 * time.Second, Announce: time.Minute, KeepFinished: time.Minute},
 			},
 		}
+		m.daemon = m.newCore(t)
 		server := httptest.NewUnstartedServer(m.link.Handler()) // its handlers are registered
 		_ = server.Listener.Close()
 		server.Listener = listeners[i]
--- a/system/message.go
+++ b/system/message.go
@@ -21,6 +21,8 @@
 	methodDocument    = "system.document"
 	methodStartWave   = "system.wave"
 	methodWaveStatus  = "system.wave-read"
+	methodZoneTime    = "system.zone-time"
+	methodZone        = "system.zone"
 )
 
 // Codes of remote errors.
@@ -28,6 +30,7 @@
 	codeUnavailable = "unavailable"
 	codeInvalid     = "invalid"
 	codeNotFound    = "not-found"
+	codeUnknownZone = "unknown-zone"
 	codeUnknown     = peerlink.CodeOutcomeUnknown
 )
 
@@ -86,6 +89,8 @@
 		code = codeInvalid
 	case errors.Is(err, workload.ErrNoJob):
 		code = codeNotFound
+	case errors.Is(err, workload.ErrUnknownZone):
+		code = codeUnknownZone
 	case errors.Is(err, driver.ErrOutcomeUnknown):
 		code = codeUnknown
 	}
@@ -102,6 +107,8 @@
 			return errors.Wrap(workload.ErrMalformed, remote.Detail)
 		case codeNotFound:
 			return errors.Wrap(workload.ErrNoJob, remote.Detail)
+		case codeUnknownZone:
+			return errors.Wrap(workload.ErrUnknownZone, remote.Detail)
 		}
 	}
 	return errors.Wrap(platform.ErrUnavailable, err.Error())
--- a/system/replica.go
+++ b/system/replica.go
@@ -4,6 +4,7 @@
 	"sync"
 
 	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"magnoliastand.example/consensus"
 	"magnoliastand.example/workload"
@@ -64,3 +65,18 @@
 	s := workload.New(r.decode)
 	return s, errors.Wrap(s.Restore(data), "clone state")
 }
+
+// evacuatedZones returns a gauge of the zones that are evacuated in the committed state.
+func evacuatedZones(r *replica) prometheus.Collector {
+	return prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "magnoliastand_evacuated_zones", Help: "Availability zones in which no task is started.",
+	}, func() float64 {
+		n := 0
+		r.read(func(s *workload.State) {
+			for range s.EvacuatedZones() {
+				n++
+			}
+		})
+		return float64(n)
+	})
+}
--- a/system/settings.go
+++ b/system/settings.go
@@ -1,8 +1,10 @@
 package system
 
 import (
+	"maps"
 	"net"
 	"os"
+	"slices"
 	"strconv"
 	"time"
 
@@ -24,6 +26,8 @@
 	// IP is the daemon's own address, at which other daemons reach it.
 	IP   string `yaml:"ip"`
 	Zone string `yaml:"availability_zone"`
+	// AvailabilityZones lists the zones of the deployment; empty if they are not known.
+	AvailabilityZones zoneList `yaml:"availability_zones"`
 	// CallersListen, ReadyListen and OperatorsListen are listen addresses
 	// ("IP:port"), empty if the daemon does not run that server.
 	CallersListen   string `yaml:"callers_listen"`
@@ -111,6 +115,9 @@
 			f.Add("seeds["+strconv.Itoa(i)+"]", "%q is no address with a port", seed)
 		}
 	}
+	for i, zone := range s.AvailabilityZones {
+		f.CheckName("availability_zones["+strconv.Itoa(i)+"]", zone)
+	}
 	for name, address := range map[string]string{
 		"callers_listen": s.CallersListen, "ready_listen": s.ReadyListen, "operators_listen": s.OperatorsListen,
 		"peer_listen": s.PeerListen,
@@ -134,6 +141,20 @@
 	return f
 }
 
+// zoneList is a list of availability zones. A settings file may also hold a table whose keys
+// are the zones.
+type zoneList []string
+
+// UnmarshalYAML implements yaml.InterfaceUnmarshaler.
+func (l *zoneList) UnmarshalYAML(unmarshal func(any) error) error {
+	var table map[string]any
+	if err := unmarshal(&table); err == nil {
+		*l = slices.Sorted(maps.Keys(table))
+		return nil
+	}
+	return unmarshal((*[]string)(l))
+}
+
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
 func millis(ms int64) time.Duration { return time.Duration(ms) * time.Millisecond }
--- a/system/settings_test.go
+++ b/system/settings_test.go
@@ -1,6 +1,7 @@
 package system
 
 import (
+	"fmt"
 	"os"
 	"path/filepath"
 	"strings"
@@ -87,3 +88,25 @@
 		}
 	}
 }
+
+// Guards against a deployment whose template gives the zones as a table or not at all, and whose
+// daemons would not start for that.
+func TestAvailabilityZonesOfSettings(t *testing.T) {
+	for text, want := range map[string]string{
+		"":                                     "[]",
+		"availability_zones:\n":                "[]",
+		"availability_zones: null\n":           "[]",
+		"availability_zones: [north, south]\n": "[north south]",
+		"availability_zones: {\"south\":\"r\",\"north\":\"r\"}\n": "[north south]",
+	} {
+		s, err := load(t, sampleSettings+text)
+		if err != nil || fmt.Sprint(s.AvailabilityZones) != want {
+			t.Errorf("%q: %v, %v, want %s", text, s.AvailabilityZones, err, want)
+		}
+	}
+	for _, text := range []string{"availability_zones: 7\n", "availability_zones: [\"\"]\n", "availability_zones: [[a]]\n"} {
+		if _, err := load(t, sampleSettings+text); !errors.Is(err, ErrSettings) || !strings.Contains(err.Error(), "availability_zones") {
+			t.Errorf("%q: error %v does not name availability_zones", text, err)
+		}
+	}
+}
