Pools: the capacity of an evacuated zone is replaced

Those of an evacuated zone are not ready and are no donors; a move that was planned before and not ordered is dropped. Idle ones return to a standby pool once their pool has what it needs without them: returned earlier, they would be missing when the evacuation ends. Long-running tasks that go on there are left out of the demand of their pool; the trends count them, so that neither start nor end of an evacuation looks like a change of demand.

--- a/driver/pools.go
+++ b/driver/pools.go
@@ -54,6 +54,7 @@
 	}
 	f.updateTrends(in.Pools, now)
 	f.addArriving(in.Pools, now)
+	f.leaveOutStaying(in.Pools)
 	for _, i := range f.instances {
 		in.Instances = append(in.Instances, f.poolInstance(i, in.Pools, now))
 	}
@@ -167,6 +168,43 @@
 	}
 }
 
+// leaveOutStaying takes the long-running tasks that go on in evacuated zones out of the demand
+// of the pools: they need no instance elsewhere. The trends count them, so that the start and the
+// end of an evacuation are no change of the demand.
+func (f *fleet) leaveOutStaying(pools map[string]plan.PoolDemand) {
+	d := f.d
+	for id, w := range d.state.Workers() {
+		if !d.state.IsEvacuated(w.Zone) {
+			continue
+		}
+		for ref, j := range d.state.Runs(id) {
+			step := &j.Spec.Steps[ref.Step]
+			if !step.LongRunning {
+				continue
+			}
+			if demand, ok := pools[w.Pool]; ok {
+				demand.Running = demand.Running.Sub(step.Reserved())
+				pools[w.Pool] = demand
+			}
+			pool := d.state.PoolOf(j)
+			if demand, ok := pools[pool]; ok && !j.State.Finished() {
+				demand.Lasting = demand.Lasting.Sub(step.Reserved())
+				pools[pool] = demand
+			}
+		}
+	}
+}
+
+// isEvacuated reports whether an instance is in an evacuated zone, as listed or as announced by
+// its worker.
+func (f *fleet) isEvacuated(i *instance) bool {
+	if f.d.state.IsEvacuated(i.Zone) {
+		return true
+	}
+	w := f.d.state.Workers()[i.Worker]
+	return w != nil && f.d.state.IsEvacuated(w.Zone)
+}
+
 func (f *fleet) poolInstance(i *instance, pools map[string]plan.PoolDemand, now time.Time) plan.PoolInstance {
 	d := f.d
 	session := d.sessions[i.Worker]
@@ -193,6 +231,9 @@
 	default:
 		p.Ready = free && d.inService(session, now)
 	}
+	if f.isEvacuated(i) {
+		p.Evacuated, p.Ready = true, false
+	}
 	p.Movable = free && idle && !leaving && f.runsKnown(i, now)
 	return p
 }
@@ -211,6 +252,10 @@
 		i.moveTo = "" // a task was assigned after the move was planned
 		return
 	}
+	if p, ok := d.state.Pool(i.moveTo); f.isEvacuated(i) && (!ok || !p.Standby) && now.After(i.lateUntil) {
+		i.moveTo = "" // its zone was evacuated after the move was planned
+		return
+	}
 	if !f.runsKnown(i, now) {
 		return // an order without an answer may yet be carried out: the instance stays reserved
 	}
--- a/driver/zone_test.go
+++ b/driver/zone_test.go
@@ -355,3 +355,45 @@
 		t.Fatal(err)
 	}
 }
+
+// Guards against an evacuated zone whose instances count as capacity of their pool or are taken to
+// cover a shortage, and against long-running tasks there that request capacity elsewhere.
+func TestCapacityOfEvacuatedZoneIsReplaced(t *testing.T) {
+	w := newTestEnv(t)
+	service := newFleetOf(t, w, 0, &platformtest.Worker{RunTime: time.Hour, Lasting: true})
+	machine := func(name, zone, pool string) *platformtest.Machine {
+		return &platformtest.Machine{Name: name, Zone: zone, Pool: pool, State: "up", Capacity: 4000, MemoryMB: 4000}
+	}
+	start := service.Start
+	service.Start = func(m *platformtest.Machine) string {
+		if m.Zone != "north" || m.Pool != "p" {
+			return start(m)
+		}
+		w.workerOf(&platformtest.Worker{ID: m.Name, Pool: m.Pool, Zone: m.Zone, RunTime: time.Hour, Lasting: true})
+		return m.Name
+	}
+	service.Add(machine("m0", "north", "p"))
+	lasting := step(1)
+	lasting.LongRunning = true
+	w.submit(jobID(0), lasting)
+	w.waitFor("task running", func() bool { return len(w.history()) == 1 })
+	w.orderZone("north", false)
+	for n := range 3 {
+		service.Add(machine("n"+string(rune('0'+n)), "north", "spare"))
+		service.Add(machine("s"+string(rune('0'+n)), "south", "spare"))
+	}
+	w.waitFor("capacity replaced", func() bool { return instancesIn(service, "p") == 2 })
+	enough := service.Readings() + 3
+	w.waitFor("further plans", func() bool { return service.Readings() >= enough })
+	for _, m := range service.Snapshot() {
+		if m.Zone == "north" && m.Name != "m0" && m.Pool == "p" {
+			t.Errorf("%s, in the evacuated zone, was moved to cover the shortage", m.Name)
+		}
+	}
+	if n := instancesIn(service, "p"); n != 2 {
+		t.Errorf("%d instances in the pool, want the evacuated one and one beyond the demand", n)
+	}
+	if run := w.history()[0]; !run.Ended.IsZero() {
+		t.Error("the long-running task was ended")
+	}
+}
--- a/workload/plan/pools.go
+++ b/workload/plan/pools.go
@@ -31,6 +31,9 @@
 	Ready bool
 	// Movable instances run no tasks and have no pending order.
 	Movable bool
+	// Evacuated instances are in an evacuated availability zone. They are not ready, and no
+	// pool takes them to cover a shortage.
+	Evacuated bool
 	// IdleFor is how long the instance has run no tasks.
 	IdleFor workload.Millis
 }
@@ -189,7 +192,7 @@
 			continue
 		}
 		for _, i := range p.instances {
-			if !i.Movable || !p.demand.Standby && i.IdleFor < settle/4 {
+			if !i.Movable || i.Evacuated || !p.demand.Standby && i.IdleFor < settle/4 {
 				continue
 			}
 			if best == nil || p.demand.Standby && !from.demand.Standby {
@@ -212,10 +215,14 @@
 }
 
 // returnToStandby moves surplus instances that have been idle for at least settle to
-// a standby pool, those that offer least first.
+// a standby pool, those that offer least first. Evacuated instances are surplus once their
+// pool has what it needs without them.
 func returnToStandby(pools []*poolState, settle workload.Millis) []Move {
 	var moves []Move
 	for _, p := range pools {
+		if !p.demand.Standby && p.available() >= p.required {
+			moves = append(moves, returnEvacuated(pools, p, settle)...)
+		}
 		for !p.demand.Standby && p.available() > p.required {
 			var least *PoolInstance
 			for _, i := range p.instances {
@@ -233,6 +240,22 @@
 	return moves
 }
 
+// returnEvacuated moves the evacuated instances of a pool that have been idle for at least
+// settle to a standby pool.
+func returnEvacuated(pools []*poolState, p *poolState, settle workload.Millis) []Move {
+	to := standbyPoolFor(pools, p)
+	if to == nil {
+		return nil
+	}
+	var moves []Move
+	for _, i := range slices.Clone(p.instances) {
+		if i.Evacuated && i.Movable && i.IdleFor >= settle {
+			moves = append(moves, applyMove(p, i, to))
+		}
+	}
+	return moves
+}
+
 func standbyPoolFor(pools []*poolState, from *poolState) *poolState {
 	for _, p := range pools {
 		if p.demand.Standby && (p.kind == "" || p.kind == from.kind) {
