Cold workers: warm ones first, and starts at the pace of the service

An announcement may say for how long its worker is slow, and a service for how long its workers are slow after the evacuation of their zone and how many starts a second such a worker takes. The planner prefers warm workers and starts on a slow one at that rate, one task at a time, which keeps the settings' bounds cold_burst and cold_slack without knowing them. A new leader counts a start on every worker when its term begins, and takes a worker for slow for cold_start_s after its start until it has announced itself.

--- a/driver/announce.go
+++ b/driver/announce.go
@@ -68,6 +68,10 @@
 		d.needsPlan = true
 	}
 	s.lastContact, s.announcedAt, s.sequence = now, now, a.Sequence
+	if a.Cold == 0 && now.Before(s.coldUntil) {
+		d.needsPlan = true
+	}
+	s.coldUntil = now.Add(time.Duration(a.Cold) * time.Millisecond)
 	s.readClock(a.Clock, now)
 }
 
--- a/driver/driver.go
+++ b/driver/driver.go
@@ -117,6 +117,7 @@
 	for id, w := range d.state.Workers() {
 		d.sessions[id] = d.newSession(w)
 		d.sessions[id].announcedAt = d.announcedBefore
+		d.sessions[id].assignedAt = d.started // an earlier leader may have started a task just now
 		for ref, j := range d.state.Runs(id) {
 			d.adoptRun(ref, j)
 		}
@@ -380,6 +381,9 @@
 	delete(d.notBefore, c.Task)
 	delete(d.failedOn, c.Task)
 	d.assignments++
+	if s := d.sessions[c.Worker]; s != nil {
+		s.assignedAt = time.Now()
+	}
 	r := &run{
 		ref: c.Task, number: c.Run, worker: c.Worker, incarnation: c.Incarnation, job: j, phase: phaseCommitting,
 		trial: j.SuspicionOf(c.Task), serial: d.assignments,
--- a/driver/session.go
+++ b/driver/session.go
@@ -91,7 +91,11 @@
 	listSent    time.Time
 	// announcedAt is the time of the last announcement, which alone shows the worker's
 	// capacity. Before the first one in this term it is announcedBefore.
-	announcedAt    time.Time
+	announcedAt time.Time
+	// coldUntil is until when the worker is slow after its start, as it announced last, and
+	// assignedAt when a task was last assigned to it.
+	coldUntil, assignedAt time.Time
+
 	holdInFlight   bool
 	nextHold       time.Time
 	acked          int64
@@ -229,6 +233,7 @@
 		Usable:  d.inService(s, now) && d.knowsCapacity(s, now) && !d.state.IsEvacuated(s.worker.Zone),
 		Penalty: s.decayedFailureScore(now) * failurePenalty, Leaving: d.fleet.leaving[worker],
 	}
+	d.coldStarts(s, now, &c)
 	d.trialOn(worker, &c)
 	return c
 }
--- a/workload/plan/plan.go
+++ b/workload/plan/plan.go
@@ -24,6 +24,9 @@
 	// failedWorkerPenalty keeps a task off the worker on which it last failed, if
 	// another worker is available.
 	failedWorkerPenalty = 2
+	// coldWorkerPenalty keeps tasks off a slow worker, also one of the rack of their data, if
+	// another worker has room.
+	coldWorkerPenalty = 3
 	// expiryFactor is the multiple of its latency objective after which a job no
 	// longer has any value.
 	expiryFactor = 3
@@ -45,6 +48,11 @@
 	// Leaving workers will soon be taken down: long-running tasks on them would have
 	// to be moved.
 	Leaving bool
+	// Cold workers are slow after their start or the evacuation of their zone. If
+	// StartInterval is not 0, no task may start on the worker before NextStart, and none
+	// within StartInterval of another one.
+	Cold                     bool
+	NextStart, StartInterval workload.Millis
 	// Trial is set while a suspected task on the worker may still crash it, and Closed if
 	// that task has to run alone.
 	Trial, Closed bool
@@ -99,10 +107,14 @@
 	colocation workload.Colocation
 	// runs counts the runs on the worker, with those of the plan.
 	runs int
-	// trial and closed are those of the worker's Condition.
-	trial, closed bool
+	// trial, closed, cold, nextStart and startInterval are those of the worker's Condition.
+	trial, closed, cold      bool
+	nextStart, startInterval workload.Millis
 }
 
+// mayStart reports whether the pace of a cold worker permits a start at a time.
+func (h *host) mayStart(now workload.Millis) bool { return h.startInterval == 0 || h.nextStart <= now }
+
 func (h *host) rack() string {
 	if len(h.worker.Labels) == 0 {
 		return ""
@@ -276,6 +288,7 @@
 		hosts = append(hosts, host{
 			worker: w, free: w.Capacity.Sub(p.in.State.Reserved(w.ID)), penalty: c.Penalty, leaving: c.Leaving, colocation: p.in.State.ColocationOf(w.ID),
 			runs: len(p.in.State.Runs(w.ID)), trial: c.Trial, closed: c.Closed,
+			cold: c.Cold, nextStart: c.NextStart, startInterval: c.StartInterval,
 		})
 		pool.hosts = append(pool.hosts, &hosts[len(hosts)-1])
 	}
@@ -448,6 +461,7 @@
 			if h.worker.ID == a.Worker {
 				h.free = h.free.Add(step.Reserved())
 				h.runs--
+				h.nextStart = min(h.nextStart, p.in.Now)
 			}
 		}
 		team.used = team.used.Sub(step.Need)
@@ -472,12 +486,19 @@
 	}
 	var best *host
 	var bestScore float64
+	var wake workload.Millis
 	fits := false
 	failedOn := p.in.FailedOn(ref)
 	for _, h := range pool.hosts {
 		if h.closed || !size.Fits(h.free) {
 			continue
 		}
+		if !h.mayStart(p.in.Now) {
+			if wake == 0 || h.nextStart < wake {
+				wake = h.nextStart
+			}
+			continue
+		}
 		fits = true
 		if tickets != nil && tickets[h.worker.ID] == "" || !p.feasible(h, step, ref) {
 			continue
@@ -491,6 +512,9 @@
 		}
 	}
 	if best == nil {
+		if wake != 0 {
+			p.scheduleWake(wake)
+		}
 		if !fits {
 			pool.unplaceable, pool.full = size, true
 		}
@@ -505,6 +529,7 @@
 	h.free = h.free.Sub(step.Reserved())
 	h.colocation = h.colocation.Add(step, 1)
 	h.runs++
+	h.nextStart = p.in.Now + h.startInterval
 	team.used = team.used.Add(step.Need)
 	p.planned[stepOnWorker{h.worker.ID, ref.Job, ref.Occurrence, ref.Step}]++
 	p.plan.Assign = append(p.plan.Assign, workload.Assign{
@@ -536,6 +561,9 @@
 	if rack != "" && rack != h.rack() {
 		score += remoteFactor
 	}
+	if h.cold {
+		score += coldWorkerPenalty
+	}
 	if h.leaving && step.LongRunning {
 		score += leavingWorkerPenalty
 	}
--- a/workload/plan/suspect.go
+++ b/workload/plan/suspect.go
@@ -115,7 +115,7 @@
 		if !crashedHere && step.Reserved().Fits(h.worker.Capacity) && (emptiest == nil || h.runs < emptiest.runs) {
 			emptiest = h
 		}
-		if h.trial || level == workload.Isolated && h.runs > 0 || !step.Reserved().Fits(h.free) {
+		if !h.mayStart(p.in.Now) || h.trial || level == workload.Isolated && h.runs > 0 || !step.Reserved().Fits(h.free) {
 			continue
 		}
 		score := h.trialScore()
@@ -144,4 +144,10 @@
 }
 
 // trialScore rates a worker for a task that may crash it; lower is better.
-func (h *host) trialScore() float64 { return float64(h.runs) + h.penalty }
+func (h *host) trialScore() float64 {
+	score := float64(h.runs) + h.penalty
+	if h.cold {
+		score += coldWorkerPenalty
+	}
+	return score
+}
--- a/workload/plan/zone_test.go
+++ b/workload/plan/zone_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"testing"
 
+	"magnoliastand.example/workload"
 	"magnoliastand.example/workload/plan"
 )
 
@@ -56,3 +57,74 @@
 		})
 	}
 }
+
+// Guards against tasks on slow workers while warm ones have room, also away from their data, and
+// against tasks that wait for a warm one.
+func TestWarmWorkersArePreferred(t *testing.T) {
+	w := newFixture(t, workload.Size{})
+	w.addWorker("cold", 4, "near")
+	w.addWorker("warm", 2, "far")
+	w.conditions["cold"] = plan.Condition{Usable: true, Cold: true}
+	s := step(3, 1)
+	s.DataRack = "near"
+	w.addJob("j", "q", 0, s)
+	on := map[string]int{}
+	for _, a := range w.plan(10).Assign {
+		on[a.Worker]++
+	}
+	if on["warm"] != 2 || on["cold"] != 1 {
+		t.Errorf("tasks by worker: %v", on)
+	}
+}
+
+// Guards against a slow worker that is started on faster than its pool allows, by one plan or by
+// several, by single tasks or by a gang, and against tasks that are not planned again in time.
+func TestColdWorkerIsStartedOnAtItsPace(t *testing.T) {
+	for name, tc := range map[string]struct {
+		next     workload.Millis // NextStart of both workers; the plan is made at 1,000
+		gang     bool
+		tasks    int
+		assigned int
+		wake     workload.Millis
+	}{
+		"one on each worker":         {0, false, 5, 2, 1250},
+		"not before the next start":  {1100, false, 5, 0, 1100},
+		"due now":                    {1000, false, 5, 2, 1250},
+		"gang":                       {0, true, 2, 2, 0},
+		"gang that has to wait":      {0, true, 3, 0, 1250},
+		"gang before the next start": {1100, true, 2, 0, 1100},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newFixture(t, workload.Size{})
+			for _, id := range []string{"w1", "w2"} {
+				w.addWorker(id, 8)
+				w.conditions[id] = plan.Condition{Usable: true, Cold: true, NextStart: tc.next, StartInterval: 250}
+			}
+			s := step(tc.tasks, 1)
+			s.Gang = tc.gang
+			w.addJob("j", "q", 0, s)
+			p := w.plan(1000)
+			on := map[string]bool{}
+			for _, a := range p.Assign {
+				on[a.Worker] = true
+			}
+			if len(p.Assign) != tc.assigned || len(on) != tc.assigned || p.Wake != tc.wake {
+				t.Errorf("%d tasks on %d workers, want %d; next plan at %d, want %d", len(p.Assign), len(on), tc.assigned, p.Wake, tc.wake)
+			}
+		})
+	}
+}
+
+// Guards against a gang that is taken back and leaves a slow worker closed to the next job.
+func TestGangTakenBackLeavesPace(t *testing.T) {
+	w := newFixture(t, workload.Size{})
+	w.addWorker("w1", 8)
+	w.conditions["w1"] = plan.Condition{Usable: true, Cold: true, StartInterval: 250}
+	gang := step(2, 1)
+	gang.Gang = true
+	w.addJob("a", "q", 0, gang)
+	w.addJob("b", "q", 1, step(1, 1))
+	if p := w.plan(1000); len(p.Assign) != 1 || p.Assign[0].Task.Job != "b" {
+		t.Errorf("%+v", p.Assign)
+	}
+}
--- a/workload/types.go
+++ b/workload/types.go
@@ -84,6 +84,11 @@
 	MaxConnections int    `cbor:"2,keyasint,omitempty"`
 	// Standby pools hold instances that are powered off.
 	Standby bool `cbor:"3,keyasint,omitempty"`
+	// ColdStart is how long the pool's workers are slow after the evacuation of their
+	// zone, and ColdStartsPerS how many starts a second such a worker takes; 0 means no
+	// limit.
+	ColdStart      Millis  `cbor:"4,keyasint,omitempty"`
+	ColdStartsPerS float64 `cbor:"5,keyasint,omitempty"`
 }
 
 // Team is a tenant with API keys, a fair-share weight and a resource limit.
