--- a/cmd/magnoliastand/explain.go
+++ b/cmd/magnoliastand/explain.go
@@ -25,7 +25,7 @@
 		ShortUsage: "magnoliastand explain [--json] [--logs FILE]... ID",
 		ShortHelp:  "Tells from logs what happened to a job, task, worker, instance, wave or version.",
 		LongHelp: "ID is the id of a job (the last part of its path), of a task (JOB.OCCURRENCE.STEP.INDEX),\n" +
-			"of a worker or instance, or wave/N or version/N. The logs may be those of any number\n" +
+			"of a worker or instance, or wave/N, version/N or zone/NAME. The logs may be those of any number\n" +
 			"of daemons, in any order.\n" +
 			"Example: magnoliastand explain --logs core.log --logs edge.log 458cb8e176ade106",
 		FlagSet: fs,
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -22,6 +22,7 @@
 	Instance Kind = "instance"
 	Wave     Kind = "wave"
 	Version  Kind = "version"
+	Zone     Kind = "zone"
 )
 
 // Story is what the logs tell about a subject.
@@ -39,8 +40,8 @@
 }
 
 // Explain returns the story of a subject. An id alone is a job, worker, instance or,
-// with dots, a task; waves and configuration versions are written as wave/N and
-// version/N. Explain returns ErrNotFound if no line is about the subject.
+// with dots, a task; waves, configuration versions and availability zones are written as
+// wave/N, version/N and zone/NAME. Explain returns ErrNotFound if no line is about the subject.
 func Explain(log *Log, id string) (*Story, error) {
 	lines := slices.Clone(log.Lines)
 	slices.SortStableFunc(lines, func(a, b Line) int { return a.Time.Compare(b.Time) })
@@ -69,6 +70,8 @@
 		return []Kind{Wave}
 	case strings.HasPrefix(id, "version/"):
 		return []Kind{Version}
+	case strings.HasPrefix(id, "zone/"):
+		return []Kind{Zone}
 	case strings.Contains(id, "."):
 		return []Kind{Task}
 	}
@@ -88,6 +91,8 @@
 		return l.text("instance") == s.ID
 	case Wave:
 		return l.text("wave") == strings.TrimPrefix(s.ID, "wave/")
+	case Zone:
+		return l.text("zone") == strings.TrimPrefix(s.ID, "zone/") && slices.Contains(zoneMessages, l.Message)
 	case Version:
 		return l.text("version") == strings.TrimPrefix(s.ID, "version/") && (l.Message == "document submitted" || l.Message == "lead taken")
 	}
@@ -110,6 +115,12 @@
 	return !l.Time.Before(first.Add(-margin)) && !l.Time.After(last.Add(margin))
 }
 
+// zoneMessages are about the evacuation of an availability zone.
+var zoneMessages = []string{
+	"zone evacuation requested", "zone evacuation ordered", "zone evacuation acknowledged", "zone evacuation withdrawn",
+	"every zone is evacuated: jobs are accepted and wait",
+}
+
 // leaderMessages are about the leader as such.
 var leaderMessages = []string{
 	"lead taken", "leadership ended", "leader changed", "batch not committed", "driver panicked; its successor starts from the committed state",
