Soak: zones are evacuated while processes are harmed

Daemons and workers are spread over three zones. One step of two evacuates a zone, unless it is evacuated, for 5 to 9 s from the acknowledgement on; several may be at a time. No run may begin on a worker of the zone from 5 s after the acknowledgement until the finish is sent, and no order may be rejected. The draws are of a source of their own, so the faults of a seed stay as they were; their timing changes with the zones. No check was changed.

--- a/cmd/magnoliastand/soak_test.go
+++ b/cmd/magnoliastand/soak_test.go
@@ -37,10 +37,16 @@
 	soakCapacityBound = 3300 * time.Millisecond
 	// soakOperatorPause is the pause between two changes or reads of the configuration.
 	soakOperatorPause = 100 * time.Millisecond
+	// soakEvacuated is how long after the acknowledgement of an evacuation starts may still
+	// reach the zone.
+	soakEvacuated = 5 * time.Second
 	// soakDeadly begins the IDs of jobs of which one task crashes each worker that begins it.
 	soakDeadly = "dead"
 )
 
+// soakZones are the availability zones of daemons and workers.
+var soakZones = []string{"z0", "z1", "z2"}
+
 // soakSeeds are played in every run; each seed that ever failed is added with
 // its cause.
 var soakSeeds = []uint64{
@@ -72,12 +78,12 @@
 
 // soakDaemon is one process.
 type soakDaemon struct {
-	name, role, ip string
-	folder         string
-	form           bool
-	cmd            *exec.Cmd
-	proxy          *platformtest.Proxy
-	lostAt         time.Time
+	name, role, ip, zone string
+	folder               string
+	form                 bool
+	cmd                  *exec.Cmd
+	proxy                *platformtest.Proxy
+	lostAt               time.Time
 }
 
 // soak is one run.
@@ -99,6 +105,11 @@
 	shrunk int
 	// rndFreeze draws which cores are frozen.
 	rndFreeze *rand.Rand
+	// rndZone draws which zones are evacuated, and for how long.
+	rndZone *rand.Rand
+	// evacuations are those that were acknowledged, evacuating the zones whose orders are under way.
+	evacuations []soakEvacuation
+	evacuating  map[string]bool
 	// workers are those that run; nil stands for one that is yet to come back.
 	workers [soakWorkers]*platformtest.Worker
 	// away counts the workers that are yet to come back; once closed is set, none does.
@@ -116,7 +127,7 @@
 func newSoak(t *testing.T, seed uint64) *soak {
 	s := &soak{
 		t: t, rnd: rand.New(rand.NewPCG(seed, 7)), rndCrash: rand.New(rand.NewPCG(seed, 8)),
-		rndCapacity: rand.New(rand.NewPCG(seed, 9)), rndFreeze: rand.New(rand.NewPCG(seed, 10)), dir: t.TempDir(), net: claimNetwork(t), stop: make(chan struct{}),
+		rndCapacity: rand.New(rand.NewPCG(seed, 9)), rndFreeze: rand.New(rand.NewPCG(seed, 10)), rndZone: rand.New(rand.NewPCG(seed, 11)), evacuating: map[string]bool{}, dir: t.TempDir(), net: claimNetwork(t), stop: make(chan struct{}),
 		accepted: map[string]bool{}, refused: map[string]bool{},
 	}
 	for n := range soakCores + soakEdges {
@@ -124,7 +135,7 @@
 		if n >= soakCores {
 			role = "edge"
 		}
-		d := &soakDaemon{name: fmt.Sprint(role, n), role: role, ip: fmt.Sprintf("127.%d.7.%d", s.net, n+1), form: true}
+		d := &soakDaemon{name: fmt.Sprint(role, n), role: role, zone: soakZones[n%len(soakZones)], ip: fmt.Sprintf("127.%d.7.%d", s.net, n+1), form: true}
 		d.folder = filepath.Join(s.dir, d.name)
 		s.daemons = append(s.daemons, d)
 	}
@@ -155,7 +166,8 @@
 // settings are what the deployment's template would make.
 func (s *soak) settings(d *soakDaemon) string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "name: %s\nip: %s\navailability_zone: z\npeer_port: %d\npeer_secret: secret-of-the-soak-tests\n", d.name, d.ip, soakPeerPort)
+	fmt.Fprintf(&b, "name: %s\nip: %s\navailability_zone: %s\navailability_zones: [%s]\npeer_port: %d\npeer_secret: secret-of-the-soak-tests\n",
+		d.name, d.ip, d.zone, strings.Join(soakZones, ", "), soakPeerPort)
 	if d.role == "core" {
 		fmt.Fprintf(&b, "peer_listen: %s:%d\noperators_listen: %s:%d\ndata_folder: %s\n", d.ip, soakInnerPort, d.ip, soakControlPort, d.folder)
 	} else {
@@ -247,7 +259,7 @@
 // worker returns a worker that is not started yet; each has an address of its own.
 func (s *soak) worker(n int) *platformtest.Worker {
 	return &platformtest.Worker{
-		ID: fmt.Sprint("w", n), Pool: "p", RunTime: 60 * time.Millisecond, Capacity: 8000, MemoryMB: 8000, Labels: []string{"a", "r"},
+		ID: fmt.Sprint("w", n), Pool: "p", Zone: soakZones[n%len(soakZones)], RunTime: 60 * time.Millisecond, Capacity: 8000, MemoryMB: 8000, Labels: []string{"a", "r"},
 		MaxLease: 2500 * time.Millisecond, Address: fmt.Sprintf("127.%d.8.%d:0", s.net, n+1),
 		Need: func(string) platformtest.Amount { return soakNeed }, StopTime: 50 * time.Millisecond,
 		CapacityGrace: soakCapacityBound, CapacityBound: soakCapacityBound,
@@ -513,6 +525,7 @@
 			wg.Go(func() { s.submit(fmt.Sprintf("%s%012x", soakDeadly, n)) })
 		}
 		s.changeCapacity()
+		s.evacuateZone(wg)
 		s.freeze()
 		s.fault()
 		s.pause(time.Duration(100+s.rnd.IntN(900)) * time.Millisecond)
@@ -627,6 +640,67 @@
 	}
 }
 
+// soakEvacuation is the evacuation of a zone, from its acknowledgement to the moment before its
+// finish was sent.
+type soakEvacuation struct {
+	zone            string
+	acked, finished time.Time
+}
+
+// evacuateZone evacuates a zone in one step of two while the run goes on, unless it is evacuated. Several
+// zones may be at a time, also all of them: the jobs wait.
+func (s *soak) evacuateZone(wg *sync.WaitGroup) {
+	draw, zone := s.rndZone.IntN(2), soakZones[s.rndZone.IntN(len(soakZones))]
+	span := soakEvacuated + time.Duration(s.rndZone.IntN(4000))*time.Millisecond
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if draw > 0 || s.evacuating[zone] {
+		return
+	}
+	s.evacuating[zone] = true
+	wg.Go(func() {
+		s.orderZone(zone, "start")
+		e := soakEvacuation{zone: zone, acked: time.Now()}
+		s.pause(span)
+		e.finished = time.Now()
+		s.orderZone(zone, "finish")
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.evacuations = append(s.evacuations, e)
+		delete(s.evacuating, zone)
+	})
+}
+
+// orderZone sends an order for a zone to one core after another until it is acknowledged. It must never
+// be rejected.
+func (s *soak) orderZone(zone, what string) {
+	for n := 0; ; n++ {
+		status, body := send("POST", "http://"+s.control(n)+"/evacuate/"+zone+"/"+what, "", time.Second)
+		switch {
+		case status >= 200 && status < 300:
+			return
+		case status >= 400 && status < 500:
+			s.t.Errorf("%s for %s: %d %s", what, zone, status, body)
+			return
+		}
+		if !s.pause(50 * time.Millisecond) {
+			return
+		}
+	}
+}
+
+// checkEvacuations checks that no run began on a worker while its zone was evacuated, but for the
+// time after the acknowledgement in which orders may still arrive.
+func (s *soak) checkEvacuations(w *platformtest.Worker) {
+	for _, r := range w.History() {
+		for _, e := range s.evacuations {
+			if w.Zone == e.zone && r.Begun.After(e.acked.Add(soakEvacuated)) && r.Begun.Before(e.finished) {
+				s.t.Errorf("task %s began on %s, %s after the evacuation of %s was acknowledged", r.Task, w.ID, r.Begun.Sub(e.acked), e.zone)
+			}
+		}
+	}
+}
+
 // changeCapacity lets two workers shrink, to nothing at times, and grow again while the run
 // goes on.
 func (s *soak) changeCapacity() {
@@ -698,6 +772,7 @@
 		for _, breach := range w.CapacityBreaches() {
 			s.t.Error(breach)
 		}
+		s.checkEvacuations(w)
 	}
 	crashes := 0
 	for i := range runs {
@@ -708,8 +783,8 @@
 			s.t.Errorf("task %s ran, and its job was refused as not run", runs[i].Task)
 		}
 	}
-	s.t.Logf("%d jobs accepted, %d refused as not run, %d runs, %d crashes, %d times less capacity, %d configurations read",
-		len(s.accepted), len(s.refused), len(runs), crashes, s.shrunk, s.reads)
+	s.t.Logf("%d jobs accepted, %d refused as not run, %d runs, %d crashes, %d times less capacity, %d configurations read, %d evacuations",
+		len(s.accepted), len(s.refused), len(runs), crashes, s.shrunk, s.reads, len(s.evacuations))
 }
 
 // ends waits until a job ends, and compares its state.
