--- a/system/message.go
+++ b/system/message.go
@@ -21,6 +21,8 @@
 	methodDocument    = "system.document"
 	methodStartWave   = "system.wave"
 	methodWaveStatus  = "system.wave-read"
+	methodZoneTime    = "system.zone-time"
+	methodZone        = "system.zone"
 )
 
 // Codes of remote errors.
@@ -29,6 +31,7 @@
 	codeInvalid     = "invalid"
 	codeNotFound    = "not-found"
 	codeTooLarge    = "too-large"
+	codeUnknownZone = "unknown-zone"
 	codeUnknown     = peerlink.CodeOutcomeUnknown
 )
 
@@ -89,6 +92,8 @@
 		code = codeNotFound
 	case errors.Is(err, workload.ErrTooLarge):
 		code = codeTooLarge
+	case errors.Is(err, workload.ErrUnknownZone):
+		code = codeUnknownZone
 	case errors.Is(err, driver.ErrOutcomeUnknown):
 		code = codeUnknown
 	}
@@ -107,6 +112,8 @@
 			return errors.Wrap(workload.ErrNoJob, remote.Detail)
 		case codeTooLarge:
 			return errors.Wrap(workload.ErrTooLarge, remote.Detail)
+		case codeUnknownZone:
+			return errors.Wrap(workload.ErrUnknownZone, remote.Detail)
 		}
 	}
 	if errors.Is(err, peerlink.ErrTooLarge) {
--- a/workload/command.go
+++ b/workload/command.go
@@ -17,6 +17,8 @@
 	ErrNotAssignable = errors.New("workload: task not assignable")
 	// ErrTooLarge is returned for a command that does not fit an entry of the log.
 	ErrTooLarge = errors.New("workload: too large")
+	// ErrUnknownZone is returned when the deployment has no such availability zone.
+	ErrUnknownZone = errors.New("workload: unknown availability zone")
 	// ErrInvalidDocument is returned when a document can't be decoded.
 	ErrInvalidDocument = errors.New("workload: invalid document")
 )
@@ -56,6 +58,7 @@
 	Crash          *Crash          `cbor:"13,keyasint,omitempty"`
 	ClearSuspicion *ClearSuspicion `cbor:"14,keyasint,omitempty"`
 	OrderUpkeep    *OrderUpkeep    `cbor:"15,keyasint,omitempty"`
+	EvacuateZone   *EvacuateZone   `cbor:"16,keyasint,omitempty"`
 }
 
 // PutDocument stores a document. It has no effect unless its version is higher
@@ -154,6 +157,13 @@
 	Withdrawn bool   `cbor:"4,keyasint,omitempty"`
 }
 
+// EvacuateZone starts or finishes the evacuation of an availability zone: meanwhile no task is
+// assigned to its workers. It is idempotent.
+type EvacuateZone struct {
+	Zone   string `cbor:"1,keyasint"`
+	Finish bool   `cbor:"2,keyasint,omitempty"`
+}
+
 // RemoveJobs removes finished jobs that have no assigned task.
 type RemoveJobs struct {
 	Jobs []string `cbor:"1,keyasint"`
