driver: acknowledge ends behind a row that cannot be read

A row in a worker's list of ends that cannot be decoded kept all later ends from being acknowledged, without a limit in time. The list stayed at its maximum of 500 rows, and runs whose ends did not fit in were never settled. The same row kept every run that the lists lacked unsettled.

A worker without runs is held while such ends wait.

The encoding of replies between daemons is unchanged: a reply of an older build tells the ends behind an unreadable row in the same way.

--- a/driver/lists.go
+++ b/driver/lists.go
@@ -13,50 +13,78 @@
 func (d *Driver) handleLists(s *session, sent time.Time, l *platform.Lists) {
 	now := time.Now()
 	ended := make(map[workload.TaskRef]int64, len(l.Ended))
-	slices.SortFunc(l.Ended, func(a, b platform.EndedTask) int { return cmp.Compare(a.Number, b.Number) })
+	slices.SortFunc(l.Ended, func(a, b platform.EndedTask) int { return cmp.Compare(numberOf(&a), numberOf(&b)) })
 	for i := range l.Ended {
-		e := &l.Ended[i]
-		ended[e.Task] = max(ended[e.Task], e.Run)
-		d.handleEnded(s, e)
+		ended[l.Ended[i].Task] = max(ended[l.Ended[i].Task], l.Ended[i].Run)
 	}
 	running := make(map[workload.TaskRef]int64, len(l.Running))
+	for i := range l.Running {
+		running[l.Running[i].Task] = max(running[l.Running[i].Task], l.Running[i].Run)
+	}
+	missing := d.missingRuns(s, running, ended)
+	// A list of the maximum size may be cut, and then lacks runs for that reason.
+	whole := len(l.Ended)+l.Unreadable < maxEnds
+	s.unreadable.record(l.Unreadable, s.acked, now)
+	passes := d.passesUnreadable(s, missing, whole, now)
+	for i := range l.Ended {
+		d.handleEnded(s, &l.Ended[i], passes)
+	}
 	before := s.unassigned
 	s.unassigned = 0
 	for i := range l.Running {
-		t := &l.Running[i]
-		running[t.Task] = max(running[t.Task], t.Run)
-		d.handleRunning(s, t, now)
+		d.handleRunning(s, &l.Running[i], now)
 	}
 	if before > 0 && s.unassigned == 0 {
 		d.needsPlan = true // the worker receives work again
 	}
-	if len(l.Ended) < maxEnds && l.Unreadable == 0 {
-		d.resolveMissing(s, sent, running, ended)
+	if whole {
+		d.resolveMissing(s, sent, missing, now)
 	}
 	d.pace(s, now)
 	d.maybeHold(s, now, len(d.state.Runs(s.worker.ID)))
 }
 
-// handleEnded commits an end listed by the worker, once.
-func (d *Driver) handleEnded(s *session, e *platform.EndedTask) {
-	if e.Number >= 0 && e.Number <= s.worker.Acked {
+// handleEnded commits an end listed by the worker, once. An end behind an unreadable row is
+// acknowledged only if passes is set.
+func (d *Driver) handleEnded(s *session, e *platform.EndedTask, passes bool) {
+	number := numberOf(e)
+	if number <= s.worker.Acked {
 		return
 	}
+	behind := e.Number < 0
+	acked := number
+	switch {
+	case behind && passes:
+		if s.unreadable.passed == 0 {
+			d.cfg.Logger.Warn().Str("worker", s.worker.ID).Int64("incarnation", s.worker.Incarnation).
+				Int("rows", s.unreadable.rows).Int64("number", number).Msg("acknowledging ends behind rows that cannot be read")
+		}
+		s.unreadable.passed = max(s.unreadable.passed, number)
+	case behind:
+		acked, s.unreadable.pending = 0, true
+	}
 	r := d.runs[e.Task]
 	if r != nil && r.number == e.Run && r.worker == s.worker.ID && r.incarnation == s.worker.Incarnation {
-		d.endRun(r, e.Outcome, e.Checkpoint, max(e.Number, 0), "listed by the worker")
+		d.endRun(r, e.Outcome, e.Checkpoint, acked, "listed by the worker")
+		if acked == 0 {
+			s.unreadable.count(number)
+		}
 		return
 	}
-	if e.Number < 0 {
+	if acked == 0 {
 		return // settled once it may be acknowledged
 	}
-	d.settleEarlier(s, e)
+	settled := *e
+	settled.Number = acked
+	d.settleEarlier(s, &settled)
 }
 
 // settleEarlier commits the end of a run that is not the current one of its task. If it
 // is done, the current run has become useless.
 func (d *Driver) settleEarlier(s *session, e *platform.EndedTask) {
-	d.logSuperseded(s, e)
+	if !s.unreadable.counted[e.Number] {
+		d.logSuperseded(s, e)
+	}
 	job, _ := d.state.TaskOf(e.Task)
 	before := workload.JobPending
 	if job != nil {
@@ -112,7 +140,7 @@
 	}
 	d.dropNote(r)
 	d.watchTrial(r, now)
-	r.seen, r.percent, r.tail = now, t.Percent, t.Tail
+	r.seen, r.missing, r.percent, r.tail = now, absence{}, t.Percent, t.Tail
 	d.watchProgress(s, r, t.Percent, now)
 	if r.stopAcked.IsZero() {
 		r.voiding = false
@@ -128,17 +156,26 @@
 	d.stopUntracked(s, t.Task, t.Run)
 }
 
+// missingRuns returns the runs on the worker that its lists show neither as running nor as
+// ended.
+func (d *Driver) missingRuns(s *session, running, ended map[workload.TaskRef]int64) []*run {
+	missing := d.runsOn(s.worker.ID, s.worker.Incarnation)
+	return slices.DeleteFunc(missing, func(r *run) bool { return running[r.ref] == r.number || ended[r.ref] == r.number })
+}
+
 // resolveMissing resolves runs that the worker does not list. A run is over if
 // the hold was sent after its start was confirmed or after a stop was
-// acknowledged.
-func (d *Driver) resolveMissing(s *session, sent time.Time, running, ended map[workload.TaskRef]int64) {
-	for _, r := range d.runsOn(s.worker.ID, s.worker.Incarnation) {
-		if running[r.ref] == r.number || ended[r.ref] == r.number {
+// acknowledged, unless an unreadable row may be its own.
+func (d *Driver) resolveMissing(s *session, sent time.Time, missing []*run, now time.Time) {
+	for _, r := range missing {
+		if d.runs[r.ref] != r || d.mayBeUnreadable(s, r, now) {
 			continue
 		}
 		switch {
 		case r.endedBefore && r.unknownSince.Before(sent):
 			d.endRun(r, workload.OutcomeLost, "", 0, "worker restarted")
+		case !r.stopAcked.IsZero() && r.stopAcked.Before(sent) && r.phase == phaseStarted && s.unreadable.rows > 0:
+			d.endRun(r, workload.OutcomeLost, "", 0, "worker no longer lists it, beside an unreadable row")
 		case !r.stopAcked.IsZero() && r.stopAcked.Before(sent):
 			d.endRun(r, workload.OutcomeNotRun, "", 0, "stopped before it began")
 		case r.phase == phaseStarted && !r.confirmedAt.IsZero() && r.confirmedAt.Before(sent):
--- a/driver/run.go
+++ b/driver/run.go
@@ -79,7 +79,9 @@
 	unknownSince time.Time
 	// seen, percent and tail are from the last list of the worker that contained
 	// the run.
-	seen     time.Time
+	seen time.Time
+	// missing describes the lists with an unreadable row that lack the run.
+	missing  absence
 	progress progress
 	percent  int
 	tail     int64
--- a/driver/session.go
+++ b/driver/session.go
@@ -117,6 +117,8 @@
 	// unassigned counts the runs in the last list that are not assigned to the worker. They
 	// are being stopped, and use an unknown part of its capacity.
 	unassigned int
+	// unreadable describes the rows of its lists that cannot be read.
+	unreadable unreadableRows
 	// departed is set once the worker has announced its end.
 	departed bool
 	// downSince is when the worker last stopped answering.
@@ -287,7 +289,7 @@
 	ack := s.acked < s.ackable && now.After(s.ackDue)
 	// A worker receives no work before its lists are read, and not while it may not answer.
 	unread := s.listedAt.IsZero() || s.failures > 0 || s.doubted
-	watch := runs == 0 && (now.Before(s.watchUntil) || s.unassigned > 0)
+	watch := runs == 0 && (now.Before(s.watchUntil) || s.unassigned > 0 || s.unreadable.pending)
 	if s.holdInFlight || s.replaced || now.Before(s.nextHold) || runs == 0 && !ack && !unread && !watch || !d.cfg.Log.IsLeader(d.cfg.Term) {
 		return
 	}
--- a/driver/unreadable_test.go
+++ b/driver/unreadable_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
 
+	"magnoliastand.example/platform/platformtest"
 	"magnoliastand.example/workload"
 )
 
@@ -101,3 +103,87 @@
 	w.waitFor("job completed", func() bool { return w.state(jobID(1)) == workload.JobCompleted })
 	w.checkConsistency()
 }
+
+// allNoted reports whether the ends of all runs of a job were acknowledged to their workers.
+func (w *testEnv) allNoted(job string) bool {
+	runs := w.historyOf(job)
+	return len(runs) > 0 && !slices.ContainsFunc(runs, func(r platformtest.Run) bool { return !r.Noted })
+}
+
+// A row of another writer in the list of ends kept all later ends from being acknowledged, so
+// that the list grew to its limit and hid further ends.
+func TestForeignEndDoesNotBlockAcknowledgements(t *testing.T) {
+	w := newTestEnv(t)
+	w.lease = 10 * time.Second // no lease lapses before the ends are acknowledged
+	worker := w.startWithWorker(20 * time.Millisecond)
+	worker.AddForeignEnd()
+	w.submit(jobID(0), step(3))
+	w.waitFor("job completed", func() bool { return w.state(jobID(0)) == workload.JobCompleted })
+	w.waitFor("ends acknowledged", func() bool { return w.allNoted(jobID(0)) })
+	if n := len(w.history()); n != 3 {
+		t.Errorf("%d runs of 3 tasks", n)
+	}
+	w.checkConsistency()
+}
+
+// A row of another writer kept the list of ends at its limit. The ends that did not fit in
+// were never read, so that their tasks remained assigned.
+func TestForeignEndDoesNotFillList(t *testing.T) {
+	w := newTestEnv(t)
+	w.lease = 10 * time.Second
+	worker := w.startWithWorker(time.Millisecond)
+	worker.AddForeignEnd()
+	w.submit(jobID(0), step(520))
+	w.waitFor("job completed", func() bool { return w.state(jobID(0)) == workload.JobCompleted })
+	w.checkConsistency()
+}
+
+// A start without an answer was left unsettled as long as a row that was listed before the
+// order could not be read.
+func TestLostStartBesideForeignEndIsSettled(t *testing.T) {
+	w := newTestEnv(t)
+	h := &lostOrders{Client: w.client}
+	h.pass.Store(true)
+	w.orders = h
+	worker := w.startWithWorker(20 * time.Millisecond)
+	worker.AddForeignEnd()
+	holds := worker.Holds()
+	w.submit(jobID(0), step(1))
+	w.waitFor("worker held", func() bool { return worker.Holds() > holds })
+	w.waitFor("start voided", func() bool { return w.ends(workload.OutcomeNotRun) > 0 })
+}
+
+// The row of a run cannot be read for some seconds. The run is done and must not be repeated.
+func TestEndThatBecomesReadableCounts(t *testing.T) {
+	w := newTestEnv(t)
+	w.lease = 10 * time.Second
+	worker := w.startWithWorker(20 * time.Millisecond)
+	worker.SetFaults(platformtest.Faults{GarbleEnds: true})
+	w.submit(jobID(0), step(2))
+	w.waitFor("runs done", func() bool {
+		return len(w.history()) == 2 && !slices.ContainsFunc(w.history(), func(r platformtest.Run) bool { return r.How != "done" })
+	})
+	time.Sleep(5 * time.Second)
+	worker.SetFaults(platformtest.Faults{})
+	w.waitFor("job completed", func() bool { return w.state(jobID(0)) == workload.JobCompleted })
+	if n := len(w.history()); n != 2 {
+		t.Errorf("%d runs of 2 tasks", n)
+	}
+	w.checkConsistency()
+}
+
+// A run whose row can never be read was left unsettled for good, and its job with it.
+func TestRunWithUnreadableEndIsSettled(t *testing.T) {
+	w := newTestEnv(t)
+	w.lease = 20 * time.Second
+	worker := w.startWithWorker(time.Hour)
+	worker.SetFaults(platformtest.Faults{GarbleEnds: true})
+	task := step(1)
+	task.Estimate = time.Hour.Milliseconds() // no run counts as stalled
+	w.submit(jobID(0), task)
+	w.waitFor("task started", func() bool { return len(w.history()) == 1 })
+	time.Sleep(700 * time.Millisecond) // a hold lists it
+	worker.EndAll("failed")
+	w.waitFor("task started again", func() bool { return len(w.history()) == 2 })
+	w.checkConsistency()
+}
