bootstrap: form the cluster although a seed loses its disk at first start

Each seed promised its disk for good to the one cluster ID of the coordinator. A seed that lost its disk before the cluster was formed came back without form_cluster and rejected the invitations; if it was the coordinator, nobody else could invite, and the promises to its lost ID were never released. The coordinator alone decided that the cluster was formed, so promises could not be released.

A proposal now takes two rounds with ballots: all seeds promise, then all accept the membership. A later proposal repeats a membership that was accepted. The coordinator is the first seed that may propose; a seed without form_cluster takes part in the proposals of others, with its new disk in the place of the lost one. Bound disks and the messages that nodes of different builds exchange are encoded as before.

--- a/cluster/cluster_test.go
+++ b/cluster/cluster_test.go
@@ -1,9 +1,11 @@
 package cluster
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http/httptest"
+	"slices"
 	"testing"
 	"time"
 
@@ -171,6 +173,42 @@
 	waitFor(t, "joiner is a member", func() bool { return joiner.member.Node() != nil && joiner.member.isMember() })
 }
 
+// A seed loses its disk at the very first start, after the others have begun to form the cluster
+// with it, and comes back with an empty one and without the permission to form a cluster. The
+// others waited for it for good.
+func TestClusterFormsAfterSeedLostDiskAtFirstStart(t *testing.T) {
+	for name, victim := range map[string]int{"coordinator": 0, "other seed": 1} {
+		t.Run(name, func(t *testing.T) {
+			listeners := []net.Listener{listen(t), listen(t), listen(t)}
+			slices.SortFunc(listeners, func(a, b net.Listener) int { return cmp.Compare(a.Addr().String(), b.Addr().String()) })
+			var seeds []string
+			for _, l := range listeners {
+				seeds = append(seeds, l.Addr().String())
+			}
+			var all []*daemon
+			for _, l := range listeners[:2] { // the third one is late, so that nothing is formed yet
+				all = append(all, start(t, l, seeds, true, t.TempDir()))
+			}
+			time.Sleep(1500 * time.Millisecond) // the coordinator has invited the other
+			lost := all[victim]
+			lost.stop()
+			<-lost.ended
+			lost.link.Close()
+			_ = listeners[victim].Close()
+			l, err := net.Listen("tcp", lost.name)
+			if err != nil {
+				t.Fatal(err)
+			}
+			all[victim] = start(t, l, seeds, false, t.TempDir())
+			all = append(all, start(t, listeners[2], seeds, true, t.TempDir()))
+			waitFor(t, "a leader", func() bool { return leaderOf(all) != nil })
+			for _, d := range all {
+				waitFor(t, "all seeds are members", func() bool { return d.member.Node() != nil && d.member.isMember() })
+			}
+		})
+	}
+}
+
 // A leader whose log has failed still answers on its peer links. Followers must
 // switch to another leader, and the failed member's Run must return. Seen with a
 // full disk in deploy/days/disks.toml with seed 1071045252018.
--- a/cluster/member.go
+++ b/cluster/member.go
@@ -53,7 +53,7 @@
 	// Peers are further daemons that may know a cluster.
 	Peers []string
 	// Form allows the seeds to form a new cluster. Without it, a daemon with an
-	// empty disk can only join one.
+	// empty disk can only join one, or take part as a seed if another seed forms one.
 	Form bool
 	// Voters is the target number of voters.
 	Voters int
@@ -183,17 +183,23 @@
 	return rand.NewPCG(binary.LittleEndian.Uint64(seed[:8]), binary.LittleEndian.Uint64(seed[8:]))
 }
 
-// startFormer starts the search for a cluster. A daemon that may not form one
-// passes no first voters.
+// startFormer starts the search for a cluster. A seed that may not form one takes part if
+// another one does.
 func (m *Member[R]) startFormer() (*node.Former, error) {
 	var first []string
-	if m.cfg.Form && slices.Contains(m.cfg.Seeds, m.cfg.Self) {
+	if slices.Contains(m.cfg.Seeds, m.cfg.Self) {
 		first = m.cfg.Seeds
 	}
+	if !m.cfg.Form { // it may join a cluster whatever its list of seeds is
+		first = slices.Clone(first)
+		slices.Sort(first)
+		first = slices.DeleteFunc(slices.Compact(first), func(name string) bool { return name == "" })
+	}
 	former, err := node.StartFormer(node.FormConfig{
 		Machine: bootstrap.Config{
 			Self:        consensus.Member{Name: m.cfg.Self, Zone: m.cfg.Zone},
 			FirstVoters: first,
+			JoinOnly:    !m.cfg.Form,
 			Peers:       slices.Concat(m.cfg.Seeds, m.cfg.Peers),
 			Rand:        newRandSource(),
 			RetryTicks:  formRetryTicks,
--- a/consensus/bootstrap/machine.go
+++ b/consensus/bootstrap/machine.go
@@ -17,6 +17,10 @@
 	// FirstVoters are the names of all first voters, the same on every node.
 	// It may be empty on a node that only joins an existing cluster.
 	FirstVoters []string
+	// JoinOnly keeps the node from proposing a cluster. A first voter still takes part in
+	// the proposals of the others, and goes on with a formation that its disk has taken
+	// part in.
+	JoinOnly bool
 	// Peers are the names of additional nodes that may belong to a cluster.
 	Peers []string
 	// Rand is the random source for the cluster ID.
@@ -26,7 +30,7 @@
 }
 
 // minHelloRounds is the number of rounds in which the coordinator asks all known
-// nodes for an existing cluster before it generates a cluster ID.
+// nodes for an existing cluster before it proposes one.
 const minHelloRounds = 3
 
 // Machine is the bootstrap state machine of one node. It isn't safe for
@@ -39,10 +43,18 @@
 	msgs           []Message
 	elapsedTicks   int
 	helloRounds    int
-	// unboundIDs and promised hold the latest answer of each node, by name. Only
-	// the coordinator uses them.
-	unboundIDs    map[string]consensus.NodeID
+	// mayForm tells which nodes have said last that they may form a cluster, by name.
+	mayForm map[string]bool
+	// ballot is the ballot proposed by this process. It is in force while it is the one
+	// that the disk has promised. lastRound is the highest round of any ballot seen.
+	ballot    Ballot
+	lastRound uint64
+	// promised holds the latest promise of each first voter to ballot, accepted the disks
+	// that have accepted its cluster, by name. highest is the promise that reports the
+	// cluster accepted last.
 	promised      map[string]consensus.Member
+	accepted      map[string]consensus.NodeID
+	highest       Message
 	lastRejection string
 }
 
@@ -63,8 +75,7 @@
 	}
 	return &Machine{
 		cfg: cfg, firstVoters: names, binding: b, elapsedTicks: cfg.RetryTicks - 1,
-		unboundIDs: make(map[string]consensus.NodeID),
-		promised:   make(map[string]consensus.Member),
+		mayForm: make(map[string]bool), lastRound: b.Ballot.Round,
 	}, nil
 }
 
@@ -85,19 +96,51 @@
 		return
 	}
 	m.elapsedTicks = 0
-	if m.isCoordinator() && m.binding.Phase == Promised {
-		m.sendInvites()
-	}
 	m.helloRounds++
 	m.broadcast(MsgHello)
+	if !m.isCoordinator() || m.helloRounds <= minHelloRounds {
+		return
+	}
+	if !m.proposing() || m.lastRound > m.ballot.Round {
+		m.propose()
+	} else {
+		m.sendProposal()
+	}
 	m.advance()
 }
 
-// isCoordinator reports whether this node forms the cluster. A node that has
-// promised to a cluster ID issued by its own previous, lost disk no longer does.
+// mayPropose reports whether this node may propose a cluster.
+func (m *Machine) mayPropose() bool {
+	return slices.Contains(m.firstVoters, m.cfg.Self.Name) && !m.promisedByOlderBuild() &&
+		(!m.cfg.JoinOnly || m.binding.Ballot != Ballot{})
+}
+
+// promisedByOlderBuild reports whether the disk is promised to a cluster without a ballot.
+// Only its issuer knows whether that cluster was formed.
+func (m *Machine) promisedByOlderBuild() bool {
+	return m.binding.Phase == Promised && m.binding.Accepted == Ballot{}
+}
+
+// isCoordinator reports whether this node is the first of those that may propose a cluster.
+// Nodes that have not been heard of are taken to be among them.
 func (m *Machine) isCoordinator() bool {
-	first := len(m.firstVoters) > 0 && m.firstVoters[0] == m.cfg.Self.Name
-	return first && (m.binding.Phase == Unbound || m.binding.Issuer == m.cfg.Self.ID)
+	if !m.mayPropose() {
+		return false
+	}
+	for _, name := range m.firstVoters {
+		if name == m.cfg.Self.Name {
+			return true
+		}
+		if may, heard := m.mayForm[name]; may || !heard {
+			return false
+		}
+	}
+	return false
+}
+
+// proposing reports whether the ballot of this process is in force.
+func (m *Machine) proposing() bool {
+	return m.ballot != Ballot{} && m.ballot == m.binding.Ballot && !m.Done()
 }
 
 // Step processes one message. Messages addressed to other nodes are ignored.
@@ -105,11 +148,15 @@
 	if msg.To != m.cfg.Self.Name || msg.From == msg.To || msg.Sender.ID == consensus.None {
 		return
 	}
+	if slices.Contains(m.firstVoters, msg.From) {
+		m.lastRound = max(m.lastRound, msg.Ballot.Round)
+	}
 	switch msg.Type {
 	case MsgHello:
+		m.mayForm[msg.From] = len(msg.FirstVoters) > 0
 		m.handleHello(&msg)
 	case MsgUnbound:
-		m.unboundIDs[msg.From] = msg.Sender.ID
+		m.mayForm[msg.From] = len(msg.FirstVoters) > 0
 	case MsgInvite:
 		m.handleInvite(&msg)
 	case MsgPromise:
@@ -118,6 +165,12 @@
 		m.lastRejection = msg.From + ": " + msg.Reason
 	case MsgClusterExists:
 		m.handleClusterExists(&msg)
+	case MsgAccept:
+		m.handleAccept(&msg)
+	case MsgAccepted:
+		if p, ok := m.promised[msg.From]; ok && msg.Ballot == m.ballot && p.ID == msg.Sender.ID {
+			m.accepted[msg.From] = p.ID
+		}
 	}
 	m.advance()
 }
@@ -138,36 +191,64 @@
 	case m.Done():
 		m.sendClusterExists(msg.From)
 	case m.binding.Phase == Unbound:
-		m.send(Message{Type: MsgUnbound, To: msg.From})
+		m.send(Message{Type: MsgUnbound, To: msg.From, FirstVoters: m.offeredVoters()})
 	}
 }
 
 func (m *Machine) handleInvite(msg *Message) {
-	b := &m.binding
+	b := m.binding
 	switch {
 	case m.Done():
 		m.sendClusterExists(msg.From)
 	case !slices.Equal(msg.FirstVoters, m.firstVoters) || !slices.Contains(m.firstVoters, m.cfg.Self.Name):
 		m.reject(msg, "first voters differ")
-	case msg.From != m.firstVoters[0]:
-		m.reject(msg, "not the coordinator")
-	case b.Phase == Unbound:
-		m.setBinding(Binding{Phase: Promised, Cluster: msg.Cluster, Issuer: msg.Sender.ID})
-		m.send(Message{Type: MsgPromise, To: msg.From, Cluster: msg.Cluster})
-	case b.Cluster == msg.Cluster && b.Issuer == msg.Sender.ID:
-		m.send(Message{Type: MsgPromise, To: msg.From, Cluster: msg.Cluster})
+	case m.promisedByOlderBuild() || msg.Ballot == Ballot{}:
+		m.reject(msg, "promised to another cluster, or invited, by an older build")
+	case msg.Ballot.Less(b.Ballot):
+		m.reject(msg, "promised to a later proposal")
 	default:
-		m.reject(msg, "promised to another cluster")
+		if b.Ballot != msg.Ballot {
+			b.Ballot = msg.Ballot
+			m.setBinding(b)
+		}
+		m.send(Message{Type: MsgPromise, To: msg.From, Ballot: b.Ballot, Accepted: b.Accepted, Cluster: b.Cluster, Members: b.Members})
 	}
 }
 
+// handlePromise records a promise to the ballot of this process. A promise of another disk
+// under the same name replaces that of a disk that was lost.
 func (m *Machine) handlePromise(msg *Message) {
-	if m.binding.Phase == Promised && m.isCoordinator() && msg.Cluster == m.binding.Cluster {
-		v := msg.Sender
-		v.Name = msg.From
-		v.Voter = true
+	if !m.proposing() || msg.Ballot != m.ballot || !slices.Contains(m.firstVoters, msg.From) {
+		return
+	}
+	v := msg.Sender
+	v.Name = msg.From
+	v.Voter = true
+	if m.promised[msg.From].ID != v.ID {
+		delete(m.accepted, msg.From)
 		m.promised[msg.From] = v
+		if m.binding.Accepted == m.ballot {
+			m.sendAccept(msg.From)
+		}
+	}
+	if m.highest.Accepted.Less(msg.Accepted) {
+		m.highest = *msg
+	}
+}
+
+// handleAccept accepts a cluster in the ballot that the disk has promised. An order to a
+// disk that was lost under the same name is ignored.
+func (m *Machine) handleAccept(msg *Message) {
+	b := m.binding
+	if m.Done() || m.promisedByOlderBuild() || msg.Target != m.cfg.Self.ID || msg.Ballot == (Ballot{}) || msg.Ballot != b.Ballot {
+		return
 	}
+	if b.Accepted != msg.Ballot {
+		m.setBinding(Binding{
+			Phase: Promised, Cluster: msg.Cluster, Issuer: msg.Sender.ID, Members: msg.Members, Ballot: b.Ballot, Accepted: b.Ballot,
+		})
+	}
+	m.send(Message{Type: MsgAccepted, To: msg.From, Ballot: msg.Ballot})
 }
 
 // handleClusterExists binds the node to an existing cluster: as a first voter if its
@@ -195,46 +276,62 @@
 	}
 }
 
-// advance performs the next step of the coordinator: it issues a cluster ID once
-// all first voters have answered that they are unbound and minHelloRounds have
-// passed, and forms the cluster once all have promised.
+// propose promises this disk to a new ballot and invites the other first voters to it.
+func (m *Machine) propose() {
+	m.lastRound++
+	m.ballot = Ballot{Round: m.lastRound, Proposer: m.cfg.Self.ID}
+	m.promised, m.accepted = make(map[string]consensus.Member), make(map[string]consensus.NodeID)
+	b := m.binding
+	m.highest = Message{Accepted: b.Accepted, Cluster: b.Cluster, Members: b.Members}
+	b.Ballot = m.ballot
+	m.setBinding(b)
+	m.sendProposal()
+}
+
+// advance performs the next step of a proposal: it chooses the cluster once all first voters
+// have promised, and forms it once all have accepted it.
 func (m *Machine) advance() {
-	if !m.isCoordinator() {
+	if !m.proposing() {
 		return
 	}
-	switch m.binding.Phase {
-	case Unbound:
-		if m.helloRounds > minHelloRounds && m.allOtherVoters(func(name string) bool { return m.unboundIDs[name] != consensus.None }) {
-			m.issueClusterID()
-		}
-	case Promised:
-		if m.allOtherVoters(func(name string) bool { return m.promised[name].ID != consensus.None }) {
-			m.formCluster()
-		}
+	others := len(m.firstVoters) - 1
+	if m.binding.Accepted != m.ballot && len(m.promised) == others {
+		m.chooseCluster()
+	}
+	if m.binding.Accepted == m.ballot && len(m.accepted) == others {
+		m.formCluster()
 	}
 }
 
-// issueClusterID generates the cluster ID, promises this disk to it and invites
-// the other first voters.
-func (m *Machine) issueClusterID() {
-	id := consensus.ClusterID(m.cfg.Rand.Uint64() | 1)
-	m.setBinding(Binding{Phase: Promised, Cluster: id, Issuer: m.cfg.Self.ID})
-	m.sendInvites()
-	m.advance()
-}
-
-// formCluster decides the initial membership and announces it.
-func (m *Machine) formCluster() {
+// chooseCluster accepts the cluster that was accepted last by any first voter, which may have
+// been formed, or else a new one of the disks that have promised.
+func (m *Machine) chooseCluster() {
 	self := m.cfg.Self
 	self.Voter = true
-	members := []consensus.Member{self}
-	for _, name := range m.firstVoters {
-		if name != self.Name {
-			members = append(members, m.promised[name])
+	b := Binding{Phase: Promised, Cluster: m.highest.Cluster, Issuer: self.ID, Members: m.highest.Members, Ballot: m.ballot, Accepted: m.ballot}
+	if (m.highest.Accepted == Ballot{}) {
+		b.Cluster, b.Members = consensus.ClusterID(m.cfg.Rand.Uint64()|1), []consensus.Member{self}
+		for _, name := range m.firstVoters {
+			if name != self.Name {
+				b.Members = append(b.Members, m.promised[name])
+			}
 		}
+		invariant.Check(len(b.Members) == len(m.firstVoters), invariant.Consensus, "cluster proposed without all first voters")
+	}
+	m.setBinding(b)
+	for name := range m.promised {
+		m.sendAccept(name)
+	}
+}
+
+// formCluster binds this disk to the accepted cluster and announces it. The disk is not among
+// the first voters if it replaces one that was lost.
+func (m *Machine) formCluster() {
+	b := Binding{Phase: Joined, Cluster: m.binding.Cluster, Members: m.binding.Members}
+	if slices.ContainsFunc(b.Members, func(v consensus.Member) bool { return v.ID == m.cfg.Self.ID }) {
+		b.Phase, b.Issuer = Formed, m.cfg.Self.ID
 	}
-	invariant.Check(len(members) == len(m.firstVoters), invariant.Consensus, "cluster formed without all first voters")
-	m.setBinding(Binding{Phase: Formed, Cluster: m.binding.Cluster, Issuer: self.ID, Members: members})
+	m.setBinding(b)
 	for _, name := range m.otherNodes() {
 		m.sendClusterExists(name)
 	}
@@ -246,15 +343,6 @@
 	m.bindingChanged = true
 }
 
-func (m *Machine) allOtherVoters(ok func(string) bool) bool {
-	for _, name := range m.firstVoters {
-		if name != m.cfg.Self.Name && !ok(name) {
-			return false
-		}
-	}
-	return true
-}
-
 // otherNodes returns the names of all other configured nodes.
 func (m *Machine) otherNodes() []string {
 	all := slices.Concat(m.firstVoters, m.cfg.Peers)
@@ -263,18 +351,38 @@
 	return slices.DeleteFunc(all, func(n string) bool { return n == m.cfg.Self.Name })
 }
 
-func (m *Machine) sendInvites() {
+// sendProposal invites the first voters, or repeats the invitation to those that have not
+// accepted the cluster: one of them may have lost its disk since its promise.
+func (m *Machine) sendProposal() {
 	for _, name := range m.firstVoters {
-		if name != m.cfg.Self.Name {
-			m.send(Message{Type: MsgInvite, To: name, Cluster: m.binding.Cluster, FirstVoters: m.firstVoters})
+		if _, accepted := m.accepted[name]; accepted || name == m.cfg.Self.Name {
+			continue
+		}
+		m.send(Message{Type: MsgInvite, To: name, Ballot: m.ballot, FirstVoters: m.firstVoters})
+		if _, promised := m.promised[name]; promised && m.binding.Accepted == m.ballot {
+			m.sendAccept(name)
 		}
 	}
 }
 
+func (m *Machine) sendAccept(to string) {
+	m.send(Message{
+		Type: MsgAccept, To: to, Target: m.promised[to].ID, Ballot: m.ballot, Cluster: m.binding.Cluster, Members: m.binding.Members,
+	})
+}
+
 func (m *Machine) broadcast(t MessageType) {
 	for _, name := range m.otherNodes() {
-		m.send(Message{Type: t, To: name})
+		m.send(Message{Type: t, To: name, FirstVoters: m.offeredVoters()})
+	}
+}
+
+// offeredVoters returns the first voters if this node may propose a cluster of them.
+func (m *Machine) offeredVoters() []string {
+	if m.mayPropose() {
+		return m.firstVoters
 	}
+	return nil
 }
 
 func (m *Machine) sendClusterExists(to string) {
@@ -282,7 +390,7 @@
 }
 
 func (m *Machine) reject(msg *Message, reason string) {
-	m.send(Message{Type: MsgReject, To: msg.From, Reason: reason})
+	m.send(Message{Type: MsgReject, To: msg.From, Reason: reason, Ballot: m.binding.Ballot})
 }
 
 func (m *Machine) send(msg Message) {
--- a/consensus/bootstrap/machine_test.go
+++ b/consensus/bootstrap/machine_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"testing"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
 	"magnoliastand.example/consensus"
@@ -19,6 +20,9 @@
 	id      consensus.NodeID
 	disk    Binding
 	machine *Machine
+	// joinOnly is set once the node was started again with an empty disk and without the
+	// permission to form a cluster.
+	joinOnly bool
 }
 
 // sim simulates the bootstrap of first voters a, b and c, with d as an
@@ -33,6 +37,8 @@
 	// losePromises skips the persistence of promises.
 	losePromises bool
 	isolated     string
+	// keepDisks keeps faulty steps from losing disks.
+	keepDisks bool
 }
 
 var firstVoters = []string{"a", "b", "c"}
@@ -59,7 +65,7 @@
 func (s *sim) restart(n *simNode) {
 	peers := append([]string{"d"}, firstVoters...)
 	m, err := New(Config{
-		Self: consensus.Member{ID: n.id, Name: n.name}, FirstVoters: firstVoters, Peers: peers,
+		Self: consensus.Member{ID: n.id, Name: n.name}, FirstVoters: firstVoters, Peers: peers, JoinOnly: n.joinOnly,
 		Rand: rand.NewPCG(s.rnd.Uint64(), 4), RetryTicks: 2,
 	}, n.disk)
 	if err != nil {
@@ -105,7 +111,8 @@
 	n := s.nodes[s.rnd.IntN(len(s.nodes))]
 	crash := faulty && s.rnd.IntN(30) == 0
 	switch k := s.rnd.IntN(100); {
-	case faulty && k == 0 && (len(s.clusters) == 0 || s.boundVoters(n) > 0):
+	case faulty && k == 0 && !s.keepDisks && (len(s.clusters) == 0 || s.boundVoters(n) > 0):
+		n.joinOnly = s.rnd.IntN(2) == 0
 		s.loseDisk(n)
 	case faulty && k == 1:
 		s.isolated = n.name
@@ -142,7 +149,7 @@
 	formed := 0
 	for seed := range uint64(3000) {
 		s := newSim(t, seed, false)
-		for range 600 {
+		for range 1000 {
 			s.step(true)
 		}
 		formed += len(s.clusters)
@@ -193,6 +200,86 @@
 	return len(s.violations) == 0
 }
 
+// hasQuorum reports whether most of the first voters of the cluster have kept their disks.
+func (s *sim) hasQuorum() bool {
+	members := s.nodes[0].disk.Members
+	kept := 0
+	for _, v := range members {
+		for _, n := range s.nodes {
+			if n.id == v.ID && n.disk.Phase == Formed {
+				kept++
+			}
+		}
+	}
+	return 2*kept > len(members)
+}
+
+// A seed that loses its disk at the very first start comes back with an empty one, without the
+// permission to form a cluster. The others waited for its promise for good, or for an
+// invitation if it was the coordinator.
+func TestClusterFormsAfterDiskLostAtFirstStart(t *testing.T) {
+	for victim := range firstVoters {
+		for steps := range 120 {
+			s := newSim(t, uint64(steps), false)
+			for range steps {
+				s.step(false)
+			}
+			n := s.nodes[victim]
+			n.joinOnly = true
+			s.loseDisk(n)
+			if !s.converge() || len(s.clusters) != 1 || !s.hasQuorum() {
+				t.Fatalf("%s lost its disk after %d steps: %d clusters formed, violations %v, bindings %+v %+v %+v", n.name, steps,
+					len(s.clusters), s.violations, s.nodes[0].disk, s.nodes[1].disk, s.nodes[2].disk)
+			}
+		}
+	}
+}
+
+// As TestClusterFormsAfterDiskLostAtFirstStart, with lost and duplicated messages, isolated
+// nodes and crashes before and after the disk is lost, also one that comes back with the
+// permission to form a cluster.
+func TestClusterFormsAfterDiskLostAmongFaults(t *testing.T) {
+	for seed := range uint64(1500) {
+		s := newSim(t, seed, false)
+		s.keepDisks = true
+		for range s.rnd.IntN(300) {
+			s.step(true)
+		}
+		n := s.nodes[s.rnd.IntN(len(firstVoters))]
+		n.joinOnly = s.rnd.IntN(4) > 0
+		s.loseDisk(n)
+		for range s.rnd.IntN(300) {
+			s.step(true)
+		}
+		if !s.converge() || len(s.clusters) != 1 || !s.hasQuorum() {
+			t.Fatalf("seed %d, %s lost its disk: %d clusters formed, violations %v, bindings %+v %+v %+v", seed, n.name,
+				len(s.clusters), s.violations, s.nodes[0].disk, s.nodes[1].disk, s.nodes[2].disk)
+		}
+	}
+}
+
+// All seeds are started again without the permission to form a cluster once their disks take
+// part in the formation. They must complete it.
+func TestFormationGoesOnWithoutPermission(t *testing.T) {
+	for steps := range 120 {
+		s := newSim(t, uint64(steps), false)
+		for range steps {
+			s.step(false)
+		}
+		begun := false
+		for _, n := range s.nodes {
+			begun = begun || n.disk.Ballot != Ballot{}
+		}
+		for _, n := range s.nodes {
+			n.joinOnly = true
+			s.restart(n)
+		}
+		if formed := s.converge(); begun && !formed {
+			t.Fatalf("not formed after a restart of all nodes after %d steps: %v", steps, s.violations)
+		}
+	}
+}
+
 func TestReplacedDisksJoinFormedCluster(t *testing.T) {
 	s := newSim(t, 1, false)
 	if !s.converge() {
@@ -265,3 +352,35 @@
 		}
 	}
 }
+
+// Builds without ballots reject unknown fields. They must be able to read bound disks, and the
+// messages of bound nodes and of nodes that look for a cluster.
+func TestEncodingWithoutBallots(t *testing.T) {
+	s := newSim(t, 1, false)
+	if !s.converge() {
+		t.Fatalf("not formed: %v", s.violations)
+	}
+	for name, v := range map[string]any{
+		"binding": s.nodes[0].disk,
+		"hello":   Message{Type: MsgHello, From: "a", To: "b", FirstVoters: firstVoters},
+		"exists":  Message{Type: MsgClusterExists, From: "a", To: "b", Cluster: 5, Members: s.nodes[0].disk.Members},
+	} {
+		data, err := cbor.Marshal(v)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var fields map[int]any
+		if err := cbor.Unmarshal(data, &fields); err != nil {
+			t.Fatal(err)
+		}
+		last := 4
+		if name != "binding" {
+			last = 8
+		}
+		for key := range fields {
+			if key > last {
+				t.Errorf("%s has field %d", name, key)
+			}
+		}
+	}
+}
