driver: hold back the end of a done run while its task may start late

A start order without a response may be carried out seconds later by the next incarnation of its worker, which has seen no fencing token before its first hold. The leader had acknowledged the end of the task by then, so the late run broke the guarantee that a task is not run again after its end is recorded.

The end of a done run is acknowledged only once no start order of its task can be carried out any more, and not after a late run of it was listed. Acknowledgements are not held back on a worker that lists half of the ends that a list may have. While a hold with an acknowledgement has no response, no task is started on its worker until a list shows that it has not restarted: the next incarnation may take the number for its own ends.

A late acknowledgement that the next incarnation takes before its first hold cannot be detected or revoked; TestLateAcknowledgementBeforeFirstHoldHidesNoEnd stays red.

--- a/driver/again_test.go
+++ b/driver/again_test.go
@@ -181,9 +181,10 @@
 	}
 }
 
-// A start order without a reply is carried out by the next incarnation of its worker before
-// that one has been held, after the task was done. The task must not run again. It does:
-// orders don't name the incarnation, and the next one has seen no fencing token.
+// A start order without a reply must not be carried out by the next incarnation of its worker
+// after the end of its run was acknowledged. Orders don't name the incarnation, and the next one
+// has seen no fencing token before its first hold, so the end is held back until the order can
+// no longer be carried out.
 func TestLateStartBeforeFirstHoldIsNotCarriedOut(t *testing.T) {
 	w := newTestEnv(t)
 	w.lease = 3 * time.Second
--- a/driver/driver.go
+++ b/driver/driver.go
@@ -86,10 +86,14 @@
 	lives map[string]life
 	// lateStarts holds the start orders without a reply by worker, oldest first.
 	lateStarts map[string][]lateStart
-	fleet      *fleet
-	lastPrune  time.Time
-	waiting    map[string]workload.Size
-	lag        lag
+	// lateTasks holds until when a start order of a task may be carried out late, and
+	// sending counts the start orders of a task that are under way.
+	lateTasks map[workload.TaskRef]time.Time
+	sending   map[workload.TaskRef]int
+	fleet     *fleet
+	lastPrune time.Time
+	waiting   map[string]workload.Size
+	lag       lag
 }
 
 // New returns a driver for one term. cfg.State is a copy of the committed state;
@@ -107,7 +111,8 @@
 		inbox: make(chan event, inboxSize), idle: make(chan func()), done: make(chan struct{}), started: time.Now(),
 		sessions: map[string]*session{}, runs: map[workload.TaskRef]*run{},
 		notBefore: map[workload.TaskRef]workload.Millis{}, advice: map[workload.TaskRef]*advice{},
-		failedOn: map[workload.TaskRef]string{}, lateStarts: map[string][]lateStart{}, lives: cfg.Fences.lives,
+		failedOn: map[workload.TaskRef]string{}, lateStarts: map[string][]lateStart{},
+		lateTasks: map[workload.TaskRef]time.Time{}, sending: map[workload.TaskRef]int{}, lives: cfg.Fences.lives,
 		trials: map[workload.TaskRef]*run{}, suspects: map[workload.TaskRef]time.Time{}, crashedAt: map[workload.TaskRef][]string{}, moves: map[workload.TaskRef]int{},
 		needsPlan: true, lastPrune: time.Now(),
 	}
--- a/driver/late.go
+++ b/driver/late.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"magnoliastand.example/workload"
@@ -11,11 +12,17 @@
 	// lateOrderTime is how long after its sending an order without a reply may still be
 	// carried out. The platform allows for some seconds.
 	lateOrderTime = 15 * time.Second
+	// lateRunTime is how long the end of a done task is not acknowledged after a late run of
+	// it: longer than a worker takes to list maxHeldEnds further ends.
+	lateRunTime = time.Hour
 	// departedLife is how long the fencing token of a worker that is gone is remembered.
 	departedLife = time.Hour
 	// watchInterval is the interval between holds of a worker without runs on which a
 	// late order may begin one.
 	watchInterval = 250 * time.Millisecond
+	// maxHeldEnds is how many ends a worker may list while acknowledgements are held back.
+	// The rest of its list is left for the ends of the next seconds.
+	maxHeldEnds = maxEnds / 2
 )
 
 // lateStart is a start order without a reply.
@@ -57,6 +64,7 @@
 // recordLateStart remembers that a start order of a run may be carried out late, perhaps
 // by the next incarnation of its worker, which does not know of a stop of the run.
 func (d *Driver) recordLateStart(s *session, r *run, now time.Time) {
+	d.lateTasks[r.ref] = now.Add(lateOrderTime)
 	d.lateStarts[r.worker] = append(d.lateStarts[r.worker], lateStart{r.ref, r.number, now.Add(lateOrderTime)})
 	if next := d.sessions[r.worker]; next != nil && next != s {
 		d.stopLateStarts(next, now)
@@ -91,5 +99,52 @@
 			delete(d.lives, id)
 		}
 	}
+	maps.DeleteFunc(d.lateTasks, func(_ workload.TaskRef, until time.Time) bool { return now.After(until) })
 	maps.DeleteFunc(d.lateStarts, func(_ string, list []lateStart) bool { return now.After(list[len(list)-1].until) })
 }
+
+// heldEnd is a committed end of a done run that may not be acknowledged yet.
+type heldEnd struct {
+	number int64
+	ref    workload.TaskRef
+}
+
+// mayStartLate reports whether a start order of a task may yet be carried out, perhaps by the
+// next incarnation of the worker that it was sent to.
+func (d *Driver) mayStartLate(ref workload.TaskRef, now time.Time) bool {
+	return d.sending[ref] > 0 || now.Before(d.lateTasks[ref])
+}
+
+// holdBack keeps the end of a done run from being acknowledged while a start order of its task
+// may be carried out late. An incarnation that has not been held yet carries it out, and the
+// task must not run again once the worker has been told that its end is recorded.
+func (d *Driver) holdBack(s *session, ref workload.TaskRef, o workload.Outcome, number int64) {
+	if s != nil && o == workload.OutcomeDone && number > 0 && d.mayStartLate(ref, time.Now()) {
+		s.held = append(s.held, heldEnd{number, ref})
+	}
+}
+
+// noteLateRun records that a run of a task has begun although another one is done. The end of
+// that one is not acknowledged any more, unless it has been.
+func (d *Driver) noteLateRun(ref workload.TaskRef) {
+	for _, s := range d.sessions {
+		if slices.ContainsFunc(s.held, func(h heldEnd) bool { return h.ref == ref }) {
+			d.lateTasks[ref] = time.Now().Add(lateRunTime)
+		}
+	}
+}
+
+// acknowledgeable returns the highest number that may be acknowledged to a worker.
+// Acknowledgements are cumulative, so an end that is held back holds up all later ones,
+// unless they would fill the list.
+func (d *Driver) acknowledgeable(s *session, now time.Time) int64 {
+	s.held = slices.DeleteFunc(s.held, func(h heldEnd) bool { return h.number <= s.acked || !d.mayStartLate(h.ref, now) })
+	highest := s.ackable
+	if s.listedEnds >= maxHeldEnds {
+		return highest
+	}
+	for _, h := range s.held {
+		highest = min(highest, h.number-1)
+	}
+	return highest
+}
--- a/driver/lists.go
+++ b/driver/lists.go
@@ -12,6 +12,7 @@
 // handleLists reconciles a worker's lists with the runs assigned to it.
 func (d *Driver) handleLists(s *session, sent time.Time, l *platform.Lists) {
 	now := time.Now()
+	s.listedEnds = len(l.Ended)
 	ended := make(map[workload.TaskRef]int64, len(l.Ended))
 	slices.SortFunc(l.Ended, func(a, b platform.EndedTask) int { return cmp.Compare(numberOf(&a), numberOf(&b)) })
 	for i := range l.Ended {
@@ -95,6 +96,8 @@
 		Outcome: e.Outcome, Number: e.Number, Settles: true,
 	}
 	number := e.Number
+	d.noteLateRun(e.Task)
+	d.holdBack(s, e.Task, e.Outcome, number)
 	if err := d.apply(workload.Command{End: end}, func() { d.ackEnd(s, number) }); err != nil {
 		d.cfg.Logger.Error().Err(err).Str("task", e.Task.String()).Msg("end of run rejected by the state")
 		return
@@ -153,6 +156,7 @@
 // stopUnexpected stops a run that the state does not assign to the worker.
 func (d *Driver) stopUnexpected(s *session, t *platform.RunningTask) {
 	d.cfg.Logger.Warn().Str("task", t.Task.String()).Int64("run", t.Run).Str("worker", s.worker.ID).Msg("stopping unexpected run")
+	d.noteLateRun(t.Task)
 	d.stopUntracked(s, t.Task, t.Run)
 }
 
--- a/driver/run.go
+++ b/driver/run.go
@@ -159,6 +159,7 @@
 		Checkpoint: checkpoint, Number: number,
 	}
 	s := d.sessions[r.worker]
+	d.holdBack(s, r.ref, o, number)
 	err := d.apply(workload.Command{End: end}, func() { d.ackEnd(s, number) })
 	if err != nil {
 		d.cfg.Logger.Error().Err(err).Str("task", r.ref.String()).Msg("end of run rejected by the state")
--- a/driver/session.go
+++ b/driver/session.go
@@ -104,6 +104,13 @@
 	lowTailSince   time.Time
 	// ackable is the highest number of an end whose commit is known.
 	ackable int64
+	// held are the ends up to ackable that may not be acknowledged yet, and listedEnds is how
+	// many ends the last list had.
+	held       []heldEnd
+	listedEnds int
+	// ackUnanswered is set while a hold with an acknowledgement has no response. If the worker
+	// has restarted, it may take the number for its own ends and never list them.
+	ackUnanswered bool
 	// fence is the fencing token of orders to this incarnation.
 	fence uint64
 	// inherits is set if the runs of an earlier incarnation were moved to this one.
@@ -239,7 +246,7 @@
 func (d *Driver) inService(s *session, now time.Time) bool {
 	inTouch := s.failures < maxHoldFailures && now.Sub(s.lastContact) < d.maxSilence()
 	certain := !s.replaced && !s.doubted && s.clock > 0 && !s.listedAt.IsZero()
-	return inTouch && certain && s.unassigned == 0 && !d.fleet.reserved(s, now)
+	return inTouch && certain && !s.ackUnanswered && s.unassigned == 0 && !d.fleet.reserved(s, now)
 }
 
 // decayedFailureScore applies the decay due by now and returns the failure score.
@@ -286,16 +293,16 @@
 
 // maybeHold sends a hold if one is due.
 func (d *Driver) maybeHold(s *session, now time.Time, runs int) {
-	ack := s.acked < s.ackable && now.After(s.ackDue)
+	ack := s.acked < d.acknowledgeable(s, now) && now.After(s.ackDue)
 	// A worker receives no work before its lists are read, and not while it may not answer.
 	unread := s.listedAt.IsZero() || s.failures > 0 || s.doubted
-	watch := runs == 0 && (now.Before(s.watchUntil) || s.unassigned > 0 || s.unreadable.pending)
+	watch := runs == 0 && (now.Before(s.watchUntil) || s.unassigned > 0 || s.unreadable.pending || len(s.held) > 0)
 	if s.holdInFlight || s.replaced || now.Before(s.nextHold) || runs == 0 && !ack && !unread && !watch || !d.cfg.Log.IsLeader(d.cfg.Term) {
 		return
 	}
 	s.holdInFlight = true
 	s.nextHold = now.Add(max(minHoldInterval, time.Duration(len(d.sessions))*holdIntervalPerWorker))
-	if watch {
+	if watch && !ack {
 		s.nextHold = now.Add(watchInterval)
 	}
 	order := &platform.HoldOrder{Fence: s.fence, Acked: d.nextAck(s, now)}
@@ -305,9 +312,10 @@
 	}
 	// The lease of a worker that does not answer is not extended; otherwise its
 	// expiry could never be established.
-	if runs > 0 && s.failures == 0 && !s.doubted {
+	// A lease that expires would devalue the ends that are held back.
+	if (runs > 0 || len(s.held) > 0) && s.failures == 0 && !s.doubted {
 		order.Until = d.leaseUntil(s, now)
-		if wait := d.holdWaitFor(s); s.clock > 0 && wait > 0 {
+		if wait := d.holdWaitFor(s); runs > 0 && s.clock > 0 && wait > 0 {
 			order.Wait = wait.Milliseconds()
 			timeout += wait
 		}
@@ -328,10 +336,11 @@
 // its earlier incarnation, so a number is sent only right after a list of this one.
 func (d *Driver) nextAck(s *session, now time.Time) int64 {
 	window := ackWindow + 2*time.Duration(len(d.sessions))*holdIntervalPerWorker
-	if s.acked >= s.ackable || s.failures > 0 || s.doubted || now.Sub(s.listedAt) > window {
+	number := d.acknowledgeable(s, now)
+	if s.acked >= number || s.failures > 0 || s.doubted || now.Sub(s.listedAt) > window {
 		return 0
 	}
-	return s.ackable
+	return number
 }
 
 // holdAnswered handles the reply to a hold.
@@ -342,6 +351,7 @@
 		return
 	}
 	if err != nil {
+		s.ackUnanswered = s.ackUnanswered || order.Acked > 0 && !isAnswer(err)
 		d.holdFailed(s, now, err)
 		return
 	}
@@ -357,6 +367,9 @@
 		d.cfg.Logger.Info().Str("worker", s.worker.ID).Int("failures", s.failures).Msg("worker is answering again")
 		d.needsPlan = true
 	}
+	if s.ackUnanswered {
+		s.ackUnanswered, d.needsPlan = false, true
+	}
 	s.failures, s.lastContact, s.listedAt, s.listSent, s.doubted = 0, now, now, sent, false
 	s.readClock(lists.Clock, now)
 	s.acked = max(s.acked, order.Acked)
--- a/driver/start.go
+++ b/driver/start.go
@@ -31,6 +31,10 @@
 		d.endRun(r, workload.OutcomeNotRun, "", 0, "start withheld")
 		return
 	}
+	if s.ackUnanswered {
+		d.endRun(r, workload.OutcomeNotRun, "", 0, "start withheld: worker may have restarted")
+		return
+	}
 	if s.unassigned > 0 {
 		d.endRun(r, workload.OutcomeNotRun, "", 0, "start withheld: worker runs an unassigned task")
 		return
@@ -53,6 +57,7 @@
 		d.cfg.Metrics.StartDelaySeconds.Observe(float64(nowMillis()-r.job.Submitted) / 1000)
 	}
 	endpoint := s.endpoint()
+	d.sending[r.ref]++
 	d.async(func() { d.sendStart(r, s, endpoint, o) })
 }
 
@@ -80,6 +85,9 @@
 	}
 	d.postReply(func() {
 		r.sending = false
+		if d.sending[r.ref]--; d.sending[r.ref] == 0 {
+			delete(d.sending, r.ref)
+		}
 		if unanswered != nil {
 			r.unanswered = true
 			d.recordLateStart(s, r, time.Now())
