driver: extend the lease of a worker whose ends wait for their acknowledgement

Ends behind an unreadable row are acknowledged two seconds late. A worker without runs got no new lease in that time, and an end that is listed while the lease expires is not recorded by its acknowledgement.

--- a/driver/session.go
+++ b/driver/session.go
@@ -312,8 +312,8 @@
 	}
 	// The lease of a worker that does not answer is not extended; otherwise its
 	// expiry could never be established.
-	// A lease that expires would devalue the ends that are held back.
-	if (runs > 0 || len(s.held) > 0) && s.failures == 0 && !s.doubted {
+	// A lease that expires would devalue the ends that are not acknowledged yet.
+	if (runs > 0 || len(s.held) > 0 || s.unreadable.pending) && s.failures == 0 && !s.doubted {
 		order.Until = d.leaseUntil(s, now)
 		if wait := d.holdWaitFor(s); runs > 0 && s.clock > 0 && wait > 0 {
 			order.Wait = wait.Milliseconds()
--- a/driver/unreadable_test.go
+++ b/driver/unreadable_test.go
@@ -114,8 +114,7 @@
 // that the list grew to its limit and hid further ends.
 func TestForeignEndDoesNotBlockAcknowledgements(t *testing.T) {
 	w := newTestEnv(t)
-	w.lease = 10 * time.Second // no lease lapses before the ends are acknowledged
-	worker := w.startWithWorker(20 * time.Millisecond)
+	worker := w.startWithWorker(20 * time.Millisecond) // its lease is shorter than the wait
 	worker.AddForeignEnd()
 	w.submit(jobID(0), step(3))
 	w.waitFor("job completed", func() bool { return w.state(jobID(0)) == workload.JobCompleted })
