driver: take only runs of a later incarnation for late ones

Any run that was not current counted as late, also one that had begun before the task was done, on a worker that came back after a silence. All later ends of the other worker were held up for that.

A run counts as late if the incarnation that lists it is not the one that its start order was sent to. TestEndIsNotAcknowledgedWhileTaskMayStartLate fails if no run counts as late. The narrower case has no test of its own.

--- a/driver/late.go
+++ b/driver/late.go
@@ -29,7 +29,9 @@
 type lateStart struct {
 	ref    workload.TaskRef
 	number int64
-	until  time.Time
+	// incarnation is that of the worker that the order was sent to.
+	incarnation workload.Millis
+	until       time.Time
 }
 
 // fenceBits is the number of low bits of a fencing token that count the incarnations of a
@@ -65,7 +67,7 @@
 // by the next incarnation of its worker, which does not know of a stop of the run.
 func (d *Driver) recordLateStart(s *session, r *run, now time.Time) {
 	d.lateTasks[r.ref] = now.Add(lateOrderTime)
-	d.lateStarts[r.worker] = append(d.lateStarts[r.worker], lateStart{r.ref, r.number, now.Add(lateOrderTime)})
+	d.lateStarts[r.worker] = append(d.lateStarts[r.worker], lateStart{r.ref, r.number, s.worker.Incarnation, now.Add(lateOrderTime)})
 	if next := d.sessions[r.worker]; next != nil && next != s {
 		d.stopLateStarts(next, now)
 	}
@@ -124,11 +126,18 @@
 	}
 }
 
-// noteLateRun records that a run of a task has begun although another one is done. The end of
+// noteLateRun handles a listed run that is not current. If its start order was sent to an
+// earlier incarnation, it may have begun after another run of its task was done. The end of
 // that one is not acknowledged any more, unless it has been.
-func (d *Driver) noteLateRun(ref workload.TaskRef) {
-	for _, s := range d.sessions {
-		if slices.ContainsFunc(s.held, func(h heldEnd) bool { return h.ref == ref }) {
+func (d *Driver) noteLateRun(s *session, ref workload.TaskRef, number int64) {
+	late := slices.ContainsFunc(d.lateStarts[s.worker.ID], func(l lateStart) bool {
+		return l.ref == ref && l.number == number && l.incarnation != s.worker.Incarnation
+	})
+	if !late {
+		return
+	}
+	for _, o := range d.sessions {
+		if slices.ContainsFunc(o.held, func(h heldEnd) bool { return h.ref == ref }) {
 			d.lateTasks[ref] = time.Now().Add(lateRunTime)
 		}
 	}
--- a/driver/lists.go
+++ b/driver/lists.go
@@ -96,7 +96,7 @@
 		Outcome: e.Outcome, Number: e.Number, Settles: true,
 	}
 	number := e.Number
-	d.noteLateRun(e.Task)
+	d.noteLateRun(s, e.Task, e.Run)
 	d.holdBack(s, e.Task, e.Outcome, number)
 	if err := d.apply(workload.Command{End: end}, func() { d.ackEnd(s, number) }); err != nil {
 		d.cfg.Logger.Error().Err(err).Str("task", e.Task.String()).Msg("end of run rejected by the state")
@@ -156,7 +156,7 @@
 // stopUnexpected stops a run that the state does not assign to the worker.
 func (d *Driver) stopUnexpected(s *session, t *platform.RunningTask) {
 	d.cfg.Logger.Warn().Str("task", t.Task.String()).Int64("run", t.Run).Str("worker", s.worker.ID).Msg("stopping unexpected run")
-	d.noteLateRun(t.Task)
+	d.noteLateRun(s, t.Task, t.Run)
 	d.stopUntracked(s, t.Task, t.Run)
 }
 
