--- a/driver/incarnation_test.go
+++ b/driver/incarnation_test.go
@@ -475,3 +475,23 @@
 	w.waitFor("job completed", func() bool { return w.state(jobID(1)) == workload.JobCompleted })
 	w.checkConsistency()
 }
+
+// A worker whose run got lost with its silence lists it once it answers again. The run began
+// before the task was done elsewhere, so the end there is acknowledged once no start of the task
+// can be carried out late. It was held back for an hour, and all later ends of that worker with it.
+func TestEarlierRunHoldsNoEndBack(t *testing.T) {
+	w := newTestEnv(t)
+	first := w.startWithWorker(time.Hour)
+	first.SetFaults(platformtest.Faults{LoseStarts: 1})
+	task := step(1)
+	task.Estimate = time.Hour.Milliseconds() // no run counts as stalled
+	w.submit(jobID(0), task)
+	w.waitFor("first run", func() bool { return len(first.History()) == 1 && first.LostOrders() == 1 })
+	time.Sleep(700 * time.Millisecond) // a hold lists it
+	first.SetFaults(platformtest.Faults{Silent: true})
+	second := w.worker("w2", "p", 20*time.Millisecond)
+	w.waitFor("job completed", func() bool { return w.state(jobID(0)) == workload.JobCompleted })
+	first.SetFaults(platformtest.Faults{})
+	w.waitFor("end of the second run acknowledged", func() bool { return second.History()[0].Noted })
+	w.checkConsistency()
+}
