--- a/driver/run.go
+++ b/driver/run.go
@@ -89,7 +89,9 @@
 	unknownSince time.Time
 	// seen, percent and tail are from the last list of the worker that contained
 	// the run.
-	seen     time.Time
+	seen time.Time
+	// missing describes the lists with an unreadable row that lack the run.
+	missing  absence
 	progress progress
 	percent  int
 	tail     int64
@@ -171,6 +173,7 @@
 		Checkpoint: checkpoint, Number: number, GangCheckpoint: true,
 	}
 	s := d.sessions[r.worker]
+	d.holdBack(s, r.ref, o, number)
 	err := d.apply(workload.Command{End: end}, func() { d.ackEnd(s, number) })
 	if err != nil {
 		d.cfg.Logger.Error().Err(err).Str("task", r.ref.String()).Msg("end of run rejected by the state")
--- a/driver/start.go
+++ b/driver/start.go
@@ -27,25 +27,8 @@
 	}
 	s := d.sessions[a.Worker]
 	now := time.Now()
-	if s == nil || s.worker.Incarnation != a.Incarnation || s.replaced || r.stopping || !d.cfg.Log.IsLeader(d.cfg.Term) {
-		d.endRun(r, workload.OutcomeNotRun, "", 0, "start withheld")
-		return
-	}
-	if d.state.IsEvacuated(s.worker.Zone) {
-		d.cfg.Metrics.WithheldStarts.Inc()
-		d.endRun(r, workload.OutcomeNotRun, "", 0, "start withheld: zone evacuated")
-		return
-	}
-	if s.unassigned > 0 {
-		d.endRun(r, workload.OutcomeNotRun, "", 0, "start withheld: worker runs an unassigned task")
-		return
-	}
-	if !d.knowsCapacity(s, now) {
-		d.endRun(r, workload.OutcomeNotRun, "", 0, "start withheld: capacity not known")
-		return
-	}
-	if !d.withinCapacity(r, s) {
-		d.endRun(r, workload.OutcomeNotRun, "", 0, "start withheld: worker has shrunk")
+	if why := d.withheldBecause(r, s, a.Incarnation, now); why != "" {
+		d.endRun(r, workload.OutcomeNotRun, "", 0, why)
 		return
 	}
 	r.phase, r.pace, r.orderedAt, r.sending = phaseOrdered, fullPace, now, true
@@ -57,9 +40,31 @@
 		d.cfg.Metrics.StartDelaySeconds.Observe(float64(nowMillis()-r.job.Submitted) / 1000)
 	}
 	endpoint := s.endpoint()
+	d.sending[r.ref]++
 	d.async(func() { d.sendStart(r, s, endpoint, o) })
 }
 
+// withheldBecause returns why a decided start may not be sent any more, or "" if it may. s may
+// be nil.
+func (d *Driver) withheldBecause(r *run, s *session, incarnation workload.Millis, now time.Time) string {
+	switch {
+	case s == nil || s.worker.Incarnation != incarnation || s.replaced || r.stopping || !d.cfg.Log.IsLeader(d.cfg.Term):
+		return "start withheld"
+	case d.state.IsEvacuated(s.worker.Zone):
+		d.cfg.Metrics.WithheldStarts.Inc()
+		return "start withheld: zone evacuated"
+	case s.ackUnanswered:
+		return "start withheld: worker may have restarted"
+	case s.unassigned > 0:
+		return "start withheld: worker runs an unassigned task"
+	case !d.knowsCapacity(s, now):
+		return "start withheld: capacity not known"
+	case !d.withinCapacity(r, s):
+		return "start withheld: worker has shrunk"
+	}
+	return ""
+}
+
 // sendStart sends a start order and repeats it if no reply arrives. After an
 // unanswered attempt, a later refusal proves nothing, because the worker may
 // still execute the earlier order.
@@ -88,6 +93,9 @@
 	}
 	d.postReply(func() {
 		r.sending = false
+		if d.sending[r.ref]--; d.sending[r.ref] == 0 {
+			delete(d.sending, r.ref)
+		}
 		if unanswered != nil {
 			r.unanswered = true
 			d.recordLateStart(s, r, time.Now())
