peerlink: silence of a peer; a call that is still queued fails as not sent

Cause: a caller could not tell a leader that replies to nothing from one that is slow, and a call whose frame never left the send queue counted as possibly carried out. Change: Node.Silence is the time since the first written call that no reply to any call has followed; NextReply wakes whoever waits for one; Connect bounds the time to connect apart from the call. Writer and caller agree by one atomic operation on whether a queued call is sent. Pings were ruled out as evidence: they are answered while handlers hang.

--- a/peerlink/frame.go
+++ b/peerlink/frame.go
@@ -27,6 +27,9 @@
 	Payload []byte    `cbor:"4,keyasint,omitempty"`
 	// Error is set in replies to failed calls.
 	Error *wireError `cbor:"5,keyasint,omitempty"`
+
+	// call is the pending call that the frame carries. It is not transmitted.
+	call *pendingCall
 }
 
 // wireError carries a handler's error to the caller.
--- a/peerlink/node.go
+++ b/peerlink/node.go
@@ -122,8 +122,8 @@
 func (n *Node) Self() Identity { return n.cfg.Self }
 
 // Call sends req to the peer and decodes the reply into resp, which may be nil.
-// It returns ErrUnreachable or ErrBusy if the call was not sent, ErrDisconnected
-// if it may have been handled, a *RemoteError if the peer replied with an error,
+// It returns ErrUnreachable or ErrBusy if no byte of the call was sent, also if
+// ctx ended before that, ErrDisconnected if it may have been handled, a *RemoteError if the peer replied with an error,
 // or the error of ctx.
 func (n *Node) Call(ctx context.Context, peer, method string, req, resp any) error {
 	payload, err := encode(req)
@@ -176,6 +176,41 @@
 	return l != nil && l.isReady()
 }
 
+// Connect waits until an outgoing link to the peer is established and dials one
+// if needed. A later call can then be bounded apart from the time to connect.
+func (n *Node) Connect(ctx context.Context, peer string) error {
+	_, err := n.link(ctx, peer)
+	return err
+}
+
+// Silence returns for how long the peer has left calls on the established link
+// without a reply to any call, counted from the first call written after the
+// last reply. It is 0 without a link. Answers to pings do not count as replies:
+// they show that the connection works, and not that calls are handled.
+func (n *Node) Silence(peer string) time.Duration {
+	n.mu.Lock()
+	l := n.links[peer]
+	n.mu.Unlock()
+	if l == nil || !l.isReady() {
+		return 0
+	}
+	return l.silence()
+}
+
+// NextReply returns a channel that is closed at the peer's next reply to any
+// call, or when its link closes. It is closed already if there is no link.
+func (n *Node) NextReply(peer string) <-chan struct{} {
+	n.mu.Lock()
+	l := n.links[peer]
+	n.mu.Unlock()
+	if l == nil {
+		closed := make(chan struct{})
+		close(closed)
+		return closed
+	}
+	return l.nextReply()
+}
+
 // SetBlocked installs a filter for fault injection in tests. It simulates a
 // network partition from the peers for which blocked returns true: their frames
 // are dropped in both directions without closing the connection, and dialling
--- a/peerlink/outlink.go
+++ b/peerlink/outlink.go
@@ -31,12 +31,43 @@
 
 	seq     atomic.Uint64
 	mu      sync.Mutex
-	pending map[uint64]chan frame
+	pending map[uint64]*pendingCall
+	// writtenCalls is the number of pending calls that were written.
+	writtenCalls int
+	// silentSince is when the first call was written that has been followed by no
+	// reply to any call, or the zero time if there is none.
+	silentSince time.Time
+	// replied, if not nil, is closed at the next reply, or when the link closes.
+	replied chan struct{}
 	err     error
 	ws      *websocket.Conn
 	remote  Identity
 }
 
+// pendingCall is a call without a reply.
+type pendingCall struct {
+	reply chan frame
+	// written is guarded by the mutex of the link.
+	written bool
+	// state decides between the goroutine that writes the frame and the caller that
+	// withdraws it.
+	state atomic.Int32
+}
+
+// States of a pending call.
+const (
+	callQueued int32 = iota
+	callTaken
+	callWithdrawn
+)
+
+// take reports whether the frame of the call is to be written.
+func (c *pendingCall) take() bool { return c.state.CompareAndSwap(callQueued, callTaken) }
+
+// withdraw reports whether the call has been given up before any byte of it was
+// written.
+func (c *pendingCall) withdraw() bool { return c.state.CompareAndSwap(callQueued, callWithdrawn) }
+
 func newOutLink(n *Node, peer, addr string) *outLink {
 	return &outLink{
 		node:        n,
@@ -45,7 +76,7 @@
 		send:        make(chan frame, sendQueueFrames),
 		established: make(chan struct{}),
 		closed:      make(chan struct{}),
-		pending:     make(map[uint64]chan frame),
+		pending:     make(map[uint64]*pendingCall),
 	}
 }
 
@@ -159,20 +190,76 @@
 
 func (l *outLink) deliver(f frame) {
 	l.mu.Lock()
-	ch, ok := l.pending[f.Seq]
-	delete(l.pending, f.Seq)
+	c, ok := l.pending[f.Seq]
+	l.deletePending(f.Seq)
+	l.silentSince = time.Time{}
+	if l.writtenCalls > 0 {
+		l.silentSince = time.Now()
+	}
+	l.wakeWaiters()
 	l.mu.Unlock()
 	if ok {
-		ch <- f
+		c.reply <- f
+	}
+}
+
+// wakeWaiters closes replied. The caller holds mu.
+func (l *outLink) wakeWaiters() {
+	if l.replied != nil {
+		close(l.replied)
+		l.replied = nil
+	}
+}
+
+// noteWritten records that a call was written.
+func (l *outLink) noteWritten(seq uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c, ok := l.pending[seq]
+	if !ok {
+		return // the reply has arrived already, or the call was abandoned
+	}
+	c.written = true
+	l.writtenCalls++
+	if l.silentSince.IsZero() {
+		l.silentSince = time.Now()
+	}
+}
+
+// silence returns for how long calls have been without any reply.
+func (l *outLink) silence() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.silentSince.IsZero() {
+		return 0
+	}
+	return time.Since(l.silentSince)
+}
+
+// nextReply returns a channel that is closed at the next reply, or when the link
+// closes.
+func (l *outLink) nextReply() <-chan struct{} {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.err != nil {
+		return l.closed
 	}
+	if l.replied == nil {
+		l.replied = make(chan struct{})
+	}
+	return l.replied
 }
 
 func (l *outLink) write() {
 	for {
 		select {
 		case f := <-l.send:
+			if f.call != nil && !f.call.take() {
+				continue
+			}
 			if l.node.isBlocked(l.remote) {
 				l.framesLost.Store(true)
+				l.noteWritten(f.Seq)
 				continue
 			}
 			if l.framesLost.Load() {
@@ -183,6 +270,9 @@
 				l.close(err)
 				return
 			}
+			if f.call != nil {
+				l.noteWritten(f.Seq)
+			}
 		case <-l.closed:
 			return
 		}
@@ -221,43 +311,58 @@
 }
 
 func (l *outLink) call(ctx context.Context, method string, payload []byte) ([]byte, error) {
-	ch := make(chan frame, 1)
+	c := &pendingCall{reply: make(chan frame, 1)}
 	seq := l.seq.Add(1)
 	l.mu.Lock()
 	if l.err != nil {
 		l.mu.Unlock()
 		return nil, errors.Wrap(ErrUnreachable, l.peer)
 	}
-	l.pending[seq] = ch
+	l.pending[seq] = c
 	l.mu.Unlock()
 	defer l.removePending(seq)
-	if !l.enqueue(frame{Kind: frameCall, Seq: seq, Method: method, Payload: payload}) {
+	if !l.enqueue(frame{Kind: frameCall, Seq: seq, Method: method, Payload: payload, call: c}) {
 		return nil, errors.Wrap(ErrBusy, l.peer)
 	}
 	select {
-	case f := <-ch:
+	case f := <-c.reply:
 		if f.Error != nil {
 			return nil, &RemoteError{Code: f.Error.Code, Detail: f.Error.Detail}
 		}
 		return f.Payload, nil
 	case <-l.closed:
+		if c.withdraw() {
+			return nil, errors.Wrap(ErrUnreachable, l.peer)
+		}
 		return nil, errors.Wrap(ErrDisconnected, l.peer)
 	case <-ctx.Done():
+		if c.withdraw() {
+			return nil, errors.Wrap(ErrUnreachable, ctx.Err().Error())
+		}
 		return nil, ctx.Err()
 	}
 }
 
 func (l *outLink) removePending(seq uint64) {
 	l.mu.Lock()
-	delete(l.pending, seq)
+	l.deletePending(seq)
 	l.mu.Unlock()
 }
 
+// deletePending deletes a pending call, if it is there. The caller holds mu.
+func (l *outLink) deletePending(seq uint64) {
+	if c, ok := l.pending[seq]; ok && c.written {
+		l.writtenCalls--
+	}
+	delete(l.pending, seq)
+}
+
 func (l *outLink) close(err error) {
 	l.mu.Lock()
 	if l.err == nil {
 		l.err = err
 		close(l.closed)
+		l.wakeWaiters()
 	}
 	ws := l.ws
 	l.mu.Unlock()
