cluster: a finder told of a silent leader queries all daemons at once

Cause: an edge noticed a silent leader up to 0.5 s later by its next regular query, then waited 250 ms for that leader before it asked the others, in each round. Change: Finder.Suspect starts a query of all daemons; while no leader is confirmed, rounds query all of them at the same time. Suspicions from before a confirmation start no further query. Test: TestSuspectedLeaderIsLeftAtOnce; go test -race ./cluster passes.

--- a/cluster/finder.go
+++ b/cluster/finder.go
@@ -31,6 +31,8 @@
 	// query asks a daemon for the leader.
 	query func(ctx context.Context, name string) (leadReply, error)
 	log   zerolog.Logger
+	// suspected holds a value after a call of Suspect.
+	suspected chan struct{}
 
 	mu          sync.Mutex
 	candidates  []string
@@ -50,23 +52,45 @@
 }
 
 func newFinder(query func(context.Context, string) (leadReply, error), seeds []string, log zerolog.Logger) *Finder {
-	return &Finder{query: query, candidates: slices.Clone(seeds), log: log, changed: make(chan struct{})}
+	return &Finder{query: query, candidates: slices.Clone(seeds), log: log, changed: make(chan struct{}),
+		suspected: make(chan struct{}, 1)}
 }
 
 // Run queries for the leader until ctx ends.
 func (f *Finder) Run(ctx context.Context) {
+	refresh := f.refresh
 	for ctx.Err() == nil {
-		interval := pollInterval
-		if !f.refresh(ctx) {
-			interval = searchInterval
+		interval, suspected := pollInterval, f.suspected
+		if refresh(ctx) {
+			refresh = f.refresh
+			// Suspicions from before the leader's confirmation are void.
+			select {
+			case <-f.suspected:
+			default:
+			}
+		} else {
+			interval, suspected = searchInterval, nil
+			refresh = f.queryAll
 		}
 		select {
 		case <-time.After(interval):
+		case <-suspected:
+			refresh = f.queryAll
 		case <-ctx.Done():
 		}
 	}
 }
 
+// Suspect reports that the leader does not reply to calls. All daemons are then queried at
+// once, which is also the probe whether the leader replies again. It does not block, and
+// has no effect while no leader is confirmed.
+func (f *Finder) Suspect() {
+	select {
+	case f.suspected <- struct{}{}:
+	default:
+	}
+}
+
 // AddSeeds adds daemons to query.
 func (f *Finder) AddSeeds(seeds []string) {
 	f.mu.Lock()
@@ -122,6 +146,12 @@
 	if leader != "" && f.queryLeader(ctx, leader) {
 		return true
 	}
+	return f.queryAll(ctx)
+}
+
+// queryAll queries all candidates, among them the known leader, and reports whether one is
+// the leader.
+func (f *Finder) queryAll(ctx context.Context) bool {
 	var wg sync.WaitGroup
 	found := make(chan bool, len(f.Members()))
 	for _, name := range f.Members() {
--- a/cluster/finder_test.go
+++ b/cluster/finder_test.go
@@ -78,3 +78,50 @@
 		t.Errorf("the leader counts as fresh after a suspension of %s", leaderFreshness)
 	}
 }
+
+// TestSuspectedLeaderIsLeftAtOnce guards against requests that are held until the next regular
+// query, because nobody is asked when the leader leaves calls without a reply. The daemons name
+// the next leader; the former one answers no query.
+func TestSuspectedLeaderIsLeftAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var mu sync.Mutex
+		leader, queries := leadReply{Leader: "a", Term: 1}, 0
+		f := newFinder(func(ctx context.Context, name string) (leadReply, error) {
+			time.Sleep(3 * time.Millisecond)
+			mu.Lock()
+			reply := leader
+			queries++
+			mu.Unlock()
+			if name != reply.Leader && name == "a" {
+				<-ctx.Done()
+				return leadReply{}, ctx.Err()
+			}
+			return reply, nil
+		}, []string{"a", "b", "c"}, zerolog.Nop())
+		ctx, stop := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() { defer close(done); f.Run(ctx) }()
+		time.Sleep(3*time.Second + 100*time.Millisecond)
+		mu.Lock()
+		leader = leadReply{Leader: "b", Term: 2}
+		mu.Unlock()
+		f.Suspect()
+		const roundTrip = 5 * time.Millisecond
+		time.Sleep(roundTrip)
+		if name, _ := f.Leader(); name != "b" {
+			t.Errorf("leader %q %s after the suspicion, want b", name, roundTrip)
+		}
+		// Held requests that report the suspicion again cost no further queries.
+		mu.Lock()
+		before := queries
+		mu.Unlock()
+		time.Sleep(pollInterval / 2)
+		mu.Lock()
+		if queries != before {
+			t.Errorf("%d queries after the leader was confirmed, want none before the next interval", queries-before)
+		}
+		mu.Unlock()
+		stop()
+		<-done
+	})
+}
