edge: sends no requests to a silent leader, rejects what it never sent

Cause: each request was sent at once to the last known leader, also one that had crashed or was partitioned without a reset, and got 504 after four fifths of its timeout. Change: a pure function decides whether to send, hold, reject or give up; a leader that has replied to no call for 300 ms is suspected. Connecting ends with the quarter of the timeout. Retry-After follows the length of the outage, with jitter. Metrics and a rate-limited log line.

--- a/system/edge.go
+++ b/system/edge.go
@@ -45,6 +45,7 @@
 	finder   *cluster.Finder
 	requests *prometheus.CounterVec
 	duration *prometheus.HistogramVec
+	outage   outage
 	stopping chan struct{}
 }
 
@@ -66,6 +67,7 @@
 		stopping: make(chan struct{}),
 	}
 	registry.MustRegister(e.requests, e.duration)
+	e.outage.register(registry)
 	return e.serve(ctx, registry, reload)
 }
 
@@ -118,10 +120,11 @@
 
 // RetryAfter implements platform.Frontend.
 func (e *edge) RetryAfter() time.Duration {
+	minimum := defaultRetryAfter
 	if e.settings.RetryAfterSeconds > 0 {
-		return time.Duration(e.settings.RetryAfterSeconds) * time.Second
+		minimum = time.Duration(e.settings.RetryAfterSeconds) * time.Second
 	}
-	return defaultRetryAfter
+	return e.outage.retryAfter(minimum)
 }
 
 // Serve implements platform.Frontend. All verbs are idempotent by job ID, so a
@@ -144,48 +147,175 @@
 	return resp
 }
 
-// callLeader calls the leader until it answers or the time is up. It also returns
-// the leader that was called last and the number of attempts.
+// retryInterval is the time between attempts after a failed one: a few round trips between
+// zones.
+const retryInterval = 30 * time.Millisecond
+
+// call is a request in progress on an edge.
+type call struct {
+	request  *workload.Request
+	start    time.Time
+	timeout  time.Duration
+	attempts int
+	// failedAt is the time of the last failed attempt, and err its error.
+	failedAt time.Time
+	err      error
+	// outcomeUnknown is whether an attempt may have run.
+	outcomeUnknown bool
+	held           bool
+}
+
+// callLeader calls the leader until it answers or no leader can in time. It also
+// returns the leader that was known last and the number of attempts.
 func (e *edge) callLeader(ctx context.Context, r *workload.Request, timeout time.Duration) (workload.Response, string, int) {
-	start := clock.Now()
-	deadline := start.Add(timeout / 10 * deadlineTenths)
-	ctx, cancel := clock.WithDeadline(ctx, deadline)
+	c := &call{request: r, start: clock.Now(), timeout: timeout}
+	ctx, cancel := clock.WithDeadline(ctx, c.start.Add(timeout/10*deadlineTenths))
 	defer cancel()
-	sendDeadline := start.Add(timeout / leaderWaitDivisor)
-	outcomeUnknown := false
-	attempts := 0
 	for {
 		leader, changed := e.finder.Leader()
-		var err error
-		if leader != "" {
-			attempts++
-			var resp workload.Response
-			if resp, err = e.attempt(ctx, leader, changed, r); err == nil {
-				if outcomeUnknown && !isConclusive(r, &resp) {
-					resp = unknownResponse("an earlier attempt has no outcome; the last one was refused: " + resp.Reason)
-				}
-				return resp, leader, attempts
+		state := e.stateOf(c, leader)
+		next, wait := decide(&state)
+		if ctx.Err() != nil && (c.attempts > 0 || c.held) {
+			next = actionGiveUp // or reject; the call knows its outcome
+		}
+		switch next {
+		case actionSend:
+			resp, err := e.send(ctx, c, leader, changed, state.window())
+			if err == nil {
+				return e.answered(c, resp), leader, c.attempts
 			}
-			outcomeUnknown = outcomeUnknown || mayHaveRun(err)
+			e.attemptFailed(ctx, c, leader, changed, err)
+		case actionHold:
+			e.hold(ctx, c, leader, changed, &state, wait)
+		default:
+			return e.failedResponse(ctx, c, leader), leader, c.attempts
+		}
+	}
+}
+
+// stateOf returns what the decision on a request rests on.
+func (e *edge) stateOf(c *call, leader string) callState {
+	now := clock.Now()
+	s := callState{
+		elapsed: now.Sub(c.start), timeout: c.timeout, leaderKnown: leader != "", outage: e.outage.elapsed(now),
+		outcomeUnknown: c.outcomeUnknown,
+	}
+	if s.leaderKnown {
+		s.silence = e.link.Silence(leader)
+	}
+	if !c.failedAt.IsZero() {
+		s.backoff = retryInterval - now.Sub(c.failedAt)
+	}
+	return s
+}
+
+// send makes one attempt. Before the first call that may run, the time to connect to
+// the leader is bounded by the window in which the request may be sent.
+func (e *edge) send(ctx context.Context, c *call, leader string, changed <-chan struct{}, window time.Duration) (workload.Response, error) {
+	c.attempts++
+	if !e.link.Connected(leader) {
+		if err := e.connect(ctx, leader, changed, window); err != nil {
+			return workload.Response{}, err
+		}
+	}
+	return e.attempt(ctx, leader, changed, c.request)
+}
+
+// connect waits for a link to the leader until another one is known.
+func (e *edge) connect(ctx context.Context, leader string, changed <-chan struct{}, window time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, window)
+	defer cancel()
+	go func() {
+		select {
+		case <-changed:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	return e.link.Connect(ctx, leader)
+}
+
+// attemptFailed records a failed attempt. The next one follows at once if the leader has
+// changed, else after retryInterval.
+func (e *edge) attemptFailed(ctx context.Context, c *call, leader string, changed <-chan struct{}, err error) {
+	now := clock.Now()
+	c.err = err
+	c.outcomeUnknown = c.outcomeUnknown || mayHaveRun(err)
+	c.failedAt = now
+	select {
+	case <-changed:
+		c.failedAt = time.Time{}
+	default:
+	}
+	if !isCanceledByCaller(ctx) {
+		e.outage.failed(now, e.link.Silence(leader), e.finder.HasLeader())
+	}
+}
+
+// isCanceledByCaller reports whether the context of a request ended before its deadline.
+func isCanceledByCaller(ctx context.Context) bool { return errors.Is(ctx.Err(), context.Canceled) }
+
+// hold waits until the leader changes or replies, or the wait is over.
+func (e *edge) hold(ctx context.Context, c *call, leader string, changed <-chan struct{}, state *callState, wait time.Duration) {
+	suspected := state.leaderKnown && state.silence >= suspectAfter
+	if suspected || !state.leaderKnown {
+		e.outage.failed(clock.Now(), state.silence, e.finder.HasLeader())
+		if !c.held {
+			c.held = true
+			e.outage.held.Add(1)
 		}
-		now := clock.Now()
-		if ctx.Err() != nil || now.After(deadline) || !outcomeUnknown && now.After(sendDeadline) {
-			return e.failedResponse(outcomeUnknown, err), leader, attempts
+	}
+	var replied <-chan struct{}
+	if suspected {
+		e.finder.Suspect()
+		replied = e.link.NextReply(leader)
+		if e.link.Silence(leader) < suspectAfter {
+			return // it replied before NextReply
 		}
-		waitForRetry(ctx, changed)
 	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-changed:
+		c.failedAt = time.Time{} // the next leader has refused nothing
+	case <-replied:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// answered returns the response to a request that a leader answered.
+func (e *edge) answered(c *call, resp workload.Response) workload.Response {
+	e.outage.ended()
+	if !c.outcomeUnknown {
+		return resp
+	}
+	if !isConclusive(c.request, &resp) {
+		e.outage.unknown.Add(1)
+		return unknownResponse("an earlier attempt has no outcome; the last one was refused: " + resp.Reason)
+	}
+	e.outage.resolved.Add(1)
+	return resp
 }
 
 // failedResponse returns the answer to a request that no leader answered.
-func (e *edge) failedResponse(outcomeUnknown bool, err error) workload.Response {
+func (e *edge) failedResponse(ctx context.Context, c *call, leader string) workload.Response {
 	reason := "no leader is known"
-	if err != nil {
-		reason = err.Error()
+	switch {
+	case c.err != nil:
+		reason = c.err.Error()
+	case leader != "":
+		reason = "the leader does not respond"
+	}
+	resp, total := workload.Response{Answer: workload.AnswerNotRun, Reason: reason}, &e.outage.rejected
+	if c.outcomeUnknown {
+		resp, total = unknownResponse(reason), &e.outage.unknown
 	}
-	if outcomeUnknown {
-		return unknownResponse(reason)
+	if !isCanceledByCaller(ctx) {
+		total.Add(1)
+		e.outage.report(clock.Now(), leader, reason, &e.log)
 	}
-	return workload.Response{Answer: workload.AnswerNotRun, Reason: reason}
+	return resp
 }
 
 func unknownResponse(reason string) workload.Response {
@@ -207,17 +337,6 @@
 	return r.Fault != "" // no leader runs a body that can't be decoded
 }
 
-// waitForRetry waits until the leader changes, but no longer than the retry
-// interval.
-func waitForRetry(ctx context.Context, changed <-chan struct{}) {
-	const retryInterval = 30 * time.Millisecond // a few round trips between zones
-	select {
-	case <-changed:
-	case <-time.After(retryInterval):
-	case <-ctx.Done():
-	}
-}
-
 // attempt calls a leader. It gives up once another leader is known, because the
 // former one may be suspended or cut off; its outcome is then unknown.
 func (e *edge) attempt(ctx context.Context, leader string, changed <-chan struct{}, r *workload.Request) (workload.Response, error) {
