--- a/system/decision.go
+++ b/system/decision.go
@@ -19,6 +19,9 @@
 	// can do nothing until it has a response, and waits for most of its timeout.
 	unsentOdds  = 20
 	unknownOdds = 5
+	// minConnectTime is granted for a connection to a leader that is not suspected,
+	// however long the outage: a handshake takes some round trips between zones.
+	minConnectTime = 100 * time.Millisecond
 )
 
 // action is what an edge does with a request.
@@ -61,8 +64,9 @@
 	return s.timeout/leaderWaitDivisor - s.elapsed
 }
 
-// decide returns what to do with a request, and for actionHold the time after which
-// to decide again if nothing changes before.
+// decide returns what to do with a request. For actionHold it also returns the time after
+// which to decide again if nothing changes before, and for actionSend how long the edge may
+// wait for a connection to the leader.
 func decide(s *callState) (action, time.Duration) {
 	final, odds := actionReject, time.Duration(unsentOdds)
 	if s.outcomeUnknown {
@@ -72,15 +76,15 @@
 	if left <= 0 {
 		return final, 0
 	}
+	// The probability of an end of the outage in time falls below 1/odds after this time.
+	unlikelyIn := max(((odds-1)*left-s.outage)/odds, usualRecovery-s.outage)
 	responsive := s.leaderKnown && s.silence < suspectAfter
 	if responsive && s.backoff <= 0 {
-		return actionSend, 0
+		return actionSend, min(left, max(unlikelyIn, minConnectTime))
 	}
-	if s.outage >= usualRecovery && (odds-1)*left <= s.outage {
+	if unlikelyIn <= 0 {
 		return final, 0
 	}
-	// The probability falls below 1/odds after this time.
-	unlikelyIn := max(((odds-1)*left-s.outage)/odds, usualRecovery-s.outage)
 	wait := min(left, unlikelyIn)
 	if responsive {
 		wait = min(wait, s.backoff)
--- a/system/decision_test.go
+++ b/system/decision_test.go
@@ -16,7 +16,8 @@
 	for name, tc := range map[string]struct {
 		state callState
 		want  action
-		// within bounds the time to the next decision of actionHold.
+		// within bounds the time to the next decision of actionHold, and if above 0 the
+		// time to connect of actionSend.
 		within time.Duration
 	}{
 		"peak, leader busy for 100 ms: holding would lower the throughput": {
@@ -52,8 +53,11 @@
 			callState{timeout: usualTimeout, outage: 15 * time.Second}, actionReject, 0},
 		"outage of 10 s, caller waits for a minute: it can be served": {
 			callState{timeout: time.Minute, outage: 10 * time.Second}, actionHold, 15 * time.Second},
-		"outage of 10 s, leader responds again: first request after it": {
-			callState{timeout: usualTimeout, leaderKnown: true, outage: 10 * time.Second}, actionSend, 0},
+		"outage of 20 s, leader responds again: first request after it": {
+			callState{timeout: usualTimeout, leaderKnown: true, outage: 20 * time.Second}, actionSend, minConnectTime},
+		"unknown outcome, link broken, leader unreachable: held until the end of the timeout by the connection": {
+			callState{elapsed: 1800 * ms, timeout: usualTimeout, leaderKnown: true, outage: 1800 * ms, outcomeUnknown: true},
+			actionSend, 120 * ms},
 	} {
 		t.Run(name, func(t *testing.T) {
 			got, wait := decide(&tc.state)
@@ -63,7 +67,10 @@
 			if got == actionHold && (wait <= 0 || wait > tc.within+ms) {
 				t.Errorf("next decision after %s, want at most %s", wait, tc.within)
 			}
-			if got != actionHold && wait != 0 {
+			if got == actionSend && (wait <= 0 || wait > tc.state.window() || tc.within > 0 && wait > tc.within) {
+				t.Errorf("time to connect %s, want at most %s", wait, tc.within)
+			}
+			if (got == actionReject || got == actionGiveUp) && wait != 0 {
 				t.Errorf("next decision after %s, want none", wait)
 			}
 		})
--- a/system/edge.go
+++ b/system/edge.go
@@ -180,7 +180,7 @@
 		}
 		switch next {
 		case actionSend:
-			resp, err := e.send(ctx, c, leader, changed, state.window())
+			resp, err := e.send(ctx, c, leader, changed, wait)
 			if err == nil {
 				return e.answered(c, resp), leader, c.attempts
 			}
@@ -209,12 +209,12 @@
 	return s
 }
 
-// send makes one attempt. Before the first call that may run, the time to connect to
-// the leader is bounded by the window in which the request may be sent.
-func (e *edge) send(ctx context.Context, c *call, leader string, changed <-chan struct{}, window time.Duration) (workload.Response, error) {
+// send makes one attempt, and waits up to connectTimeout for a link to the leader.
+func (e *edge) send(ctx context.Context, c *call, leader string, changed <-chan struct{}, connectTimeout time.Duration) (workload.Response, error) {
 	c.attempts++
 	if !e.link.Connected(leader) {
-		if err := e.connect(ctx, leader, changed, window); err != nil {
+		e.noteHeld(c)
+		if err := e.connect(ctx, leader, changed, connectTimeout); err != nil {
 			return workload.Response{}, err
 		}
 	}
@@ -222,8 +222,8 @@
 }
 
 // connect waits for a link to the leader until another one is known.
-func (e *edge) connect(ctx context.Context, leader string, changed <-chan struct{}, window time.Duration) error {
-	ctx, cancel := context.WithTimeout(ctx, window)
+func (e *edge) connect(ctx context.Context, leader string, changed <-chan struct{}, timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	go func() {
 		select {
@@ -255,15 +255,20 @@
 // isCanceledByCaller reports whether the context of a request ended before its deadline.
 func isCanceledByCaller(ctx context.Context) bool { return errors.Is(ctx.Err(), context.Canceled) }
 
+// noteHeld counts a request that waits for a leader or for a link to it, once.
+func (e *edge) noteHeld(c *call) {
+	if !c.held {
+		c.held = true
+		e.outage.held.Add(1)
+	}
+}
+
 // hold waits until the leader changes or replies, or the wait is over.
 func (e *edge) hold(ctx context.Context, c *call, leader string, changed <-chan struct{}, state *callState, wait time.Duration) {
 	suspected := state.leaderKnown && state.silence >= suspectAfter
 	if suspected || !state.leaderKnown {
 		e.outage.failed(clock.Now(), state.silence, e.finder.HasLeader())
-		if !c.held {
-			c.held = true
-			e.outage.held.Add(1)
-		}
+		e.noteHeld(c)
 	}
 	var replied <-chan struct{}
 	if suspected {
@@ -361,6 +366,12 @@
 	if errors.As(err, &remote) {
 		return remote.Code == codeUnknown
 	}
-	notSent := errors.Is(err, peerlink.ErrUnreachable) || errors.Is(err, peerlink.ErrBusy) || errors.Is(err, driver.ErrStopped)
-	return !notSent
+	for _, notSent := range []error{
+		peerlink.ErrUnreachable, peerlink.ErrBusy, peerlink.ErrUnknownPeer, peerlink.ErrClosed, driver.ErrStopped,
+	} {
+		if errors.Is(err, notSent) {
+			return false
+		}
+	}
+	return true
 }
--- a/system/outage_test.go
+++ b/system/outage_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 
@@ -26,6 +27,10 @@
 	link *peerlink.Node
 	// silent daemons receive calls of any kind and answer none.
 	silent atomic.Bool
+	// stop closes the listener and all connections.
+	stop func()
+	// queries is the number of queries for the leader.
+	queries atomic.Int64
 	// delay is the time to the answer of a request, in nanoseconds.
 	delay atomic.Int64
 
@@ -44,6 +49,7 @@
 	c := &outageCore{name: l.Addr().String(), received: map[string]int{}}
 	c.link = testLink(t, c.name)
 	c.link.Handle("cluster.lead", func(ctx context.Context, _ peerlink.Identity, _ []byte) (any, error) {
+		c.queries.Add(1)
 		c.waitWhileSilent(ctx)
 		c.mu.Lock()
 		defer c.mu.Unlock()
@@ -61,7 +67,12 @@
 	_ = s.Listener.Close()
 	s.Listener = l
 	s.Start()
-	t.Cleanup(s.CloseClientConnections)
+	c.stop = func() {
+		_ = l.Close()
+		c.link.Close()
+		s.CloseClientConnections()
+	}
+	t.Cleanup(c.stop)
 	return c
 }
 
@@ -266,6 +277,54 @@
 	}
 }
 
+// Guards against a 504 for a request of which no byte was sent because the leader's process is
+// gone and connections are refused. Load: one submission.
+func TestRequestForCrashedLeaderIsNotRun(t *testing.T) {
+	t.Parallel()
+	first, second := startOutageCore(t), startOutageCore(t)
+	e := outageEdge(t, first, second)
+	first.stop()
+	waitFor(t, "broken link", func() bool { return !e.link.Connected(first.name) })
+	r := e.Serve(t.Context(), &workload.Request{Verb: workload.VerbSubmit, Path: "/q/1"}, time.Second)
+	if r.Answer != workload.AnswerNotRun || e.outage.held.Load() != 1 || e.outage.rejected.Load() != 1 {
+		t.Errorf("%s (%s), held %d, rejected %d; want not run, 1, 1", r.Answer, r.Reason, e.outage.held.Load(), e.outage.rejected.Load())
+	}
+}
+
+// Guards against an edge that stays with a leader it can't reach, and against sending to one that
+// the other cores still name. Load: one submission before the partition ends, one after it.
+func TestEdgePartitionedFromLeaderAsksOtherCores(t *testing.T) {
+	t.Parallel()
+	first, second := startOutageCore(t), startOutageCore(t)
+	e := outageEdge(t, first, second)
+	e.link.SetBlocked(func(p peerlink.Identity) bool { return p.Name == first.name })
+	waitFor(t, "suspicion", func() bool { return e.link.Silence(first.name) >= suspectAfter })
+	before := second.queries.Load()
+	r := e.Serve(t.Context(), &workload.Request{Verb: workload.VerbSubmit, Path: "/q/1"}, time.Second)
+	if r.Answer != workload.AnswerNotRun {
+		t.Errorf("during the partition: %s (%s), want not run", r.Answer, r.Reason)
+	}
+	waitFor(t, "query of the other core", func() bool { return second.queries.Load() > before })
+	e.link.SetBlocked(nil)
+	waitFor(t, "leader confirmed", func() bool { return e.link.Connected(first.name) && e.link.Silence(first.name) == 0 })
+	r = e.Serve(t.Context(), &workload.Request{Verb: workload.VerbSubmit, Path: "/q/2"}, 20*time.Second)
+	if r.Answer != workload.AnswerOK || first.timesReceived("/q/2") != 1 {
+		t.Errorf("after the partition: %s (%s), received %d times, want ok, once", r.Answer, r.Reason, first.timesReceived("/q/2"))
+	}
+}
+
+// Guards against a 503 for a call that may have been sent, and a 504 for one that was not.
+func TestFailedCallsThatMayHaveRun(t *testing.T) {
+	for err, want := range map[error]bool{
+		peerlink.ErrUnreachable: false, peerlink.ErrBusy: false, peerlink.ErrUnknownPeer: false, peerlink.ErrClosed: false,
+		peerlink.ErrDisconnected: true, peerlink.ErrMalformed: true, context.DeadlineExceeded: true, context.Canceled: true,
+	} {
+		if got := mayHaveRun(errors.Wrap(err, "call")); got != want {
+			t.Errorf("%v: may have run %t, want %t", err, got, want)
+		}
+	}
+}
+
 // Guards against a lower throughput because a healthy leader is suspected. Load: 100
 // submissions a second to leaders that commit in 50 ms, or answer each request late only.
 func TestSlowLeaderServesAllRequests(t *testing.T) {
