connlimit: limits on what inbound connections of a process hold

A package for both kinds of daemon: memory and number of connections, headers and bodies, charged as they arrive; time limits and a minimum rate under pressure; idle connections are closed first, then those that hold the most for the least progress. Metrics and rate-limited log lines for each reason. Not used by a daemon yet.

go test -race ./connlimit passes.

--- /dev/null
+++ b/connlimit/guard.go
@@ -0,0 +1,247 @@
+package connlimit
+
+import (
+	"net"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+
+	"magnoliastand.example/clock"
+)
+
+// Costs charged to the memory limit.
+const (
+	// connectionBytes is the cost of a connection without a request: goroutine, buffers of
+	// net/http and of the kernel.
+	connectionBytes = 24 << 10
+	// headerFactor is the cost of a header per byte: short fields take a map entry each.
+	headerFactor = 8
+	// bodyFactor is the cost of a body per byte: a buffer that grows by copying holds up to
+	// 2.25 times its content, the rest is garbage until the next collection.
+	bodyFactor = 3
+	// receiveBuffer bounds what the kernel holds of a connection that is not read.
+	receiveBuffer = 32 << 10
+	// privilegedPart of the connections, one in so many, is left to privileged listeners.
+	privilegedPart = 4
+	// memoryPart of a process's memory, one in so many, may be held by connections.
+	memoryPart = 4
+	// minMemoryBytes holds a body of 3 MiB beside others.
+	minMemoryBytes = 16 << 20
+	// descriptorPart of the descriptors, one in so many, may be inbound connections; the
+	// others are for outbound connections and files.
+	descriptorPart = 2
+)
+
+// ErrOverload is returned by a read of a body for which there is no memory. The request
+// has not been executed.
+var ErrOverload = errors.New("connlimit: no memory for the body")
+
+// Config holds the limits of a Guard. All must be above 0.
+type Config struct {
+	// MemoryBytes bounds what connections, headers and bodies hold together.
+	MemoryBytes int64
+	// Connections bounds the open inbound connections.
+	Connections int
+	// HeaderBytes and HeaderTimeout bound a request header, IdleTimeout a connection
+	// without a request.
+	HeaderBytes                int
+	HeaderTimeout, IdleTimeout time.Duration
+	// BodyTimeout bounds the time to receive a body.
+	BodyTimeout time.Duration
+	// MinRate is the least rate of a header or body under pressure, in bytes per second.
+	MinRate int64
+	// WriteTimeout bounds the time for which a response makes no progress.
+	WriteTimeout time.Duration
+	Log          zerolog.Logger
+}
+
+// DefaultMemoryBytes returns the part of a process's memory that connections may hold.
+func DefaultMemoryBytes(processBytes int64) int64 {
+	return max(minMemoryBytes, processBytes/memoryPart)
+}
+
+// DefaultConnections returns the number of connections that the descriptor limit of the
+// process leaves room for.
+func DefaultConnections() int {
+	const fallback = 1024
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil || limit.Cur < descriptorPart {
+		return fallback
+	}
+	return int(min(limit.Cur, 1<<20)) / descriptorPart
+}
+
+// Guard does the accounting for all listeners of a process.
+type Guard struct {
+	cfg     Config
+	metrics *metrics
+	stop    chan struct{}
+	once    sync.Once
+
+	mu    sync.Mutex
+	used  int64
+	conns map[*conn]struct{}
+}
+
+// New returns a Guard and registers its metrics. Close must be called.
+func New(cfg Config, registry prometheus.Registerer) *Guard {
+	g := &Guard{cfg: cfg, conns: make(map[*conn]struct{}), stop: make(chan struct{})}
+	g.metrics = newMetrics(g, registry)
+	go g.sweepUntilClosed()
+	return g
+}
+
+// Close ends the background checks. Open connections remain open.
+func (g *Guard) Close() { g.once.Do(func() { close(g.stop) }) }
+
+// Apply sets the limits and hooks of a server whose listener is wrapped by Listener. A
+// handler that is not nil is wrapped so that bodies are accounted for.
+func (g *Guard) Apply(s *http.Server) {
+	s.ReadHeaderTimeout, s.IdleTimeout, s.MaxHeaderBytes = g.cfg.HeaderTimeout, g.cfg.IdleTimeout, g.cfg.HeaderBytes
+	s.ConnState, s.ConnContext = connState, connContext
+	if s.Handler != nil {
+		s.Handler = g.handler(s.Handler)
+	}
+}
+
+// Listener wraps a listener. TLS, if any, must be added outside of it. Connections of a
+// privileged listener may use a part of the limit that others may not.
+func (g *Guard) Listener(name string, l net.Listener, privileged bool) net.Listener {
+	return &listener{Listener: l, guard: g, name: name, privileged: privileged}
+}
+
+type listener struct {
+	net.Listener
+	guard      *Guard
+	name       string
+	privileged bool
+}
+
+// Accept implements net.Listener. A connection for which there is no room is closed.
+func (l *listener) Accept() (net.Conn, error) {
+	for {
+		inner, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if tcp, ok := inner.(*net.TCPConn); ok && !l.privileged {
+			_ = tcp.SetReadBuffer(receiveBuffer) // the default is larger, and works too
+		}
+		now := clock.Now()
+		c := &conn{Conn: inner, guard: l.guard, listener: l.name, began: now, moved: now}
+		if l.guard.admit(c, l.privileged) {
+			return c, nil
+		}
+		c.abort()
+	}
+}
+
+// admit adds a connection, making room if necessary.
+func (g *Guard) admit(c *conn, privileged bool) bool {
+	limit := g.cfg.Connections
+	if !privileged {
+		limit -= limit / privilegedPart
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for len(g.conns) >= limit || g.used+connectionBytes > g.cfg.MemoryBytes {
+		victim := g.victim(c.began)
+		if victim == nil {
+			g.metrics.add(c.listener, reasonRefused)
+			return false
+		}
+		g.evict(victim, reasonOf(victim))
+	}
+	g.conns[c] = struct{}{}
+	c.held = connectionBytes
+	g.used += connectionBytes
+	return true
+}
+
+// reserve charges n bytes to a connection, making room if necessary.
+func (g *Guard) reserve(c *conn, n int64) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.reserveLocked(c, n)
+}
+
+func (g *Guard) reserveLocked(c *conn, n int64) error {
+	if c.gone {
+		return net.ErrClosed
+	}
+	for g.used+n > g.cfg.MemoryBytes {
+		victim := g.victim(clock.Now())
+		if victim == nil || victim == c {
+			return ErrOverload
+		}
+		g.evict(victim, reasonOf(victim))
+	}
+	c.held += n
+	g.used += n
+	return nil
+}
+
+// victim returns the connection to be closed next, or nil.
+func (g *Guard) victim(now time.Time) *conn {
+	var worst *conn
+	var worstRank rank
+	for c := range g.conns {
+		if r := c.rank(now); r.above(worstRank) {
+			worst, worstRank = c, r
+		}
+	}
+	return worst
+}
+
+// evict closes a connection and counts it as gone.
+func (g *Guard) evict(c *conn, reason string) {
+	g.remove(c)
+	g.metrics.add(c.listener, reason)
+	c.abort()
+}
+
+func (g *Guard) remove(c *conn) {
+	if c.gone || c.held == 0 {
+		return
+	}
+	c.gone = true
+	g.used -= c.held
+	delete(g.conns, c)
+}
+
+// pressure reports whether half of a limit is in use.
+func (g *Guard) pressure() bool {
+	return 2*g.used > g.cfg.MemoryBytes || 2*len(g.conns) > g.cfg.Connections
+}
+
+func (g *Guard) sweepUntilClosed() {
+	const interval = 500 * time.Millisecond
+	tick := time.NewTicker(interval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+			g.sweep(clock.Now())
+		case <-g.stop:
+			return
+		}
+	}
+}
+
+// sweep closes connections that exceed a time limit, or that are too slow under pressure.
+func (g *Guard) sweep(now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	pressure := g.pressure()
+	for c := range g.conns {
+		if reason := c.overdue(now, &g.cfg, pressure); reason != "" {
+			g.evict(c, reason)
+		}
+	}
+	g.metrics.report(now, g.cfg.Log)
+}
--- /dev/null
+++ b/connlimit/guard_test.go
@@ -0,0 +1,206 @@
+package connlimit
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/testutil"
+	"github.com/rs/zerolog"
+)
+
+func testConfig() Config {
+	return Config{
+		MemoryBytes: 4 << 20, Connections: 64, HeaderBytes: 16 << 10, HeaderTimeout: time.Minute, IdleTimeout: time.Minute,
+		BodyTimeout: time.Minute, MinRate: 512, WriteTimeout: time.Minute, Log: zerolog.Nop(),
+	}
+}
+
+// newGuard returns a guard without background checks.
+func newGuard(cfg Config) *Guard {
+	g := New(cfg, prometheus.NewRegistry())
+	g.Close()
+	return g
+}
+
+// fake returns a connection without a network that the guard counts.
+func (g *Guard) fake(t *testing.T, p phase, held int64, began, moved time.Time) *conn {
+	t.Helper()
+	inner, other := net.Pipe()
+	t.Cleanup(func() { _ = other.Close() })
+	c := &conn{Conn: inner, guard: g, listener: "test", phase: p, began: began, moved: moved, held: held, reading: true}
+	g.conns[c] = struct{}{}
+	g.used += held
+	return c
+}
+
+var start = time.Unix(1_000_000, 0)
+
+func at(s float64) time.Time { return start.Add(time.Duration(s * float64(time.Second))) }
+
+// TestVictimOrder guards against ordinary callers that are closed before idle connections and
+// before connections that hold much without progress.
+func TestVictimOrder(t *testing.T) {
+	g := newGuard(testConfig())
+	g.fake(t, phaseServing, 900_000, at(0), at(0))
+	g.fake(t, phaseLink, 900_000, at(0), at(0))
+	ordinary := g.fake(t, phaseHeader, connectionBytes, at(9.99), at(9.99))
+	moving := g.fake(t, phaseBody, 700_000, at(9), at(10))
+	silent := g.fake(t, phaseHeader, connectionBytes, at(5), at(5))
+	stalled := g.fake(t, phaseBody, 700_000, at(5), at(6))
+	idle := g.fake(t, phaseIdle, connectionBytes, at(9), at(9))
+	older := g.fake(t, phaseIdle, connectionBytes, at(8), at(8))
+	names := map[*conn]string{ordinary: "ordinary", moving: "moving", silent: "silent", stalled: "stalled", idle: "idle", older: "older idle"}
+	for _, want := range []*conn{older, idle, stalled, silent, moving, ordinary, nil} {
+		got := g.victim(at(10))
+		if got != want {
+			t.Fatalf("closed %s, want %s", names[got], names[want])
+		}
+		if got != nil {
+			g.evict(got, reasonOf(got))
+		}
+	}
+}
+
+// TestMinimumRateOnlyUnderPressure guards against a slow caller that is cut off while the
+// process has nothing else to do.
+func TestMinimumRateOnlyUnderPressure(t *testing.T) {
+	cfg := testConfig()
+	g := newGuard(cfg)
+	slow := g.fake(t, phaseBody, connectionBytes, at(0), at(9))
+	slow.received = 100
+	if reason := slow.overdue(at(10), &cfg, false); reason != "" {
+		t.Errorf("closed without pressure: %s", reason)
+	}
+	if reason := slow.overdue(at(10), &cfg, true); reason != reasonSlow {
+		t.Errorf("under pressure: %q", reason)
+	}
+	slow.reading = false // the handler is at work
+	if reason := slow.overdue(at(100), &cfg, true); reason != "" {
+		t.Errorf("closed while its handler is at work: %s", reason)
+	}
+}
+
+// TestStalledWriteIsEnded guards against responses that are never read and keep a
+// connection for ever.
+func TestStalledWriteIsEnded(t *testing.T) {
+	cfg := testConfig()
+	g := newGuard(cfg)
+	c := g.fake(t, phaseServing, connectionBytes, at(0), at(0))
+	c.writing = at(1)
+	for _, tc := range []struct {
+		now      float64
+		pressure bool
+		want     string
+	}{{30, false, ""}, {62, false, reasonWrite}, {2.5, true, ""}, {4, true, reasonWrite}} {
+		if got := c.overdue(at(tc.now), &cfg, tc.pressure); got != tc.want {
+			t.Errorf("after %g s, pressure %t: %q", tc.now, tc.pressure, got)
+		}
+	}
+}
+
+// serve starts a server whose handler reads the body.
+func serve(t *testing.T, cfg Config) (g *Guard, address string) {
+	t.Helper()
+	g = New(cfg, prometheus.NewRegistry())
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	srv := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if _, err := io.ReadAll(r.Body); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+		}
+	})}
+	g.Apply(srv)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = srv.Serve(g.Listener("test", inner, false))
+	}()
+	t.Cleanup(func() {
+		_ = srv.Close()
+		<-done
+		g.Close()
+	})
+	return g, inner.Addr().String()
+}
+
+// TestBodyBeyondMemoryIsRejected guards against a body that is read although there is no
+// memory for it, and against a rejection that does not say that the request was not executed.
+func TestBodyBeyondMemoryIsRejected(t *testing.T) {
+	g, address := serve(t, testConfig())
+	resp, err := http.Post("http://"+address, "text/plain", strings.NewReader(strings.Repeat("x", 2<<20)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	text, _ := io.ReadAll(resp.Body)
+	_ = resp.Body.Close()
+	if resp.StatusCode != http.StatusServiceUnavailable || resp.Header.Get("Retry-After") == "" || !strings.Contains(string(text), "not been executed") {
+		t.Errorf("%d %s", resp.StatusCode, text)
+	}
+	if n := testutil.ToFloat64(g.metrics.closed.WithLabelValues("test", reasonBody)); n != 1 {
+		t.Errorf("%g rejections counted", n)
+	}
+}
+
+// TestMemoryIsReturned guards against charges that outlive their request or connection.
+func TestMemoryIsReturned(t *testing.T) {
+	g, address := serve(t, testConfig())
+	for range 20 {
+		resp, err := http.Post("http://"+address, "text/plain", strings.NewReader(strings.Repeat("x", 1<<20)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = resp.Body.Close()
+		if resp.StatusCode != http.StatusOK {
+			t.Fatalf("status %d", resp.StatusCode)
+		}
+	}
+	http.DefaultClient.CloseIdleConnections()
+	for n := 0; ; n++ {
+		g.mu.Lock()
+		used, open := g.used, len(g.conns)
+		g.mu.Unlock()
+		if used == 0 && open == 0 {
+			return
+		}
+		if n == 1000 {
+			t.Fatalf("%d bytes and %d connections remain", used, open)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// TestNewCallerReplacesSilentConnections guards against silent connections that take all
+// descriptors, so that no other caller gets in.
+func TestNewCallerReplacesSilentConnections(t *testing.T) {
+	_, address := serve(t, testConfig())
+	for range 100 {
+		c, err := net.Dial("tcp", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = c.Close() }()
+	}
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	fmt.Fprint(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		t.Errorf("status %d", resp.StatusCode)
+	}
+}
