peerlink: a peer that has not authenticated may send 16 KiB at a time

The limit of a frame, 4 MiB, held from the first message of the handshake on, so that any client of the listener could make the process hold that much for each connection. TestLargeMessageBeforeHandshakeIsRejected fails without the change. go test -race ./peerlink passes.

--- a/peerlink/inlink.go
+++ b/peerlink/inlink.go
@@ -24,6 +24,9 @@
 	framesLost atomic.Bool
 }
 
+// maxHandshakeBytes bounds a message of the handshake: names, a nonce and a proof.
+const maxHandshakeBytes = 16 << 10
+
 // accept upgrades an HTTP request to a WebSocket connection and serves the link
 // until it breaks.
 func (n *Node) accept(w http.ResponseWriter, r *http.Request) {
@@ -31,10 +34,12 @@
 	if err != nil {
 		return
 	}
-	ws.SetReadLimit(MaxFrameBytes)
+	// A peer that has not authenticated may send no large message.
+	ws.SetReadLimit(maxHandshakeBytes)
 	ctx, cancel := context.WithTimeout(n.ctx, HandshakeTimeout)
 	peer, err := serverHandshake(ctx, ws, n.cfg.Self, n.cfg.Secret)
 	cancel()
+	ws.SetReadLimit(MaxFrameBytes)
 	if err != nil {
 		n.cfg.Log.Warn().Err(err).Str("remote", r.RemoteAddr).Msg("peer handshake failed")
 		n.stats.addRefused()
--- a/peerlink/node_test.go
+++ b/peerlink/node_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/coder/websocket"
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 	"go.uber.org/goleak"
@@ -234,3 +235,21 @@
 		time.Sleep(time.Millisecond)
 	}
 }
+
+// TestLargeMessageBeforeHandshakeIsRejected guards against clients that have not authenticated
+// and make the process hold a message of the size that frames of peers may have.
+func TestLargeMessageBeforeHandshakeIsRejected(t *testing.T) {
+	addresses := map[string]string{}
+	serveNode(t, testNode(t, "b", "c", testSecret, addresses), addresses)
+	ws, _, err := websocket.Dial(t.Context(), "ws://"+addresses["b"]+Path, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ws.CloseNow()
+	if err := ws.Write(t.Context(), websocket.MessageBinary, make([]byte, 4*maxHandshakeBytes)); err != nil {
+		t.Fatal(err)
+	}
+	if _, _, err = ws.Read(t.Context()); websocket.CloseStatus(err) != websocket.StatusMessageTooBig {
+		t.Errorf("the connection ended with %v", err)
+	}
+}
