system: limits on connections for all listeners of core and edge

Callers, ready, operators, metrics and peer links share one guard of package connlimit. Its limits follow memory_mb and the descriptor limit; each has a setting that is checked at start.

--- a/system/server.go
+++ b/system/server.go
@@ -16,15 +16,11 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/rs/zerolog"
 
+	"magnoliastand.example/connlimit"
 	"magnoliastand.example/peerlink"
 )
 
 const (
-	// headerTimeout bounds the time to read the header of a request.
-	headerTimeout = 3 * time.Second
-	// idleTimeout is the time after which idle connections are closed. The
-	// platform's callers reuse connections that were idle for several seconds.
-	idleTimeout = 60 * time.Second
 	// peerPingInterval is the interval between liveness checks of a peer link. It
 	// limits how long an unresponsive link stays in use.
 	peerPingInterval = time.Second
@@ -58,7 +54,9 @@
 	log    zerolog.Logger
 	panics *prometheus.CounterVec
 	list   []*server
-	wg     sync.WaitGroup
+	// guard limits the connections of all servers; nil means that nothing does.
+	guard *connlimit.Guard
+	wg    sync.WaitGroup
 }
 
 type server struct {
@@ -95,16 +93,17 @@
 
 // add creates a server. The server is not started if the address is empty.
 func (s *servers) add(name, address string, h http.Handler) *http.Server {
-	srv := &http.Server{
-		Addr: address, Handler: s.recoverPanics(name, h), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-	}
+	srv := &http.Server{Addr: address, Handler: s.recoverPanics(name, h), ReadHeaderTimeout: millis(defaultHeaderTimeoutMS)}
 	if address != "" {
 		s.list = append(s.list, &server{name: name, http: srv})
 	}
 	return srv
 }
 
+// addMetrics adds the server of metrics. It also sets the limits on the connections of all
+// servers, which have metrics of their own.
 func (s *servers) addMetrics(settings *Settings, registry *prometheus.Registry) {
+	s.guard = connlimit.New(settings.connectionLimits(s.log), registry)
 	if settings.MetricsPort == 0 {
 		return
 	}
@@ -128,6 +127,12 @@
 		listeners = append(listeners, l)
 	}
 	for i, srv := range s.list {
+		if s.guard != nil {
+			s.guard.Apply(srv.http)
+			// Callers and operators must not keep out peers, the balancer and monitoring.
+			privileged := srv.name != "callers" && srv.name != "operators"
+			listeners[i] = s.guard.Listener(srv.name, listeners[i], privileged)
+		}
 		s.wg.Go(func() {
 			if err := srv.http.Serve(listeners[i]); !errors.Is(err, http.ErrServerClosed) {
 				s.log.Error().Err(err).Str("server", srv.name).Msg("server failed")
@@ -149,4 +154,7 @@
 		}
 	}
 	s.wg.Wait()
+	if s.guard != nil {
+		s.guard.Close()
+	}
 }
--- a/system/settings.go
+++ b/system/settings.go
@@ -8,7 +8,9 @@
 
 	"github.com/goccy/go-yaml"
 	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
 
+	"magnoliastand.example/connlimit"
 	"magnoliastand.example/driver"
 	"magnoliastand.example/workload"
 )
@@ -64,6 +66,18 @@
 	LogLevel     string  `yaml:"log_level"`
 	// LogBytesPerSecond bounds the volume of routine log lines.
 	LogBytesPerSecond int `yaml:"log_bytes_per_s"`
+	// ConnectionMemoryMB bounds the memory that inbound connections may hold, and
+	// Connections their number.
+	ConnectionMemoryMB int64 `yaml:"connection_memory_mb"`
+	Connections        int   `yaml:"connections"`
+	// The limits of a header, a body, a response and an idle connection.
+	HeaderBytes     int   `yaml:"header_bytes"`
+	HeaderTimeoutMS int64 `yaml:"header_timeout_ms"`
+	IdleTimeoutMS   int64 `yaml:"idle_timeout_ms"`
+	BodyTimeoutMS   int64 `yaml:"body_timeout_ms"`
+	WriteTimeoutMS  int64 `yaml:"write_timeout_ms"`
+	// MinReceiveBytesPerS is the least rate of a header or body under pressure.
+	MinReceiveBytesPerS int64 `yaml:"min_receive_bytes_per_s"`
 }
 
 // Defaults of Settings.
@@ -71,6 +85,22 @@
 	defaultRemoteFactor = 1.5
 	// defaultLogBytesPerSecond is about 1,300 lines a second.
 	defaultLogBytesPerSecond = 256 << 10
+	// defaultHeaderBytes and defaultHeaderTimeoutMS are what clients are told.
+	defaultHeaderBytes     = 16 << 10
+	defaultHeaderTimeoutMS = 3_000
+	// defaultIdleTimeoutMS exceeds the 15 s that clients are told: the platform's callers
+	// reuse connections that were idle for several seconds.
+	defaultIdleTimeoutMS = 60_000
+	// defaultBodyTimeoutMS exceeds the longest time that a caller is taken to wait.
+	defaultBodyTimeoutMS       = 65_000
+	defaultWriteTimeoutMS      = 30_000
+	defaultMinReceiveBytesPerS = 512
+	// defaultConnectionMemoryMB is used if the memory of the process is not set.
+	defaultConnectionMemoryMB = 256
+	// minConnectionMemoryMB holds one body of the largest size.
+	minConnectionMemoryMB = 12
+	// minConnections leaves room for callers, peers and the balancer's check.
+	minConnections = 16
 )
 
 // LoadSettings reads and validates a settings file. Unknown fields are ignored.
@@ -95,6 +125,65 @@
 	return s, nil
 }
 
+// connectionLimits returns the limits on inbound connections. Fields that are 0 get their
+// defaults.
+func (s *Settings) connectionLimits(log zerolog.Logger) connlimit.Config {
+	memory := s.ConnectionMemoryMB << 20
+	if memory == 0 {
+		memory = defaultConnectionMemoryMB << 20
+		if s.MemoryMB > 0 {
+			memory = connlimit.DefaultMemoryBytes(s.MemoryMB << 20)
+		}
+	}
+	connections := s.Connections
+	if connections == 0 {
+		connections = connlimit.DefaultConnections()
+	}
+	return connlimit.Config{
+		MemoryBytes: memory, Connections: connections,
+		HeaderBytes:   int(orDefault(int64(s.HeaderBytes), defaultHeaderBytes)),
+		HeaderTimeout: millis(orDefault(s.HeaderTimeoutMS, defaultHeaderTimeoutMS)),
+		IdleTimeout:   millis(orDefault(s.IdleTimeoutMS, defaultIdleTimeoutMS)),
+		BodyTimeout:   millis(orDefault(s.BodyTimeoutMS, defaultBodyTimeoutMS)),
+		WriteTimeout:  millis(orDefault(s.WriteTimeoutMS, defaultWriteTimeoutMS)),
+		MinRate:       orDefault(s.MinReceiveBytesPerS, defaultMinReceiveBytesPerS), Log: log,
+	}
+}
+
+func orDefault(value, byDefault int64) int64 {
+	if value == 0 {
+		return byDefault
+	}
+	return value
+}
+
+// validateConnections checks the limits on inbound connections. 0 stands for the default.
+func (s *Settings) validateConnections(f *workload.Faults) {
+	for _, limit := range []struct {
+		name         string
+		value, least int64
+	}{
+		{"connection_memory_mb", s.ConnectionMemoryMB, minConnectionMemoryMB},
+		{"connections", int64(s.Connections), minConnections},
+		{"header_bytes", int64(s.HeaderBytes), 1024},
+		{"header_timeout_ms", s.HeaderTimeoutMS, 1},
+		{"idle_timeout_ms", s.IdleTimeoutMS, 1},
+		{"body_timeout_ms", s.BodyTimeoutMS, 1},
+		{"write_timeout_ms", s.WriteTimeoutMS, 1},
+		{"min_receive_bytes_per_s", s.MinReceiveBytesPerS, 1},
+	} {
+		if limit.value != 0 && limit.value < limit.least {
+			f.Add(limit.name, "%d is below %d", limit.value, limit.least)
+		}
+	}
+	if s.MemoryMB < 0 {
+		f.Add("memory_mb", "%d is below 0", s.MemoryMB)
+	}
+	if s.MemoryMB > 0 && s.ConnectionMemoryMB > s.MemoryMB/2 {
+		f.Add("connection_memory_mb", "%d is above half of memory_mb", s.ConnectionMemoryMB)
+	}
+}
+
 func (s *Settings) validate() workload.Faults {
 	var f workload.Faults
 	if net.ParseIP(s.IP) == nil {
@@ -131,6 +220,7 @@
 	if s.LogBytesPerSecond < 0 {
 		f.Add("log_bytes_per_s", "%d is below 0", s.LogBytesPerSecond)
 	}
+	s.validateConnections(&f)
 	return f
 }
 
--- a/system/settings_test.go
+++ b/system/settings_test.go
@@ -5,8 +5,10 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
 )
 
 const sampleSettings = `name: core-1
@@ -87,3 +89,27 @@
 		}
 	}
 }
+
+// TestConnectionSettings guards against limits on connections that are taken although they let
+// no request through, and against defaults that clients within the announced limits reach.
+func TestConnectionSettings(t *testing.T) {
+	for _, line := range []string{
+		"connection_memory_mb: 4", "connection_memory_mb: -1", "connections: 3", "header_bytes: 100", "header_timeout_ms: -1",
+		"idle_timeout_ms: -5", "body_timeout_ms: -5", "write_timeout_ms: -5", "min_receive_bytes_per_s: -1",
+		"connection_memory_mb: 40\nmemory_mb: 64", "memory_mb: -1",
+	} {
+		field, _, _ := strings.Cut(line, ":")
+		if _, err := load(t, sampleSettings+line+"\n"); !errors.Is(err, ErrSettings) || !strings.Contains(err.Error(), field) {
+			t.Errorf("%q: error %v does not name %s", line, err, field)
+		}
+	}
+	s, err := load(t, sampleSettings+"memory_mb: 184\n")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := s.connectionLimits(zerolog.Nop())
+	if l.MemoryBytes != 46<<20 || l.HeaderBytes < 16384 || l.HeaderTimeout < 3*time.Second || l.IdleTimeout < 15*time.Second ||
+		l.BodyTimeout <= time.Minute || l.WriteTimeout <= 0 || l.MinRate <= 0 || l.Connections < 16 {
+		t.Errorf("defaults: %+v", l)
+	}
+}
