connlimit: tests of bodies over TLS and of requests at work

Both guard against faults of the accounting: a listener with TLS whose bodies are not charged, and a request that is cut off after it was received. go test -race -count=3 ./connlimit passes.

--- a/connlimit/guard_test.go
+++ b/connlimit/guard_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -204,3 +205,66 @@
 		t.Errorf("status %d", resp.StatusCode)
 	}
 }
+
+// TestBodyOverTLSIsCharged guards against a listener with TLS whose bodies are not accounted
+// for, because the server sees another connection than the guard.
+func TestBodyOverTLSIsCharged(t *testing.T) {
+	g := New(testConfig(), prometheus.NewRegistry())
+	defer g.Close()
+	srv := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if _, err := io.ReadAll(r.Body); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+		}
+	}))
+	g.Apply(srv.Config)
+	srv.Listener = g.Listener("test", srv.Listener, true)
+	srv.StartTLS()
+	defer srv.Close()
+	for size, want := range map[int]int{1 << 10: http.StatusOK, 2 << 20: http.StatusServiceUnavailable} {
+		resp, err := srv.Client().Post(srv.URL, "text/plain", strings.NewReader(strings.Repeat("x", size)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = resp.Body.Close()
+		if resp.StatusCode != want {
+			t.Errorf("%d bytes: status %d, want %d", size, resp.StatusCode, want)
+		}
+	}
+}
+
+// TestRequestAtWorkIsNotCutOff guards against requests that have been received and are cut off
+// under pressure, although they may have been executed.
+func TestRequestAtWorkIsNotCutOff(t *testing.T) {
+	g := New(testConfig(), prometheus.NewRegistry())
+	defer g.Close()
+	begun, finish := make(chan struct{}), make(chan struct{})
+	srv := httptest.NewUnstartedServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.ReadAll(r.Body)
+		close(begun)
+		<-finish
+	}))
+	g.Apply(srv.Config)
+	srv.Listener = g.Listener("test", srv.Listener, false)
+	srv.Start()
+	defer srv.Close()
+	result := make(chan error, 1)
+	go func() {
+		resp, err := http.Post(srv.URL, "text/plain", strings.NewReader("x"))
+		if err == nil {
+			err = resp.Body.Close()
+		}
+		result <- err
+	}()
+	<-begun
+	for range 200 {
+		c, err := net.Dial("tcp", srv.Listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = c.Close() }()
+	}
+	close(finish)
+	if err := <-result; err != nil {
+		t.Error(err)
+	}
+}
