daemon: limits on connections for the listeners of serve

Callers, operators and peer links (below TLS) share one guard of package connlimit. limits.memory_mb, connection_memory_mb, connections and min_receive_bytes_per_s are checked at start. Operators and peers may use a quarter of the connections that callers may not.

--- a/cmd/magnoliastand/serve.go
+++ b/cmd/magnoliastand/serve.go
@@ -7,6 +7,7 @@
 	stdlog "log"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
@@ -59,6 +60,9 @@
 	// net/http reports surplus bytes of endpoints through the standard logger,
 	// with their content, which must not enter a log.
 	stdlog.SetOutput(io.Discard)
+	if mb := set.Limits.MemoryMB; mb > 0 {
+		debug.SetMemoryLimit(mb << 20 / 100 * memoryShare)
+	}
 	d, err := daemon.New(set, log)
 	if err != nil {
 		return errors.Wrap(err, "start")
--- a/daemon/server.go
+++ b/daemon/server.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -12,6 +13,7 @@
 	"github.com/labstack/echo/v5"
 	"github.com/pkg/errors"
 
+	"magnoliastand.example/connlimit"
 	"magnoliastand.example/peerlink"
 )
 
@@ -28,6 +30,7 @@
 	operators *http.Server
 	peers     *http.Server
 	listeners map[*http.Server]net.Listener
+	guard     *connlimit.Guard
 	wg        sync.WaitGroup
 }
 
@@ -37,19 +40,15 @@
 // listen opens the listeners, so that a taken address is an error at start.
 func (d *Daemon) listen() (*servers, error) {
 	limits := d.set.Limits
-	s := &servers{listeners: make(map[*http.Server]net.Listener)}
+	s := &servers{listeners: make(map[*http.Server]net.Listener), guard: connlimit.New(d.connectionLimits(), d.metrics.registry)}
 	s.callers = &http.Server{
 		Handler:           d.callerRoutes(),
 		ReadHeaderTimeout: limits.HeaderTimeout.Std(),
-		MaxHeaderBytes:    limits.HeaderBytes,
-		IdleTimeout:       idleTimeout,
 	}
 	s.operators = &http.Server{
 		Handler:           d.operatorRoutes(),
 		ReadHeaderTimeout: limits.HeaderTimeout.Std(),
 		ReadTimeout:       limits.BodyTimeout.Std(),
-		MaxHeaderBytes:    limits.HeaderBytes,
-		IdleTimeout:       idleTimeout,
 	}
 	mux := http.NewServeMux()
 	mux.Handle(peerlink.Path, d.link.Handler())
@@ -68,7 +67,9 @@
 			s.closeListeners()
 			return nil, errors.Wrap(err, l.field)
 		}
-		s.listeners[l.server] = listener
+		s.guard.Apply(l.server)
+		// Callers must not keep out operators and peers.
+		s.listeners[l.server] = s.guard.Listener(strings.TrimPrefix(l.field, "listen."), listener, l.server != s.callers)
 	}
 	return s, d.wrapPeerTLS(s)
 }
@@ -76,7 +77,18 @@
 // idleTimeout bounds how long a caller's connection is kept without a request.
 const idleTimeout = 2 * time.Minute
 
+// connectionLimits returns the limits on inbound connections.
+func (d *Daemon) connectionLimits() connlimit.Config {
+	l := &d.set.Limits
+	return connlimit.Config{
+		MemoryBytes: l.ConnectionBytes(), Connections: l.ConnectionCount(),
+		HeaderBytes: l.HeaderBytes, HeaderTimeout: l.HeaderTimeout.Std(), IdleTimeout: idleTimeout,
+		BodyTimeout: l.BodyTimeout.Std(), WriteTimeout: l.WriteTimeout.Std(), MinRate: l.MinReceiveBytesPerS, Log: d.log,
+	}
+}
+
 func (s *servers) closeListeners() {
+	s.guard.Close()
 	for _, l := range s.listeners {
 		_ = l.Close()
 	}
@@ -103,6 +115,7 @@
 	}
 	_ = s.peers.Close()
 	s.wg.Wait()
+	s.guard.Close()
 }
 
 // peerTLS returns the TLS configuration of peer links.
--- a/daemon/settings/settings.go
+++ b/daemon/settings/settings.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"magnoliastand.example/api"
+	"magnoliastand.example/connlimit"
 )
 
 // Settings configure one daemon process. They are read once at start.
@@ -94,6 +95,34 @@
 	WriteTimeout api.Duration `json:"write_timeout,omitempty"`
 	// Requests bounds requests held at once.
 	Requests int `json:"requests,omitempty"`
+	// MemoryMB is the memory of the process in MB; 0 means no limit.
+	MemoryMB int64 `json:"memory_mb,omitempty"`
+	// ConnectionMemoryMB bounds what inbound connections hold, in MB. 0 stands for a
+	// quarter of MemoryMB, or for 512 MB.
+	ConnectionMemoryMB int64 `json:"connection_memory_mb,omitempty"`
+	// Connections bounds inbound connections. 0 stands for half of the descriptor limit.
+	Connections int `json:"connections,omitempty"`
+	// MinReceiveBytesPerS is the least rate of a header or body under pressure.
+	MinReceiveBytesPerS int64 `json:"min_receive_bytes_per_s,omitempty"`
+}
+
+// ConnectionBytes returns the memory that inbound connections may hold, in bytes.
+func (l *Limits) ConnectionBytes() int64 {
+	switch {
+	case l.ConnectionMemoryMB > 0:
+		return l.ConnectionMemoryMB << 20
+	case l.MemoryMB > 0:
+		return connlimit.DefaultMemoryBytes(l.MemoryMB << 20)
+	}
+	return defaultConnectionMemoryMB << 20
+}
+
+// ConnectionCount returns the number of inbound connections that may be open.
+func (l *Limits) ConnectionCount() int {
+	if l.Connections > 0 {
+		return l.Connections
+	}
+	return connlimit.DefaultConnections()
 }
 
 // Defaults of the settings.
@@ -105,6 +134,14 @@
 	DefaultBodyTimeout   = 30 * time.Second
 	DefaultWriteTimeout  = 30 * time.Second
 	DefaultRequests      = 20000
+	// DefaultMinReceiveBytesPerS is far below the rate of any network in use.
+	DefaultMinReceiveBytesPerS = 512
+	// defaultConnectionMemoryMB holds several bodies of the largest size, 64 MiB.
+	defaultConnectionMemoryMB = 512
+	// minConnectionMemoryMB holds bodies of the default size, minConnections some callers
+	// and all peers of a small cluster.
+	minConnectionMemoryMB = 12
+	minConnections        = 32
 )
 
 // Load reads, defaults and checks a settings file. The error lists every fault.
@@ -138,6 +175,7 @@
 	setDefault(&s.Limits.BodyTimeout, api.Duration(DefaultBodyTimeout))
 	setDefault(&s.Limits.WriteTimeout, api.Duration(DefaultWriteTimeout))
 	setDefault(&s.Limits.Requests, DefaultRequests)
+	setDefault(&s.Limits.MinReceiveBytesPerS, DefaultMinReceiveBytesPerS)
 }
 
 func setDefault[T comparable](field *T, value T) {
--- a/daemon/settings/validate.go
+++ b/daemon/settings/validate.go
@@ -153,6 +153,20 @@
 	checkPositive(c, "limits.body_timeout", s.Limits.BodyTimeout)
 	checkPositive(c, "limits.write_timeout", s.Limits.WriteTimeout)
 	checkPositive(c, "limits.requests", s.Limits.Requests)
+	checkPositive(c, "limits.min_receive_bytes_per_s", s.Limits.MinReceiveBytesPerS)
+	l := &s.Limits
+	if l.MemoryMB < 0 {
+		c.add("limits.memory_mb", "is negative")
+	}
+	if m := l.ConnectionMemoryMB; m != 0 && m < minConnectionMemoryMB {
+		c.add("limits.connection_memory_mb", "%d is below %d", m, minConnectionMemoryMB)
+	}
+	if l.MemoryMB > 0 && l.ConnectionMemoryMB > l.MemoryMB/2 {
+		c.add("limits.connection_memory_mb", "%d is above half of limits.memory_mb", l.ConnectionMemoryMB)
+	}
+	if n := l.Connections; n != 0 && n < minConnections {
+		c.add("limits.connections", "%d is below %d", n, minConnections)
+	}
 }
 
 func checkPositive[T ~int | ~int64](c *checker, path string, value T) {
