connlimit: connections that are closed unused are not counted as faulty headers

Probes and spare connections of ordinary clients would have caused a warning every ten seconds. TestUnusedConnectionIsNotCounted fails without the change. The tests with processes remove the program that they build.

--- a/cmd/magnoliastand/cluster_test.go
+++ b/cmd/magnoliastand/cluster_test.go
@@ -32,7 +32,9 @@
 		main()
 		return
 	}
-	os.Exit(m.Run())
+	code := m.Run()
+	removeProgram()
+	os.Exit(code)
 }
 
 const (
--- a/cmd/magnoliastand/uncontrolled_test.go
+++ b/cmd/magnoliastand/uncontrolled_test.go
@@ -58,6 +58,7 @@
 	if err != nil {
 		return "", err
 	}
+	removeProgram = func() { _ = os.RemoveAll(dir) }
 	file := filepath.Join(dir, "magnoliastand")
 	out, err := exec.Command("go", "build", "-o", file, ".").CombinedOutput()
 	if err != nil {
@@ -66,6 +67,9 @@
 	return file, nil
 })
 
+// removeProgram removes what programOnce has built, at the end of the run.
+var removeProgram = func() {}
+
 // process is a daemon under test.
 type process struct {
 	t      *testing.T
--- a/connlimit/conn.go
+++ b/connlimit/conn.go
@@ -193,7 +193,8 @@
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	c.guard.mu.Lock()
-	if !c.gone && c.phase == phaseHeader && c.held > 0 {
+	if !c.gone && c.phase == phaseHeader && (c.received > 0 || clock.Since(c.began) >= c.guard.cfg.HeaderTimeout) {
+		// Connections that a client opens and soon closes unused are ordinary.
 		c.guard.metrics.add(c.listener, reasonHeader)
 	}
 	c.guard.remove(c)
--- a/connlimit/guard_test.go
+++ b/connlimit/guard_test.go
@@ -14,6 +14,8 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/testutil"
 	"github.com/rs/zerolog"
+
+	"magnoliastand.example/clock"
 )
 
 func testConfig() Config {
@@ -268,3 +270,18 @@
 		t.Error(err)
 	}
 }
+
+// TestUnusedConnectionIsNotCounted guards against warnings about probes and spare connections of
+// ordinary clients; a header that is cut short is counted.
+func TestUnusedConnectionIsNotCounted(t *testing.T) {
+	g := newGuard(testConfig())
+	for received, want := range map[int64]float64{0: 0, 10: 1} {
+		c := g.fake(t, phaseHeader, connectionBytes, clock.Now(), clock.Now())
+		c.listener = fmt.Sprint(received)
+		c.received = received
+		_ = c.Close()
+		if n := testutil.ToFloat64(g.metrics.closed.WithLabelValues(c.listener, reasonHeader)); n != want {
+			t.Errorf("%d bytes received: %g counted, want %g", received, n, want)
+		}
+	}
+}
