--- a/connlimit/conn.go
+++ b/connlimit/conn.go
@@ -29,6 +29,9 @@
 	writePart = 16 << 10
 	// headerSlop is what net/http reads beyond MaxHeaderBytes.
 	headerSlop = 4 << 10
+	// linkProbation is the time for which a peer link may be closed to make room: longer
+	// than a peer may take to authenticate.
+	linkProbation = 3 * time.Second
 )
 
 // conn is an accepted connection. The guard's mutex protects the fields below it.
@@ -46,9 +49,12 @@
 	began, moved time.Time
 	// writing is the time since which a write waits; zero if none does.
 	writing time.Time
-	// reading tells that the handler waits for the body.
+	// reading tells that something waits for data of the client: the handler, or net/http
+	// for the rest of a body.
 	reading bool
-	gone    bool
+	// privileged connections may use the part of the limits that others may not.
+	privileged bool
+	gone       bool
 }
 
 // busy reports whether the handler is at work and waits for no data of the client.
@@ -75,7 +81,7 @@
 	switch {
 	case c.phase == phaseIdle:
 		return rank{idle: max(1, now.Sub(c.began))}
-	case c.phase == phaseLink:
+	case c.phase == phaseLink && now.Sub(c.began) >= linkProbation:
 		return rank{}
 	case !c.writing.IsZero():
 		if now.Sub(c.writing) < stalledWrite {
@@ -150,12 +156,16 @@
 
 // Read implements net.Conn. It charges the bytes of headers.
 func (c *conn) Read(p []byte) (int, error) {
+	c.guard.mu.Lock()
+	c.reading = true
+	c.guard.mu.Unlock()
 	n, err := c.Conn.Read(p)
+	c.guard.mu.Lock()
+	defer c.guard.mu.Unlock()
+	c.reading = false
 	if n == 0 {
 		return n, err
 	}
-	c.guard.mu.Lock()
-	defer c.guard.mu.Unlock()
 	if c.phase == phaseIdle {
 		c.enterLocked(phaseHeader)
 	}
@@ -190,6 +200,15 @@
 	c.guard.mu.Unlock()
 }
 
+// CloseWrite closes the sending side, as net/http does before it closes a connection whose
+// request it has not read to the end.
+func (c *conn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	c.guard.mu.Lock()
--- a/connlimit/guard.go
+++ b/connlimit/guard.go
@@ -28,6 +28,8 @@
 	receiveBuffer = 32 << 10
 	// privilegedPart of the connections, one in so many, is left to privileged listeners.
 	privilegedPart = 4
+	// privilegedMemoryPart is the same for the memory: probes and links need little of it.
+	privilegedMemoryPart = 8
 	// memoryPart of a process's memory, one in so many, may be held by connections.
 	memoryPart = 4
 	// minMemoryBytes holds a body of 3 MiB beside others.
@@ -133,8 +135,8 @@
 			_ = tcp.SetReadBuffer(receiveBuffer) // the default is larger, and works too
 		}
 		now := clock.Now()
-		c := &conn{Conn: inner, guard: l.guard, listener: l.name, began: now, moved: now}
-		if l.guard.admit(c, l.privileged) {
+		c := &conn{Conn: inner, guard: l.guard, listener: l.name, began: now, moved: now, privileged: l.privileged}
+		if l.guard.admit(c) {
 			return c, nil
 		}
 		c.abort()
@@ -142,14 +144,11 @@
 }
 
 // admit adds a connection, making room if necessary.
-func (g *Guard) admit(c *conn, privileged bool) bool {
-	limit := g.cfg.Connections
-	if !privileged {
-		limit -= limit / privilegedPart
-	}
+func (g *Guard) admit(c *conn) bool {
+	limit, memory := g.limitsOf(c)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for len(g.conns) >= limit || g.used+connectionBytes > g.cfg.MemoryBytes {
+	for len(g.conns) >= limit || g.used+connectionBytes > memory {
 		victim := g.victim(c.began)
 		if victim == nil {
 			g.metrics.add(c.listener, reasonRefused)
@@ -163,6 +162,17 @@
 	return true
 }
 
+// limitsOf returns the number of connections and the memory up to which a connection may use
+// more.
+func (g *Guard) limitsOf(c *conn) (connections int, memory int64) {
+	connections, memory = g.cfg.Connections, g.cfg.MemoryBytes
+	if !c.privileged {
+		connections -= connections / privilegedPart
+		memory -= memory / privilegedMemoryPart
+	}
+	return connections, memory
+}
+
 // reserve charges n bytes to a connection, making room if necessary.
 func (g *Guard) reserve(c *conn, n int64) error {
 	g.mu.Lock()
@@ -174,7 +184,8 @@
 	if c.gone {
 		return net.ErrClosed
 	}
-	for g.used+n > g.cfg.MemoryBytes {
+	_, memory := g.limitsOf(c)
+	for g.used+n > memory {
 		victim := g.victim(clock.Now())
 		if victim == nil || victim == c {
 			return ErrOverload
@@ -236,12 +247,13 @@
 // sweep closes connections that exceed a time limit, or that are too slow under pressure.
 func (g *Guard) sweep(now time.Time) {
 	g.mu.Lock()
-	defer g.mu.Unlock()
 	pressure := g.pressure()
 	for c := range g.conns {
 		if reason := c.overdue(now, &g.cfg, pressure); reason != "" {
 			g.evict(c, reason)
 		}
 	}
-	g.metrics.report(now, g.cfg.Log)
+	due := g.metrics.takeReport(now)
+	g.mu.Unlock()
+	report(due, g.cfg.Log) // a blocked log must not block the connections
 }
--- a/connlimit/guard_test.go
+++ b/connlimit/guard_test.go
@@ -12,7 +12,6 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
-	"github.com/prometheus/client_golang/prometheus/testutil"
 	"github.com/rs/zerolog"
 
 	"magnoliastand.example/clock"
@@ -43,6 +42,13 @@
 	return c
 }
 
+// countOf returns how often connections of a listener were closed or rejected for a reason.
+func countOf(g *Guard, listener, reason string) float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return float64(g.metrics.counts[event{listener, reason}])
+}
+
 var start = time.Unix(1_000_000, 0)
 
 func at(s float64) time.Time { return start.Add(time.Duration(s * float64(time.Second))) }
@@ -148,7 +154,7 @@
 	if resp.StatusCode != http.StatusServiceUnavailable || resp.Header.Get("Retry-After") == "" || !strings.Contains(string(text), "not been executed") {
 		t.Errorf("%d %s", resp.StatusCode, text)
 	}
-	if n := testutil.ToFloat64(g.metrics.closed.WithLabelValues("test", reasonBody)); n != 1 {
+	if n := countOf(g, "test", reasonBody); n != 1 {
 		t.Errorf("%g rejections counted", n)
 	}
 }
@@ -280,8 +286,118 @@
 		c.listener = fmt.Sprint(received)
 		c.received = received
 		_ = c.Close()
-		if n := testutil.ToFloat64(g.metrics.closed.WithLabelValues(c.listener, reasonHeader)); n != want {
+		if n := countOf(g, c.listener, reasonHeader); n != want {
 			t.Errorf("%d bytes received: %g counted, want %g", received, n, want)
 		}
 	}
 }
+
+// serveHandler starts a server with a handler and sends it one request; it returns what the server
+// answers until it closes the connection or the time is over.
+func serveHandler(t *testing.T, g *Guard, h http.HandlerFunc) (*httptest.Server, net.Conn) {
+	t.Helper()
+	s := httptest.NewUnstartedServer(h)
+	s.Listener = g.Listener("test", s.Listener, false)
+	g.Apply(s.Config)
+	s.Start()
+	c, err := net.Dial("tcp", s.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Close)
+	t.Cleanup(func() { _ = c.Close() })
+	return s, c
+}
+
+// TestEarlyAnswerToExpect guards against a client that waits for leave to send its body and never
+// gets the answer of a handler that does not read it.
+func TestEarlyAnswerToExpect(t *testing.T) {
+	_, c := serveHandler(t, newGuard(testConfig()), func(w http.ResponseWriter, _ *http.Request) { http.Error(w, "no", http.StatusUnauthorized) })
+	fmt.Fprint(c, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\nExpect: 100-continue\r\n\r\n")
+	_ = c.SetReadDeadline(time.Now().Add(10 * time.Second))
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = resp.Body.Close()
+	if resp.StatusCode != http.StatusUnauthorized {
+		t.Errorf("status %d", resp.StatusCode)
+	}
+}
+
+// TestBodyThatIsNotReadIsEnded guards against a connection that is held for ever: the handler
+// answers without reading the body, and the server waits within it for the rest.
+func TestBodyThatIsNotReadIsEnded(t *testing.T) {
+	g := newGuard(testConfig())
+	_, c := serveHandler(t, g, func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(make([]byte, 8<<10)) })
+	fmt.Fprint(c, "GET / HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\n")
+	for n := 0; ; n++ {
+		g.sweep(clock.Now().Add(time.Hour))
+		g.mu.Lock()
+		open := len(g.conns)
+		g.mu.Unlock()
+		switch {
+		case open == 0 && n > 0 && countOf(g, "test", reasonBodyTime) == 1:
+			return
+		case n == 1000:
+			t.Fatal("the connection is open after an hour")
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// TestUnauthenticatedLinkGivesWay guards against clients that fill the limit with upgrades of the
+// peers' listener; a link that has lasted is kept.
+func TestUnauthenticatedLinkGivesWay(t *testing.T) {
+	g := newGuard(testConfig())
+	young := g.fake(t, phaseLink, connectionBytes, at(8), at(8))
+	g.fake(t, phaseLink, connectionBytes, at(1), at(1))
+	if got := g.victim(at(10)); got != young {
+		t.Error("the young link is not closed first")
+	}
+	g.evict(young, reasonOf(young))
+	if g.victim(at(10)) != nil {
+		t.Error("an established link is closed")
+	}
+}
+
+// TestMemoryIsLeftToPrivilegedConnections guards against callers that keep out the balancer and
+// the peers by filling the memory.
+func TestMemoryIsLeftToPrivilegedConnections(t *testing.T) {
+	cfg := testConfig()
+	g := newGuard(cfg)
+	c := g.fake(t, phaseServing, connectionBytes, clock.Now(), clock.Now())
+	for g.reserve(c, 64<<10) == nil {
+		continue
+	}
+	inner, _ := net.Pipe()
+	privileged := &conn{Conn: inner, guard: g, listener: "ready", began: clock.Now(), moved: clock.Now(), privileged: true}
+	if !g.admit(privileged) {
+		t.Errorf("%d of %d bytes are used", g.used, cfg.MemoryBytes)
+	}
+}
+
+// TestMetricsAreReadBesideClosing guards against a deadlock of the collector with the guard.
+func TestMetricsAreReadBesideClosing(t *testing.T) {
+	registry := prometheus.NewRegistry()
+	g := New(testConfig(), registry)
+	g.Close()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for n := range 3000 {
+			g.mu.Lock()
+			g.metrics.add(fmt.Sprint(n), reasonHeader)
+			g.mu.Unlock()
+		}
+	}()
+	for range 50 {
+		if _, err := registry.Gather(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	<-done
+	if families, err := registry.Gather(); err != nil || len(families) != 3 {
+		t.Errorf("%d families, %v", len(families), err)
+	}
+}
--- a/connlimit/handler.go
+++ b/connlimit/handler.go
@@ -57,6 +57,8 @@
 		} else {
 			c.enter(phaseBody)
 			b := &body{ReadCloser: r.Body, conn: c}
+			// net/http looks at the body of its own request when it answers.
+			r = r.WithContext(r.Context())
 			r.Body = b
 			w = &refusingWriter{ResponseWriter: w, body: b}
 		}
@@ -87,9 +89,7 @@
 	if b.refused {
 		return 0, ErrOverload
 	}
-	b.conn.setReading(true)
 	n, err := b.ReadCloser.Read(p)
-	defer b.conn.setReading(false)
 	if n > 0 {
 		if failed := b.conn.guard.reserve(b.conn, int64(n)*bodyFactor); failed != nil {
 			if errors.Is(failed, ErrOverload) {
@@ -107,12 +107,6 @@
 	return n, err
 }
 
-func (c *conn) setReading(reading bool) {
-	c.guard.mu.Lock()
-	c.reading = reading
-	c.guard.mu.Unlock()
-}
-
 // enterAfterBody begins the handling of a request whose body is complete.
 func (c *conn) enterAfterBody() {
 	c.guard.mu.Lock()
--- a/connlimit/metrics.go
+++ b/connlimit/metrics.go
@@ -1,6 +1,7 @@
 package connlimit
 
 import (
+	"maps"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -22,48 +23,74 @@
 // reportInterval is the interval between log lines about one reason.
 const reportInterval = 10 * time.Second
 
+// event identifies a counter.
+type event struct{ listener, reason string }
+
+// metrics counts under the guard's mutex. It is a collector of its own, because the vectors of
+// the library hold a lock while they are read, and the guard's mutex must not be held while
+// waiting for it.
 type metrics struct {
-	closed *prometheus.CounterVec
-	// unreported counts by listener and reason since the last line, reported is its time.
-	unreported map[[2]string]int
+	guard  *Guard
+	counts map[event]int
+	// unreported counts since the last log lines, reported is their time.
+	unreported map[event]int
 	reported   time.Time
+
+	closed, open, used *prometheus.Desc
 }
 
 func newMetrics(g *Guard, registry prometheus.Registerer) *metrics {
-	m := &metrics{unreported: make(map[[2]string]int), closed: prometheus.NewCounterVec(prometheus.CounterOpts{
-		Name: "magnoliastand_connections_closed_total",
-		Help: "Connections closed and requests rejected because of a limit."}, []string{"listener", "reason"})}
-	open := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
-		Name: "magnoliastand_connections", Help: "Open inbound connections."}, func() float64 {
-		g.mu.Lock()
-		defer g.mu.Unlock()
-		return float64(len(g.conns))
-	})
-	used := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
-		Name: "magnoliastand_connections_bytes", Help: "Memory charged to inbound connections."}, func() float64 {
-		g.mu.Lock()
-		defer g.mu.Unlock()
-		return float64(g.used)
-	})
+	m := &metrics{
+		guard: g, counts: map[event]int{}, unreported: map[event]int{},
+		closed: prometheus.NewDesc("magnoliastand_connections_closed_total",
+			"Connections closed and requests rejected because of a limit.", []string{"listener", "reason"}, nil),
+		open: prometheus.NewDesc("magnoliastand_connections", "Open inbound connections.", nil, nil),
+		used: prometheus.NewDesc("magnoliastand_connections_bytes", "Memory charged to inbound connections.", nil, nil),
+	}
 	if registry != nil {
-		registry.MustRegister(m.closed, open, used)
+		registry.MustRegister(m)
 	}
 	return m
 }
 
+// Describe implements prometheus.Collector.
+func (m *metrics) Describe(ch chan<- *prometheus.Desc) {
+	ch <- m.closed
+	ch <- m.open
+	ch <- m.used
+}
+
+// Collect implements prometheus.Collector.
+func (m *metrics) Collect(ch chan<- prometheus.Metric) {
+	m.guard.mu.Lock()
+	open, used, counts := len(m.guard.conns), m.guard.used, maps.Clone(m.counts)
+	m.guard.mu.Unlock()
+	ch <- prometheus.MustNewConstMetric(m.open, prometheus.GaugeValue, float64(open))
+	ch <- prometheus.MustNewConstMetric(m.used, prometheus.GaugeValue, float64(used))
+	for e, n := range counts {
+		ch <- prometheus.MustNewConstMetric(m.closed, prometheus.CounterValue, float64(n), e.listener, e.reason)
+	}
+}
+
 func (m *metrics) add(listener, reason string) {
-	m.closed.WithLabelValues(listener, reason).Inc()
-	m.unreported[[2]string{listener, reason}]++
+	e := event{listener, reason}
+	m.counts[e]++
+	m.unreported[e]++
 }
 
-// report logs one line per listener and reason and interval.
-func (m *metrics) report(now time.Time, log zerolog.Logger) {
+// takeReport returns what is to be logged now: one line per listener, reason and interval.
+func (m *metrics) takeReport(now time.Time) map[event]int {
 	if len(m.unreported) == 0 || now.Sub(m.reported) < reportInterval {
-		return
+		return nil
 	}
-	m.reported = now
-	for key, n := range m.unreported {
-		log.Warn().Str("listener", key[0]).Str("reason", key[1]).Int("count", n).Msg("connections closed or requests rejected by a limit")
+	due := m.unreported
+	m.reported, m.unreported = now, map[event]int{}
+	return due
+}
+
+func report(due map[event]int, log zerolog.Logger) {
+	for e, n := range due {
+		log.Warn().Str("listener", e.listener).Str("reason", e.reason).Int("count", n).
+			Msg("connections closed or requests rejected by a limit")
 	}
-	clear(m.unreported)
 }
