plan: jobs beyond their team's contracted rate wait; work has a weight

Under a surge of one team whose queue has a higher priority, the other teams' jobs were late: nothing compared what a team sends with its contracted rate. Jobs beyond Team.Weight jobs per second now wait for those within, and the deadline by which jobs are ordered includes the delay that their remaining work causes to the other waiting jobs of their pool.

--- a/driver/driver.go
+++ b/driver/driver.go
@@ -108,6 +108,8 @@
 	lastPrune  time.Time
 	waiting    map[string]workload.Size
 	lag        lag
+	// rates tells which jobs are beyond their team's contracted rate.
+	rates *plan.Rates
 }
 
 // New returns a driver for one term. cfg.State is a copy of the committed state;
@@ -127,7 +129,7 @@
 		notBefore: map[workload.TaskRef]workload.Millis{}, advice: map[workload.TaskRef]*advice{},
 		failedOn: map[workload.TaskRef]string{}, lateStarts: map[string][]lateStart{}, lives: cfg.Fences.lives,
 		trials: map[workload.TaskRef]*run{}, suspects: map[workload.TaskRef]time.Time{}, crashedAt: map[workload.TaskRef][]string{}, moves: map[workload.TaskRef]int{},
-		needsPlan: true, lastPrune: time.Now(),
+		needsPlan: true, lastPrune: time.Now(), rates: plan.NewRates(cfg.State),
 	}
 	d.fleet = newFleet(d)
 	d.fleet.inheritLoads(nowMillis())
@@ -380,6 +382,7 @@
 		},
 		FailedOn:     func(t workload.TaskRef) string { return d.failedOn[t] },
 		RemoteFactor: d.cfg.RemoteFactor,
+		Beyond:       d.rates.Beyond,
 		Suspicion:    func(t workload.TaskRef) workload.Suspicion { return d.suspicion(t, begun) },
 		Trials:       d.trialsOf,
 		CrashedAt:    d.crashedOnlyAt,
@@ -452,6 +455,7 @@
 func (d *Driver) prune() {
 	d.pruneLateStarts(time.Now())
 	inactive := func(t workload.TaskRef) bool { return d.state.Active()[t.Job] == nil }
+	d.rates.Retain(d.state.Active())
 	maps.DeleteFunc(d.notBefore, func(t workload.TaskRef, _ workload.Millis) bool { return inactive(t) })
 	maps.DeleteFunc(d.failedOn, func(t workload.TaskRef, _ string) bool { return inactive(t) })
 	maps.DeleteFunc(d.suspects, func(t workload.TaskRef, _ time.Time) bool { return inactive(t) })
@@ -566,11 +570,15 @@
 		answer(resp, nil)
 		return
 	}
+	beyond := false
 	if j, ok := d.state.Job(t.Job); ok && !known {
 		d.fleet.recordArrival(j)
+		if beyond = d.rates.Add(d.state, j); beyond {
+			d.cfg.Metrics.Decisions.WithLabelValues("order", "beyond rate").Inc()
+		}
 	}
 	d.cfg.Logger.Info().Str("job", t.Job).Str("queue", t.Queue.Name).Str("team", t.Team).
-		Int64("version", resp.Version).Int("steps", len(r.Spec.Steps)).Msg("job submitted")
+		Int64("version", resp.Version).Int("steps", len(r.Spec.Steps)).Bool("beyond_rate", beyond).Msg("job submitted")
 }
 
 func (d *Driver) cancelJob(t workload.Target, resp workload.Response, answer func(workload.Response, error)) {
--- a/workload/plan/plan.go
+++ b/workload/plan/plan.go
@@ -81,6 +81,9 @@
 	// CrashedAt reports whether several workers crashed under a task, all of them at an
 	// address; nil means that none did.
 	CrashedAt func(task workload.TaskRef, address string) bool
+	// Beyond reports whether a job is beyond its team's contracted rate; nil means that
+	// no job is.
+	Beyond func(job string) bool
 	// RemoteFactor is the multiple of its run time that a task takes outside the
 	// rack of its data. It is also the penalty of such a worker.
 	RemoteFactor float64
@@ -213,14 +216,22 @@
 	begun bool
 	// overShare is set if the team uses more than its fair share.
 	overShare bool
-	due       workload.Millis
+	// beyond is set if the job is beyond its team's contracted rate.
+	beyond bool
+	due    workload.Millis
+	pool   string
+	// delays is the time by which the remaining work of the job delays the other waiting
+	// jobs of its pool, in total.
+	delays workload.Millis
 }
 
 // runnable returns the jobs with assignable tasks in planning order: by timeliness,
-// then queue priority, then jobs that have begun before others, then teams within
-// their fair share before others, then the deadline of the latency objective. Under
-// overload this order sacrifices some jobs, those that have used no capacity yet,
-// instead of delaying all of them beyond their objectives.
+// then jobs within their team's contracted rate before others, then queue priority, then
+// jobs that have begun before others, then teams within their fair share before others,
+// then the deadline of the latency objective plus the delay that the job's work
+// causes to others. Under overload this order sacrifices some jobs, those beyond their
+// team's rate, that have used no capacity yet or need much of it, instead of delaying all
+// of them beyond their objectives.
 func (p *planner) runnable() []candidate {
 	var out []candidate
 	waiting := map[string]bool{}
@@ -234,13 +245,57 @@
 	for i := range out {
 		out[i].overShare = over[out[i].job.Team]
 	}
+	p.weighWork(out)
 	slices.SortFunc(out, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(a.timeliness, b.timeliness), cmp.Compare(a.priority, b.priority),
-			compareBool(!a.begun, !b.begun), compareBool(a.overShare, b.overShare), cmp.Compare(a.due, b.due), cmp.Compare(a.job.ID, b.job.ID))
+		return cmp.Or(cmp.Compare(a.timeliness, b.timeliness), compareBool(a.beyond, b.beyond), cmp.Compare(a.priority, b.priority),
+			compareBool(!a.begun, !b.begun), compareBool(a.overShare, b.overShare), cmp.Compare(a.due+a.delays, b.due+b.delays), cmp.Compare(a.job.ID, b.job.ID))
 	})
 	return out
 }
 
+// weighWork computes how much the work of each job delays the others of its pool: while the
+// pool works on it, each of them waits. Alone in its pool, a job delays nobody.
+func (p *planner) weighWork(jobs []candidate) {
+	type poolWork struct {
+		capacity workload.Size
+		jobs     int
+	}
+	pools := map[string]*poolWork{}
+	for i := range jobs {
+		pool := pools[jobs[i].pool]
+		if pool == nil {
+			pool = &poolWork{}
+			for _, w := range p.in.State.PoolWorkers(jobs[i].pool) {
+				if !w.Draining && !w.Lost {
+					pool.capacity = pool.capacity.Add(w.Capacity)
+				}
+			}
+			pools[jobs[i].pool] = pool
+		}
+		pool.jobs++
+	}
+	for i := range jobs {
+		c := &jobs[i]
+		if pool := pools[c.pool]; pool.jobs > 1 {
+			c.delays = delay(c.job.RemainingWork(), pool.capacity, pool.jobs-1)
+		}
+	}
+}
+
+// delay returns for how long work in resources times milliseconds occupies a capacity,
+// times the number of others that wait. Work of a dimension without capacity is not counted.
+func delay(work, capacity workload.Size, others int) workload.Millis {
+	longest := 0.0
+	for _, d := range [...][2]int64{
+		{work.Processors, capacity.Processors}, {work.MemoryMB, capacity.MemoryMB}, {work.Accelerators, capacity.Accelerators},
+	} {
+		if d[1] > 0 {
+			longest = max(longest, float64(d[0])/float64(d[1]))
+		}
+	}
+	return workload.Millis(min(longest*float64(others), float64(workload.MaxDuration)))
+}
+
 func compareBool(a, b bool) int {
 	switch {
 	case a == b:
@@ -252,12 +307,15 @@
 }
 
 func (p *planner) candidate(j *workload.Job) candidate {
-	c := candidate{job: j, timeliness: onTime, begun: j.Begun(), due: j.Submitted + j.CriticalPath()}
+	c := candidate{
+		job: j, timeliness: onTime, begun: j.Begun(), beyond: p.in.Beyond != nil && p.in.Beyond(j.ID),
+		due: j.Submitted + j.CriticalPath(), pool: j.Pool,
+	}
 	q, ok := p.in.State.QueueOf(j)
 	if !ok {
 		return c
 	}
-	c.priority = q.Priority
+	c.priority, c.pool = q.Priority, q.Pool
 	objective := q.Objective(j)
 	c.due = j.Submitted + objective
 	switch {
--- a/workload/plan/plan_test.go
+++ b/workload/plan/plan_test.go
@@ -20,6 +20,8 @@
 	crashedAt map[string]string
 	// remoteFactor is the run time of a task outside the rack of its data.
 	remoteFactor float64
+	// beyond reports the jobs beyond their team's rate; it may be nil.
+	beyond func(job string) bool
 }
 
 func decodeJSONDocument(raw []byte) (workload.Document, error) {
@@ -76,6 +78,7 @@
 		NotBefore:    func(workload.TaskRef) workload.Millis { return 0 },
 		FailedOn:     func(workload.TaskRef) string { return w.failedOn },
 		RemoteFactor: w.remoteFactor,
+		Beyond:       w.beyond,
 	})
 }
 
--- a/workload/state.go
+++ b/workload/state.go
@@ -453,6 +453,22 @@
 	return 0
 }
 
+// RemainingWork returns the resources that the tasks which are not done reserve, times
+// their declared run time in milliseconds. Long-running tasks are left out, because their run time
+// is not limited.
+func (j *Job) RemainingWork() Size {
+	var sum Size
+	for k := range j.unfinished {
+		for st, n := range j.unfinished[k] {
+			step := &j.Spec.Steps[st]
+			if n > 0 && !step.LongRunning {
+				sum = sum.Add(step.Reserved().Times(float64(n) * float64(step.Estimate)))
+			}
+		}
+	}
+	return sum
+}
+
 // Runnable returns the number of waiting tasks whose dependencies are done.
 func (j *Job) Runnable() int { return j.runnable }
 
--- a/workload/types.go
+++ b/workload/types.go
@@ -28,6 +28,17 @@
 	return Size{s.Processors - o.Processors, s.MemoryMB - o.MemoryMB, s.Accelerators - o.Accelerators}
 }
 
+// maxProduct bounds the components of Size.Times, so that sums of thousands of products do
+// not overflow. It is 78 core hours.
+const maxProduct = 1 << 48
+
+// Times returns the size multiplied by a factor of at least 0, each component at most
+// maxProduct.
+func (s Size) Times(by float64) Size {
+	times := func(n int64) int64 { return int64(min(float64(n)*by, maxProduct)) }
+	return Size{times(s.Processors), times(s.MemoryMB), times(s.Accelerators)}
+}
+
 // Max returns the component-wise maximum.
 func (s Size) Max(o Size) Size {
 	return Size{max(s.Processors, o.Processors), max(s.MemoryMB, o.MemoryMB), max(s.Accelerators, o.Accelerators)}
