--- a/workload/plan/plan.go
+++ b/workload/plan/plan.go
@@ -237,7 +237,7 @@
 	waiting := map[string]bool{}
 	for _, j := range p.in.State.Active() {
 		if j.Runnable() > 0 {
-			out = append(out, p.candidate(j))
+			out = append(out, newCandidate(p.in.State, j, p.in.Now, p.in.Beyond))
 			waiting[j.Team] = true
 		}
 	}
@@ -306,12 +306,12 @@
 	return -1
 }
 
-func (p *planner) candidate(j *workload.Job) candidate {
+func newCandidate(state *workload.State, j *workload.Job, now workload.Millis, beyond func(job string) bool) candidate {
 	c := candidate{
-		job: j, timeliness: onTime, begun: j.Begun(), beyond: p.in.Beyond != nil && p.in.Beyond(j.ID),
+		job: j, timeliness: onTime, begun: j.Begun(), beyond: beyond != nil && beyond(j.ID),
 		due: j.Submitted + j.CriticalPath(), pool: j.Pool,
 	}
-	q, ok := p.in.State.QueueOf(j)
+	q, ok := state.QueueOf(j)
 	if !ok {
 		return c
 	}
@@ -320,9 +320,9 @@
 	c.due = j.Submitted + objective
 	switch {
 	case j.Spec.StartAt != 0 || j.Spec.LongRunning():
-	case p.in.Now > j.Submitted+expiryFactor*objective:
+	case now > j.Submitted+expiryFactor*objective:
 		c.timeliness = expired
-	case p.in.Now+j.Remaining()+margin(j, objective) > c.due:
+	case now+j.Remaining()+margin(j.Remaining(), j.CriticalPath(), objective) > c.due:
 		c.timeliness = late
 	}
 	return c
@@ -330,8 +330,8 @@
 
 // margin returns the time that a job needs beyond the declared time of its
 // remaining steps to count as on time.
-func margin(j *workload.Job, objective workload.Millis) workload.Millis {
-	return min(j.Remaining()*marginPercent/100+startDelay, max(0, objective-j.CriticalPath())/2)
+func margin(remaining, criticalPath, objective workload.Millis) workload.Millis {
+	return min(remaining*marginPercent/100+startDelay, max(0, objective-criticalPath)/2)
 }
 
 // pool returns a pool under the plan.
