Merge part I: order and admission under overload

Cause: under a surge of one team the other teams paid, and jobs were accepted that could not be done any more.

--- a/driver/driver.go
+++ b/driver/driver.go
@@ -112,6 +112,9 @@
 	lastPrune time.Time
 	waiting   map[string]workload.Size
 	lag       lag
+	// rates tells which jobs are beyond their team's contracted rate.
+	rates      *plan.Rates
+	admissions admissions
 }
 
 // New returns a driver for one term. cfg.State is a copy of the committed state;
@@ -132,8 +135,9 @@
 		failedOn: map[workload.TaskRef]string{}, lateStarts: map[string][]lateStart{},
 		lateTasks: map[workload.TaskRef]time.Time{}, sending: map[workload.TaskRef]int{}, lives: cfg.Fences.lives,
 		trials: map[workload.TaskRef]*run{}, suspects: map[workload.TaskRef]time.Time{}, crashedAt: map[workload.TaskRef][]string{}, moves: map[workload.TaskRef]int{},
-		needsPlan: true, lastPrune: time.Now(),
+		needsPlan: true, lastPrune: time.Now(), rates: plan.NewRates(cfg.State),
 	}
+	d.admissions.checked = nowMillis()
 	d.fleet = newFleet(d)
 	d.fleet.inheritLoads(nowMillis())
 	d.announcedBefore = d.lastAnnounced(d.started)
@@ -386,11 +390,13 @@
 		},
 		FailedOn:     func(t workload.TaskRef) string { return d.failedOn[t] },
 		RemoteFactor: d.cfg.RemoteFactor,
+		Beyond:       d.rates.Beyond,
 		Suspicion:    func(t workload.TaskRef) workload.Suspicion { return d.suspicion(t, begun) },
 		Trials:       d.trialsOf,
 		CrashedAt:    d.crashedOnlyAt,
 	})
 	d.planAt, d.waiting = p.Wake, p.Waiting
+	d.checkRejections(now)
 	d.askAdvice(p.Advice)
 	for i := range p.Assign {
 		d.assign(&p.Assign[i])
@@ -461,6 +467,8 @@
 func (d *Driver) prune() {
 	d.pruneLateStarts(time.Now())
 	inactive := func(t workload.TaskRef) bool { return d.state.Active()[t.Job] == nil }
+	d.countMissed(nowMillis())
+	d.rates.Retain(d.state.Active())
 	maps.DeleteFunc(d.notBefore, func(t workload.TaskRef, _ workload.Millis) bool { return inactive(t) })
 	maps.DeleteFunc(d.failedOn, func(t workload.TaskRef, _ string) bool { return inactive(t) })
 	maps.DeleteFunc(d.suspects, func(t workload.TaskRef, _ time.Time) bool { return inactive(t) })
@@ -568,6 +576,12 @@
 		return
 	}
 	_, known := d.state.Job(t.Job)
+	if !known {
+		if rejection := d.admit(t, r.Spec); rejection != nil {
+			answer(*rejection, nil)
+			return
+		}
+	}
 	c := workload.Command{Submit: &workload.Submit{ID: t.Job, Queue: t.Queue.Name, Team: t.Team, Spec: *r.Spec}}
 	err := d.apply(c, func() { answer(resp, nil) })
 	if err != nil {
@@ -575,11 +589,16 @@
 		answer(resp, nil)
 		return
 	}
+	beyond := false
 	if j, ok := d.state.Job(t.Job); ok && !known {
 		d.fleet.recordArrival(j)
+		d.admitted(j)
+		if beyond = d.rates.Add(d.state, j); beyond {
+			d.cfg.Metrics.Decisions.WithLabelValues("order", "beyond rate").Inc()
+		}
 	}
 	d.cfg.Logger.Info().Str("job", t.Job).Str("queue", t.Queue.Name).Str("team", t.Team).
-		Int64("version", resp.Version).Int("steps", len(r.Spec.Steps)).Msg("job submitted")
+		Int64("version", resp.Version).Int("steps", len(r.Spec.Steps)).Bool("beyond_rate", beyond).Msg("job submitted")
 }
 
 func (d *Driver) cancelJob(t workload.Target, resp workload.Response, answer func(workload.Response, error)) {
--- a/workload/types.go
+++ b/workload/types.go
@@ -28,6 +28,17 @@
 	return Size{s.Processors - o.Processors, s.MemoryMB - o.MemoryMB, s.Accelerators - o.Accelerators}
 }
 
+// maxProduct bounds the components of Size.Times, so that sums of thousands of products do
+// not overflow. It is 78 core hours.
+const maxProduct = 1 << 48
+
+// Times returns the size multiplied by a factor of at least 0, each component at most
+// maxProduct.
+func (s Size) Times(by float64) Size {
+	times := func(n int64) int64 { return int64(min(float64(n)*by, maxProduct)) }
+	return Size{times(s.Processors), times(s.MemoryMB), times(s.Accelerators)}
+}
+
 // Max returns the component-wise maximum.
 func (s Size) Max(o Size) Size {
 	return Size{max(s.Processors, o.Processors), max(s.MemoryMB, o.MemoryMB), max(s.Accelerators, o.Accelerators)}
@@ -82,8 +93,11 @@
 
 // Objective returns the time from submission within which a job of the queue
 // should finish. Each part is from 0 to MaxDuration: a document may hold any number.
-func (q *Queue) Objective(j *Job) Millis {
-	stretched := min(max(q.Stretch*float64(j.criticalPath), 0), MaxDuration)
+func (q *Queue) Objective(j *Job) Millis { return q.ObjectiveOf(j.criticalPath) }
+
+// ObjectiveOf returns the objective of a job with the given critical path.
+func (q *Queue) ObjectiveOf(criticalPath Millis) Millis {
+	stretched := min(max(q.Stretch*float64(criticalPath), 0), MaxDuration)
 	return Millis(stretched) + min(max(q.Target, 0), MaxDuration)
 }
 
@@ -176,6 +190,9 @@
 	return s.StartAt + Millis(occurrence)*s.Interval
 }
 
+// CriticalPath returns the declared run time along the critical path of the steps.
+func (s *Spec) CriticalPath() Millis { return criticalPathLength(s.Steps) }
+
 // LongRunning reports whether any step of the job runs until cancellation.
 func (s *Spec) LongRunning() bool {
 	return slices.ContainsFunc(s.Steps, func(st Step) bool { return st.LongRunning })
