--- a/driver/driver.go
+++ b/driver/driver.go
@@ -113,8 +113,7 @@
 	waiting   map[string]workload.Size
 	lag       lag
 	// rates tells which jobs are beyond their team's contracted rate.
-	rates      *plan.Rates
-	admissions admissions
+	rates *plan.Rates
 }
 
 // New returns a driver for one term. cfg.State is a copy of the committed state;
@@ -137,7 +136,6 @@
 		trials: map[workload.TaskRef]*run{}, suspects: map[workload.TaskRef]time.Time{}, crashedAt: map[workload.TaskRef][]string{}, moves: map[workload.TaskRef]int{},
 		needsPlan: true, lastPrune: time.Now(), rates: plan.NewRates(cfg.State),
 	}
-	d.admissions.checked = nowMillis()
 	d.fleet = newFleet(d)
 	d.fleet.inheritLoads(nowMillis())
 	d.announcedBefore = d.lastAnnounced(d.started)
@@ -396,7 +394,6 @@
 		CrashedAt:    d.crashedOnlyAt,
 	})
 	d.planAt, d.waiting = p.Wake, p.Waiting
-	d.checkRejections(now)
 	d.askAdvice(p.Advice)
 	for i := range p.Assign {
 		d.assign(&p.Assign[i])
@@ -467,7 +464,6 @@
 func (d *Driver) prune() {
 	d.pruneLateStarts(time.Now())
 	inactive := func(t workload.TaskRef) bool { return d.state.Active()[t.Job] == nil }
-	d.countMissed(nowMillis())
 	d.rates.Retain(d.state.Active())
 	maps.DeleteFunc(d.notBefore, func(t workload.TaskRef, _ workload.Millis) bool { return inactive(t) })
 	maps.DeleteFunc(d.failedOn, func(t workload.TaskRef, _ string) bool { return inactive(t) })
@@ -576,12 +572,6 @@
 		return
 	}
 	_, known := d.state.Job(t.Job)
-	if !known {
-		if rejection := d.admit(t, r.Spec); rejection != nil {
-			answer(*rejection, nil)
-			return
-		}
-	}
 	c := workload.Command{Submit: &workload.Submit{ID: t.Job, Queue: t.Queue.Name, Team: t.Team, Spec: *r.Spec}}
 	err := d.apply(c, func() { answer(resp, nil) })
 	if err != nil {
@@ -592,7 +582,6 @@
 	beyond := false
 	if j, ok := d.state.Job(t.Job); ok && !known {
 		d.fleet.recordArrival(j)
-		d.admitted(j)
 		if beyond = d.rates.Add(d.state, j); beyond {
 			d.cfg.Metrics.Decisions.WithLabelValues("order", "beyond rate").Inc()
 		}
--- a/workload/plan/plan.go
+++ b/workload/plan/plan.go
@@ -249,7 +249,7 @@
 	waiting := map[string]bool{}
 	for _, j := range p.in.State.Active() {
 		if j.Runnable() > 0 {
-			out = append(out, newCandidate(p.in.State, j, p.in.Now, p.in.Beyond))
+			out = append(out, p.candidate(j))
 			waiting[j.Team] = true
 		}
 	}
@@ -318,12 +318,12 @@
 	return -1
 }
 
-func newCandidate(state *workload.State, j *workload.Job, now workload.Millis, beyond func(job string) bool) candidate {
+func (p *planner) candidate(j *workload.Job) candidate {
 	c := candidate{
-		job: j, timeliness: onTime, begun: j.Begun(), beyond: beyond != nil && beyond(j.ID),
+		job: j, timeliness: onTime, begun: j.Begun(), beyond: p.in.Beyond != nil && p.in.Beyond(j.ID),
 		due: j.Submitted + j.CriticalPath(), pool: j.Pool,
 	}
-	q, ok := state.QueueOf(j)
+	q, ok := p.in.State.QueueOf(j)
 	if !ok {
 		return c
 	}
@@ -332,9 +332,9 @@
 	c.due = j.Submitted + objective
 	switch {
 	case j.Spec.StartAt != 0 || j.Spec.LongRunning():
-	case now > j.Submitted+expiryFactor*objective:
+	case p.in.Now > j.Submitted+expiryFactor*objective:
 		c.timeliness = expired
-	case now+j.Remaining()+margin(j.Remaining(), j.CriticalPath(), objective) > c.due:
+	case p.in.Now+j.Remaining()+margin(j, objective) > c.due:
 		c.timeliness = late
 	}
 	return c
@@ -342,8 +342,8 @@
 
 // margin returns the time that a job needs beyond the declared time of its
 // remaining steps to count as on time.
-func margin(remaining, criticalPath, objective workload.Millis) workload.Millis {
-	return min(remaining*marginPercent/100+startDelay, max(0, objective-criticalPath)/2)
+func margin(j *workload.Job, objective workload.Millis) workload.Millis {
+	return min(j.Remaining()*marginPercent/100+startDelay, max(0, objective-j.CriticalPath())/2)
 }
 
 // pool returns a pool under the plan.
--- a/workload/request.go
+++ b/workload/request.go
@@ -66,9 +66,6 @@
 	Pending int `cbor:"4,keyasint,omitempty"`
 	// Version is the version of the document against which the request was resolved.
 	Version int64 `cbor:"5,keyasint,omitempty"`
-	// RetryAfter is when a caller that got AnswerNotRun should come back; 0 if the daemon
-	// that received the request decides.
-	RetryAfter Millis `cbor:"7,keyasint,omitempty"`
 }
 
 // Target is the queue, team and job to which a request resolves.
--- a/workload/types.go
+++ b/workload/types.go
@@ -93,11 +93,8 @@
 
 // Objective returns the time from submission within which a job of the queue
 // should finish. Each part is from 0 to MaxDuration: a document may hold any number.
-func (q *Queue) Objective(j *Job) Millis { return q.ObjectiveOf(j.criticalPath) }
-
-// ObjectiveOf returns the objective of a job with the given critical path.
-func (q *Queue) ObjectiveOf(criticalPath Millis) Millis {
-	stretched := min(max(q.Stretch*float64(criticalPath), 0), MaxDuration)
+func (q *Queue) Objective(j *Job) Millis {
+	stretched := min(max(q.Stretch*float64(j.criticalPath), 0), MaxDuration)
 	return Millis(stretched) + min(max(q.Target, 0), MaxDuration)
 }
 
@@ -190,9 +187,6 @@
 	return s.StartAt + Millis(occurrence)*s.Interval
 }
 
-// CriticalPath returns the declared run time along the critical path of the steps.
-func (s *Spec) CriticalPath() Millis { return criticalPathLength(s.Steps) }
-
 // LongRunning reports whether any step of the job runs until cancellation.
 func (s *Spec) LongRunning() bool {
 	return slices.ContainsFunc(s.Steps, func(st Step) bool { return st.LongRunning })
