driver: compare no numbers of unreadable rows

As many unreadable rows as in the list before may be other ones. A run whose row became unreadable while another row became readable was taken as over at once and started again while it ran.

Ends behind unreadable rows are timed each from its own first listing, since the time of the last added row depended on the number as well. New rows once a second no longer keep all ends from being acknowledged.

--- a/driver/lists.go
+++ b/driver/lists.go
@@ -25,10 +25,11 @@
 	missing := d.missingRuns(s, running, ended)
 	// A list of the maximum size may be cut, and then lacks runs for that reason.
 	whole := len(l.Ended)+l.Unreadable < maxEnds
-	s.unreadable.record(l.Unreadable, s.acked, now)
-	passes := d.passesUnreadable(s, missing, whole, now)
+	s.unreadable.record(l, s.acked, now)
+	s.unreadable.recordMissing(missing, now)
+	passable := s.unreadable.passableUntil(missing, whole, now)
 	for i := range l.Ended {
-		d.handleEnded(s, &l.Ended[i], passes)
+		d.handleEnded(s, &l.Ended[i], passable)
 	}
 	before := s.unassigned
 	s.unassigned = 0
@@ -46,8 +47,8 @@
 }
 
 // handleEnded commits an end listed by the worker, once. An end behind an unreadable row is
-// acknowledged only if passes is set.
-func (d *Driver) handleEnded(s *session, e *platform.EndedTask, passes bool) {
+// acknowledged only if it was first listed at passable or before.
+func (d *Driver) handleEnded(s *session, e *platform.EndedTask, passable time.Time) {
 	number := numberOf(e)
 	if number <= s.worker.Acked {
 		return
@@ -55,7 +56,7 @@
 	behind := e.Number < 0
 	acked := number
 	switch {
-	case behind && passes:
+	case behind && !s.unreadable.listed[number].After(passable):
 		if s.unreadable.passed == 0 {
 			d.cfg.Logger.Warn().Str("worker", s.worker.ID).Int64("incarnation", s.worker.Incarnation).
 				Int("rows", s.unreadable.rows).Int64("number", number).Msg("acknowledging ends behind rows that cannot be read")
--- a/driver/unreadable.go
+++ b/driver/unreadable.go
@@ -1,6 +1,8 @@
 package driver
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"magnoliastand.example/platform"
@@ -19,10 +21,10 @@
 
 // unreadableRows is what is known of the unreadable rows in the lists of a worker.
 type unreadableRows struct {
-	// rows is their number in the last list.
+	// rows is their number in the last list. It does not tell whether they are still the same.
 	rows int
-	// since is when rows were last added.
-	since time.Time
+	// listed holds when the ends behind an unreadable row were first listed, by number.
+	listed map[int64]time.Time
 	// passed is the highest number of an end behind an unreadable row whose acknowledgement is
 	// being sent; the rows before it are forgotten with it.
 	passed int64
@@ -40,19 +42,29 @@
 	stopped time.Time
 }
 
-// record updates the rows with the number of unreadable rows in a list. acked is the highest
-// number that the worker has confirmed to have forgotten: rows listed after that are new ones.
-func (u *unreadableRows) record(rows int, acked int64, now time.Time) {
-	replaced := u.passed > 0 && acked >= u.passed
-	if replaced {
+// record updates the rows with a list, whose ends are in the order of their numbers. acked is
+// the highest number that the worker has confirmed to have forgotten.
+func (u *unreadableRows) record(l *platform.Lists, acked int64, now time.Time) {
+	if acked >= u.passed {
 		u.passed = 0
 	}
-	if rows > u.rows || replaced {
-		u.since = now
+	u.rows, u.pending = l.Unreadable, false
+	if u.rows == 0 {
+		u.counted, u.listed = nil, nil
+		return
+	}
+	if u.listed == nil {
+		u.listed = map[int64]time.Time{}
 	}
-	u.rows, u.pending = rows, false
-	if rows == 0 {
-		u.counted = nil
+	maps.DeleteFunc(u.listed, func(number int64, _ time.Time) bool { return number <= acked })
+	// The row of an end was there, readable or not, when a later one was first listed.
+	first := now
+	for _, e := range slices.Backward(l.Ended) {
+		number := numberOf(&e)
+		if t, known := u.listed[number]; known && t.Before(first) {
+			first = t
+		}
+		u.listed[number] = first
 	}
 }
 
@@ -67,27 +79,44 @@
 // numberOf returns the number of an end, also if it is behind an unreadable row.
 func numberOf(e *platform.EndedTask) int64 { return max(e.Number, -e.Number) }
 
-// mayHide reports whether one of the unreadable rows may be that of a missing run. It is not
-// if the run was ordered or listed after the rows were there.
-func (u *unreadableRows) mayHide(r *run) bool {
-	return u.rows > 0 && r.orderedAt.Before(u.since) && r.seen.Before(u.since)
-}
+// mayHide reports whether one of the unreadable rows may be that of a missing run. Any of them
+// may: as many rows as before may be other ones.
+func (u *unreadableRows) mayHide(r *run) bool { return u.rows > 0 && r.phase != phaseCommitting }
 
-// passesUnreadable reports whether ends behind unreadable rows may be acknowledged. Rows that
-// may be those of missing runs are kept longer, unless the list is full.
-func (d *Driver) passesUnreadable(s *session, missing []*run, whole bool, now time.Time) bool {
-	waits := s.unreadable.rows > 0 && now.Sub(s.unreadable.since) < unreadableWait
+// recordMissing updates how long the missing runs of a worker may have been hidden.
+func (u *unreadableRows) recordMissing(missing []*run, now time.Time) {
 	for _, r := range missing {
-		if !s.unreadable.mayHide(r) {
+		switch {
+		case !u.mayHide(r):
 			r.missing = absence{}
+		case r.missing.since.IsZero():
+			r.missing.since = now
+		}
+	}
+}
+
+// passableUntil returns until when an end behind an unreadable row must have been listed first
+// to be acknowledged. Rows that may be those of missing runs are kept longer, unless the list is
+// full. The row of a run is behind that of an end that was listed before the run was ordered or
+// seen running.
+func (u *unreadableRows) passableUntil(missing []*run, whole bool, now time.Time) time.Time {
+	until := now.Add(-unreadableWait)
+	if !whole {
+		return until
+	}
+	for _, r := range missing {
+		if !u.mayHide(r) || now.Sub(r.missing.since) >= missingWait {
 			continue
 		}
-		if r.missing.since.IsZero() {
-			r.missing.since = now
+		running := r.orderedAt
+		if r.seen.After(running) {
+			running = r.seen
+		}
+		if running.Before(until) {
+			until = running
 		}
-		waits = waits || whole && now.Sub(r.missing.since) < missingWait
 	}
-	return !waits
+	return until
 }
 
 // mayBeUnreadable reports whether a missing run is to be left unsettled because an unreadable
--- a/driver/unreadable_test.go
+++ b/driver/unreadable_test.go
@@ -1,12 +1,14 @@
 package driver_test
 
 import (
+	"context"
 	"net/http"
 	"slices"
 	"strings"
 	"testing"
 	"time"
 
+	"magnoliastand.example/platform"
 	"magnoliastand.example/platform/platformtest"
 	"magnoliastand.example/workload"
 )
@@ -187,3 +189,74 @@
 	w.waitFor("task started again", func() bool { return len(w.history()) == 2 })
 	w.checkConsistency()
 }
+
+// garbledRuns makes one row of the lists of two running tasks unreadable: that of the task whose
+// index garbled returns for the number of the list, or none if it is negative.
+type garbledRuns struct {
+	*platform.Client
+	garbled func(list int) int
+	lists   int
+}
+
+func (h *garbledRuns) Hold(ctx context.Context, e platform.Endpoint, o *platform.HoldOrder) (*platform.Lists, error) {
+	l, err := h.Client.Hold(ctx, e, o)
+	if err != nil || len(l.Running) < 2 {
+		return l, err
+	}
+	h.lists++
+	if index := h.garbled(h.lists); index >= 0 {
+		l.Unreadable = 1
+		l.Running = slices.DeleteFunc(l.Running, func(t platform.RunningTask) bool { return int(t.Task.Index) == index })
+	}
+	return l, nil
+}
+
+// The row of one run could not be read in a list and that of another one in the next. Their
+// number did not change, so the second run was taken as over and started again while it ran.
+func TestRunsWithUnreadableRowsInTurnAreNotRepeated(t *testing.T) {
+	for name, garbled := range map[string]func(list int) int{
+		"in every list": func(list int) int { return list % 2 },
+		"in two lists": func(list int) int {
+			if list == 3 || list == 4 {
+				return list % 2
+			}
+			return -1
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			w := newTestEnv(t)
+			w.lease = 10 * time.Second
+			w.orders = &garbledRuns{Client: w.client, garbled: garbled}
+			w.startWithWorker(time.Hour)
+			task := step(2)
+			task.Estimate = time.Hour.Milliseconds()
+			w.submit(jobID(0), task)
+			w.waitFor("tasks started", func() bool { return len(w.history()) >= 2 })
+			time.Sleep(5 * time.Second)
+			if n := len(w.history()); n != 2 {
+				t.Errorf("%d runs of 2 tasks: %+v", n, w.history())
+			}
+			w.checkConsistency()
+		})
+	}
+}
+
+// Each new row of another writer restarted the wait of all ends behind the earlier ones. With one
+// row a second, no end was acknowledged any more.
+func TestForeignEndsInSuccessionDoNotBlockAcknowledgements(t *testing.T) {
+	w := newTestEnv(t)
+	w.lease = 10 * time.Second
+	worker := w.startWithWorker(20 * time.Millisecond)
+	worker.AddForeignEnd()
+	w.submit(jobID(0), step(3))
+	w.waitFor("job completed", func() bool { return w.state(jobID(0)) == workload.JobCompleted })
+	for range 10 {
+		time.Sleep(time.Second)
+		if w.allNoted(jobID(0)) {
+			return
+		}
+		worker.AddForeignEnd()
+	}
+	t.Error("ends not acknowledged within 10 s")
+}
