driver: count ends that become readable after a later one is committed

The end of a current run was skipped if a later number was committed, although the worker had not been told so and still listed it. Its done task ran again.

--- a/driver/lists.go
+++ b/driver/lists.go
@@ -46,11 +46,14 @@
 	d.maybeHold(s, now, len(d.state.Runs(s.worker.ID)))
 }
 
-// handleEnded commits an end listed by the worker, once. An end behind an unreadable row is
+// handleEnded commits an end listed by the worker, once. The end of a current run counts even if
+// a later number is committed: its row may have been unreadable until now. An end behind an unreadable row is
 // acknowledged only if it was first listed at passable or before.
 func (d *Driver) handleEnded(s *session, e *platform.EndedTask, passable time.Time) {
 	number := numberOf(e)
-	if number <= s.worker.Acked {
+	r := d.runs[e.Task]
+	current := r != nil && r.number == e.Run && r.worker == s.worker.ID && r.incarnation == s.worker.Incarnation
+	if !current && number <= s.worker.Acked {
 		return
 	}
 	behind := e.Number < 0
@@ -65,8 +68,7 @@
 	case behind:
 		acked, s.unreadable.pending = 0, true
 	}
-	r := d.runs[e.Task]
-	if r != nil && r.number == e.Run && r.worker == s.worker.ID && r.incarnation == s.worker.Incarnation {
+	if current {
 		d.endRun(r, e.Outcome, e.Checkpoint, acked, "listed by the worker")
 		if acked == 0 {
 			s.unreadable.count(number)
--- a/driver/unreadable_test.go
+++ b/driver/unreadable_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -260,3 +261,43 @@
 	}
 	t.Error("ends not acknowledged within 10 s")
 }
+
+// hiddenEnd makes the row of the first end unreadable until the first acknowledgement, which does
+// not reach the worker.
+type hiddenEnd struct {
+	*platform.Client
+	released atomic.Bool
+}
+
+func (h *hiddenEnd) Hold(ctx context.Context, e platform.Endpoint, o *platform.HoldOrder) (*platform.Lists, error) {
+	if o.Acked > 0 && h.released.CompareAndSwap(false, true) {
+		return nil, platform.ErrBusy
+	}
+	l, err := h.Client.Hold(ctx, e, o)
+	if err != nil || h.released.Load() || len(l.Ended) == 0 || l.Ended[0].Number != 1 {
+		return l, err
+	}
+	l.Unreadable, l.Ended = 1, l.Ended[1:]
+	for i := range l.Ended {
+		l.Ended[i].Number = -l.Ended[i].Number
+	}
+	return l, nil
+}
+
+// A row became readable after an end behind it was committed with its number, and before that was
+// acknowledged. It was skipped as acknowledged, and its done task ran again.
+func TestEndReadableAfterLaterOneIsCommittedCounts(t *testing.T) {
+	w := newTestEnv(t)
+	w.lease = 20 * time.Second
+	w.orders = &hiddenEnd{Client: w.client}
+	w.startWithWorker(300 * time.Millisecond)
+	w.submit(jobID(0), step(2))
+	w.waitFor("runs done", func() bool {
+		return len(w.history()) == 2 && !slices.ContainsFunc(w.history(), func(r platformtest.Run) bool { return r.How != "done" })
+	})
+	w.waitFor("job completed", func() bool { return w.state(jobID(0)) == workload.JobCompleted })
+	if n := len(w.history()); n != 2 {
+		t.Errorf("%d runs of 2 tasks", n)
+	}
+	w.checkConsistency()
+}
