consensus/bootstrap: propose again after any higher ballot

A proposer compared only the round of the ballots that it saw. If one of the same round and a higher node ID had been promised, it was rejected, and repeated its invitation for good. The simulation gives disks random node IDs now; increasing ones hid the fault.

--- a/consensus/bootstrap/machine.go
+++ b/consensus/bootstrap/machine.go
@@ -46,9 +46,8 @@
 	// mayForm tells which nodes have said last that they may form a cluster, by name.
 	mayForm map[string]bool
 	// ballot is the ballot proposed by this process. It is in force while it is the one
-	// that the disk has promised. lastRound is the highest round of any ballot seen.
-	ballot    Ballot
-	lastRound uint64
+	// that the disk has promised. lastBallot is the highest ballot seen.
+	ballot, lastBallot Ballot
 	// promised holds the latest promise of each first voter to ballot, accepted the disks
 	// that have accepted its cluster, by name. highest is the promise that reports the
 	// cluster accepted last.
@@ -75,7 +74,7 @@
 	}
 	return &Machine{
 		cfg: cfg, firstVoters: names, binding: b, elapsedTicks: cfg.RetryTicks - 1,
-		mayForm: make(map[string]bool), lastRound: b.Ballot.Round,
+		mayForm: make(map[string]bool), lastBallot: b.Ballot,
 	}, nil
 }
 
@@ -101,7 +100,7 @@
 	if !m.isCoordinator() || m.helloRounds <= minHelloRounds {
 		return
 	}
-	if !m.proposing() || m.lastRound > m.ballot.Round {
+	if !m.proposing() || m.ballot.Less(m.lastBallot) {
 		m.propose()
 	} else {
 		m.sendProposal()
@@ -148,8 +147,8 @@
 	if msg.To != m.cfg.Self.Name || msg.From == msg.To || msg.Sender.ID == consensus.None {
 		return
 	}
-	if slices.Contains(m.firstVoters, msg.From) {
-		m.lastRound = max(m.lastRound, msg.Ballot.Round)
+	if slices.Contains(m.firstVoters, msg.From) && m.lastBallot.Less(msg.Ballot) {
+		m.lastBallot = msg.Ballot
 	}
 	switch msg.Type {
 	case MsgHello:
@@ -278,8 +277,8 @@
 
 // propose promises this disk to a new ballot and invites the other first voters to it.
 func (m *Machine) propose() {
-	m.lastRound++
-	m.ballot = Ballot{Round: m.lastRound, Proposer: m.cfg.Self.ID}
+	m.ballot = Ballot{Round: m.lastBallot.Round + 1, Proposer: m.cfg.Self.ID}
+	m.lastBallot = m.ballot
 	m.promised, m.accepted = make(map[string]consensus.Member), make(map[string]consensus.NodeID)
 	b := m.binding
 	m.highest = Message{Accepted: b.Accepted, Cluster: b.Cluster, Members: b.Members}
--- a/consensus/bootstrap/machine_test.go
+++ b/consensus/bootstrap/machine_test.go
@@ -31,7 +31,6 @@
 	rnd        *rand.Rand
 	nodes      []*simNode
 	inFlight   []Message
-	nextID     consensus.NodeID
 	clusters   map[consensus.ClusterID]bool
 	violations []string
 	// losePromises skips the persistence of promises.
@@ -56,8 +55,7 @@
 }
 
 func (s *sim) loseDisk(n *simNode) {
-	s.nextID++
-	n.id = s.nextID
+	n.id = consensus.NodeID(s.rnd.Uint64() | 1) // the ID of a new disk may be below that of the lost one
 	n.disk = Binding{}
 	s.restart(n)
 }
@@ -280,6 +278,29 @@
 	}
 }
 
+// The new disk of a proposer got a node ID below that of the lost one, and proposed a ballot of
+// the same round. It was rejected, and repeated the invitation for good.
+func TestClusterFormsAfterReplacementWithLowerID(t *testing.T) {
+	for _, joinOnly := range []bool{false, true} {
+		s := newSim(t, 1, false)
+		a, b := s.nodes[0], s.nodes[1]
+		a.id = consensus.NodeID(1<<64 - 1) // above the IDs of all other disks
+		s.restart(a)
+		s.isolated = "b"
+		for range 2000 {
+			s.step(false)
+		}
+		s.inFlight, s.isolated = nil, ""
+		a.joinOnly = joinOnly // b proposes if it is set
+		s.loseDisk(a)
+		s.loseDisk(b)
+		if !s.converge() {
+			t.Errorf("join only %t: not formed, problems %q and %q, bindings %+v %+v %+v", joinOnly, a.machine.Problem(), b.machine.Problem(),
+				a.disk, b.disk, s.nodes[2].disk)
+		}
+	}
+}
+
 func TestReplacedDisksJoinFormedCluster(t *testing.T) {
 	s := newSim(t, 1, false)
 	if !s.converge() {
