--- a/driver/lists.go
+++ b/driver/lists.go
@@ -12,7 +12,7 @@
 // handleLists reconciles a worker's lists with the runs assigned to it.
 func (d *Driver) handleLists(s *session, sent time.Time, l *platform.Lists) {
 	now := time.Now()
-	s.listedEnds = len(l.Ended)
+	s.listedEnds = len(l.Ended) + l.Unreadable
 	ended := make(map[workload.TaskRef]int64, len(l.Ended))
 	slices.SortFunc(l.Ended, func(a, b platform.EndedTask) int { return cmp.Compare(numberOf(&a), numberOf(&b)) })
 	for i := range l.Ended {
--- a/driver/session.go
+++ b/driver/session.go
@@ -109,7 +109,7 @@
 	// ackable is the highest number of an end whose commit is known.
 	ackable int64
 	// held are the ends up to ackable that may not be acknowledged yet, and listedEnds is how
-	// many ends the last list had.
+	// many ends the last list had, with the unreadable ones.
 	held       []heldEnd
 	listedEnds int
 	// ackUnanswered is set while a hold with an acknowledgement has no response. If the worker
--- a/driver/unreadable_test.go
+++ b/driver/unreadable_test.go
@@ -301,3 +301,24 @@
 	}
 	w.checkConsistency()
 }
+
+// Unreadable rows were not counted among the listed ends, so ends were held back although the
+// list was more than half full.
+func TestEndsBesideManyForeignEndsAreNotHeldBack(t *testing.T) {
+	w := newTestEnv(t)
+	w.lease = 30 * time.Second
+	worker := w.startWithWorker(20 * time.Millisecond)
+	for range 260 {
+		worker.AddForeignEnd()
+	}
+	worker.SetFaults(platformtest.Faults{LoseStarts: 1}) // it may be carried out for 15 s
+	w.submit(jobID(0), step(1))
+	w.waitFor("job completed", func() bool { return w.state(jobID(0)) == workload.JobCompleted })
+	limit := time.Now().Add(10 * time.Second)
+	for !w.allNoted(jobID(0)) {
+		if time.Now().After(limit) {
+			t.Fatal("end not acknowledged within 10 s")
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
