--- a/driver/late.go
+++ b/driver/late.go
@@ -66,13 +66,21 @@
 // recordLateStart remembers that a start order of a run may be carried out late, perhaps
 // by the next incarnation of its worker, which does not know of a stop of the run.
 func (d *Driver) recordLateStart(s *session, r *run, now time.Time) {
-	d.lateTasks[r.ref] = now.Add(lateOrderTime)
+	d.holdBackUntil(r.ref, now.Add(lateOrderTime))
 	d.lateStarts[r.worker] = append(d.lateStarts[r.worker], lateStart{r.ref, r.number, s.worker.Incarnation, now.Add(lateOrderTime)})
 	if next := d.sessions[r.worker]; next != nil && next != s {
 		d.stopLateStarts(next, now)
 	}
 }
 
+// holdBackUntil keeps the ends of a done task from being acknowledged until a time, or until a
+// later one that was set before.
+func (d *Driver) holdBackUntil(ref workload.TaskRef, until time.Time) {
+	if until.After(d.lateTasks[ref]) {
+		d.lateTasks[ref] = until
+	}
+}
+
 // stopLateStarts voids the late starts of a worker on its next incarnation, and has that
 // one held until they can no longer be carried out.
 func (d *Driver) stopLateStarts(s *session, now time.Time) {
@@ -138,7 +146,7 @@
 	}
 	for _, o := range d.sessions {
 		if slices.ContainsFunc(o.held, func(h heldEnd) bool { return h.ref == ref }) {
-			d.lateTasks[ref] = time.Now().Add(lateRunTime)
+			d.holdBackUntil(ref, time.Now().Add(lateRunTime))
 		}
 	}
 }
