consensus/bootstrap: document when two clusters can form

If all first voters lose their disks one after another while two proposals are under way, the later one can choose its cluster with the promise of a lost disk. A new ballot would not help: the cluster chosen in the later ballot is the one accepted last.

--- a/consensus/bootstrap/doc.go
+++ b/consensus/bootstrap/doc.go
@@ -19,7 +19,10 @@
 // ballot. Before a cluster has formed, all first voters have accepted it. Since a later
 // proposal asks all of them first, it is for the same cluster as long as one of them keeps its
 // disk, and a second cluster cannot form: an unbound node joins the cluster of any known
-// node that belongs to one. Both rounds need all first voters: with a majority, two lost
+// node that belongs to one. This does not hold if all first voters lose their disks one after
+// another while two proposals are under way: the later one may count the promise of a lost disk
+// whose replacement then accepts the earlier one, and choose another cluster. A promise that
+// reports the earlier cluster after the choice does not change it. Both rounds need all first voters: with a majority, two lost
 // disks could hide a cluster that has formed.
 //
 // # Caller duties
@@ -30,6 +33,7 @@
 //   - All first voters have to be up for a cluster to form, if need be with empty disks.
 //     If most of the disks of an accepted cluster are lost before it is formed, it forms
 //     without a quorum. An operator who knows that no cluster was formed must empty the
-//     data directories of all first voters.
+//     data directories of all first voters. The same applies if all of them have lost their
+//     disks, one after another, before they were bound to a cluster.
 //   - A disk that a build without ballots has promised takes part in no later proposal.
 package bootstrap
