--- a/consensus/bootstrap/machine_test.go
+++ b/consensus/bootstrap/machine_test.go
@@ -216,12 +216,19 @@
 // permission to form a cluster. The others waited for its promise for good, or for an
 // invitation if it was the coordinator.
 func TestClusterFormsAfterDiskLostAtFirstStart(t *testing.T) {
+	begun, accepted := 0, 0
 	for victim := range firstVoters {
-		for steps := range 120 {
+		for steps := range 400 {
 			s := newSim(t, uint64(steps), false)
 			for range steps {
 				s.step(false)
 			}
+			if slices.ContainsFunc(s.nodes, func(n *simNode) bool { return n.disk.Ballot != Ballot{} }) {
+				begun++
+			}
+			if slices.ContainsFunc(s.nodes, func(n *simNode) bool { return n.disk.Phase == Promised }) {
+				accepted++
+			}
 			n := s.nodes[victim]
 			n.joinOnly = true
 			s.loseDisk(n)
@@ -231,6 +238,10 @@
 			}
 		}
 	}
+	t.Logf("%d disks lost during a proposal, %d after a cluster was accepted", begun, accepted)
+	if begun < 150 || accepted < 90 {
+		t.Errorf("%d disks lost during a proposal, %d after a cluster was accepted: too few", begun, accepted)
+	}
 }
 
 // As TestClusterFormsAfterDiskLostAtFirstStart, with lost and duplicated messages, isolated
