--- a/driver/lists.go
+++ b/driver/lists.go
@@ -12,7 +12,7 @@
 // handleLists reconciles a worker's lists with the runs assigned to it.
 func (d *Driver) handleLists(s *session, sent time.Time, l *platform.Lists) {
 	now := time.Now()
-	s.listedEnds = len(l.Ended)
+	s.listedEnds = len(l.Ended) + l.Unreadable
 	ended := make(map[workload.TaskRef]int64, len(l.Ended))
 	slices.SortFunc(l.Ended, func(a, b platform.EndedTask) int { return cmp.Compare(numberOf(&a), numberOf(&b)) })
 	for i := range l.Ended {
@@ -25,10 +25,11 @@
 	missing := d.missingRuns(s, running, ended)
 	// A list of the maximum size may be cut, and then lacks runs for that reason.
 	whole := len(l.Ended)+l.Unreadable < maxEnds
-	s.unreadable.record(l.Unreadable, s.acked, now)
-	passes := d.passesUnreadable(s, missing, whole, now)
+	s.unreadable.record(l, s.acked, now)
+	s.unreadable.recordMissing(missing, now)
+	passable := s.unreadable.passableUntil(missing, whole, now)
 	for i := range l.Ended {
-		d.handleEnded(s, &l.Ended[i], passes)
+		d.handleEnded(s, &l.Ended[i], passable)
 	}
 	before := s.unassigned
 	s.unassigned = 0
@@ -45,17 +46,20 @@
 	d.maybeHold(s, now, len(d.state.Runs(s.worker.ID)))
 }
 
-// handleEnded commits an end listed by the worker, once. An end behind an unreadable row is
-// acknowledged only if passes is set.
-func (d *Driver) handleEnded(s *session, e *platform.EndedTask, passes bool) {
+// handleEnded commits an end listed by the worker, once. The end of a current run counts even if
+// a later number is committed: its row may have been unreadable until now. An end behind an unreadable row is
+// acknowledged only if it was first listed at passable or before.
+func (d *Driver) handleEnded(s *session, e *platform.EndedTask, passable time.Time) {
 	number := numberOf(e)
-	if number <= s.worker.Acked {
+	r := d.runs[e.Task]
+	current := r != nil && r.number == e.Run && r.worker == s.worker.ID && r.incarnation == s.worker.Incarnation
+	if !current && number <= s.worker.Acked {
 		return
 	}
 	behind := e.Number < 0
 	acked := number
 	switch {
-	case behind && passes:
+	case behind && !s.unreadable.listed[number].After(passable):
 		if s.unreadable.passed == 0 {
 			d.cfg.Logger.Warn().Str("worker", s.worker.ID).Int64("incarnation", s.worker.Incarnation).
 				Int("rows", s.unreadable.rows).Int64("number", number).Msg("acknowledging ends behind rows that cannot be read")
@@ -64,8 +68,7 @@
 	case behind:
 		acked, s.unreadable.pending = 0, true
 	}
-	r := d.runs[e.Task]
-	if r != nil && r.number == e.Run && r.worker == s.worker.ID && r.incarnation == s.worker.Incarnation {
+	if current {
 		d.endRun(r, e.Outcome, e.Checkpoint, acked, "listed by the worker")
 		if acked == 0 {
 			s.unreadable.count(number)
