--- a/system/settings.go
+++ b/system/settings.go
@@ -107,6 +107,11 @@
 	minConnections = 16
 )
 
+// zonesVariable is the environment variable that holds availability_zones if the settings file
+// does not: a platform may give the zones only as a table, which its template of the file may
+// not be able to write.
+const zonesVariable = "MAGNOLIASTAND_ZONES"
+
 // LoadSettings reads and validates a settings file. Unknown fields are ignored.
 func LoadSettings(file string) (Settings, error) {
 	var s Settings
@@ -117,6 +122,11 @@
 	if err := yaml.Unmarshal(raw, &s); err != nil {
 		return s, errors.Wrapf(ErrSettings, "%s: %v", file, err)
 	}
+	if zones := os.Getenv(zonesVariable); zones != "" && len(s.AvailabilityZones) == 0 {
+		if err := yaml.Unmarshal([]byte(zones), &s.AvailabilityZones); err != nil {
+			return s, errors.Wrapf(ErrSettings, "%s: %v", zonesVariable, err)
+		}
+	}
 	if err := s.validate().Err(); err != nil {
 		return s, errors.Wrapf(ErrSettings, "%s: %v", file, err)
 	}
--- a/system/settings_test.go
+++ b/system/settings_test.go
@@ -136,3 +136,22 @@
 		t.Errorf("defaults: %+v", l)
 	}
 }
+
+// Guards against zones that only the environment gives and that no daemon knows.
+func TestAvailabilityZonesOfEnvironment(t *testing.T) {
+	for text, want := range map[string]string{"": "[]", `{"south":"r","north":"r"}`: "[north south]", "[a, b]": "[a b]"} {
+		t.Setenv(zonesVariable, text)
+		s, err := load(t, sampleSettings)
+		if err != nil || fmt.Sprint(s.AvailabilityZones) != want {
+			t.Errorf("%q: %v, %v, want %s", text, s.AvailabilityZones, err, want)
+		}
+	}
+	t.Setenv(zonesVariable, "{\"a\":1}")
+	if s, err := load(t, sampleSettings+"availability_zones: [b]\n"); err != nil || fmt.Sprint(s.AvailabilityZones) != "[b]" {
+		t.Errorf("%v, %v: the file goes first", s.AvailabilityZones, err)
+	}
+	t.Setenv(zonesVariable, "7")
+	if _, err := load(t, sampleSettings); !errors.Is(err, ErrSettings) {
+		t.Errorf("no list: %v", err)
+	}
+}
