driver: fewer holds of busy workers while ends are kept back

A worker does not delay its reply to a hold while it lists ends. With a run at work and an end kept from being acknowledged it was held 20 times a second; now 5 times.

--- a/driver/session.go
+++ b/driver/session.go
@@ -40,6 +40,10 @@
 	// holds: one costs about 0.15 ms.
 	minHoldInterval       = 25 * time.Millisecond
 	holdIntervalPerWorker = 100 * time.Microsecond
+	// heldEndsInterval is the minimum interval while ends are kept from being acknowledged:
+	// a worker may not delay its reply while it lists ends. It bounds the delay of further
+	// ends to far less than the time for which ends are kept.
+	heldEndsInterval = 200 * time.Millisecond
 	// ackDelay is how long the acknowledgement of ends may be delayed to be sent
 	// with another hold.
 	ackDelay = 500 * time.Millisecond
@@ -310,6 +314,9 @@
 	if watch && !ack {
 		s.nextHold = now.Add(watchInterval)
 	}
+	if runs > 0 && !ack && (len(s.held) > 0 || s.unreadable.pending) && d.holdWaitFor(s) == holdWait {
+		s.nextHold = now.Add(max(heldEndsInterval, s.nextHold.Sub(now)))
+	}
 	order := &platform.HoldOrder{Fence: s.fence, Acked: d.nextAck(s, now)}
 	timeout := holdTimeout
 	if s.failures > 0 {
