--- a/consensus/bootstrap/doc.go
+++ b/consensus/bootstrap/doc.go
@@ -22,8 +22,8 @@
 // node that belongs to one. This does not hold if all first voters lose their disks one after
 // another while two proposals are under way: the later one may count the promise of a lost disk
 // whose replacement then accepts the earlier one, and choose another cluster. A promise that
-// reports the earlier cluster after the choice does not change it. Both rounds need all first voters: with a majority, two lost
-// disks could hide a cluster that has formed.
+// reports the earlier cluster after the choice does not change it. Both rounds need all first
+// voters: with a majority, two lost disks could hide a cluster that has formed.
 //
 // # Caller duties
 //
