--- a/driver/unreadable_test.go
+++ b/driver/unreadable_test.go
@@ -207,7 +207,7 @@
 	h.lists++
 	if index := h.garbled(h.lists); index >= 0 {
 		l.Unreadable = 1
-		l.Running = slices.DeleteFunc(l.Running, func(t platform.RunningTask) bool { return int(t.Task.Index) == index })
+		l.Running = slices.DeleteFunc(l.Running, func(t platform.RunningTask) bool { return t.Task.Index == index })
 	}
 	return l, nil
 }
