--- a/consensus/bootstrap/machine_test.go
+++ b/consensus/bootstrap/machine_test.go
@@ -312,6 +312,25 @@
 	}
 }
 
+// Guards against a seed that is left out because it may not form a cluster: one permission is
+// enough, also for a new cluster after the loss of all disks, as docs/CONFIGURATION.md says.
+func TestOnePermissionFormsClusterAfterLossOfAllDisks(t *testing.T) {
+	for permitted := range firstVoters {
+		s := newSim(t, 1, false)
+		if !s.converge() {
+			t.Fatalf("not formed: %v", s.violations)
+		}
+		s.inFlight, s.clusters = nil, make(map[consensus.ClusterID]bool)
+		for i, n := range s.nodes {
+			n.joinOnly = i != permitted
+			s.loseDisk(n)
+		}
+		if !s.converge() || len(s.clusters) != 1 {
+			t.Errorf("permission of %s: %d clusters formed, violations %v", s.nodes[permitted].name, len(s.clusters), s.violations)
+		}
+	}
+}
+
 func TestReplacedDisksJoinFormedCluster(t *testing.T) {
 	s := newSim(t, 1, false)
 	if !s.converge() {
