peerlink: the test of a large message before the handshake does not race with its rejection

Change: the message exceeds the limit by as little as shows it, so that the peer has to receive all of it first; the status of the rejection is checked as before, and now right above the limit.

--- a/peerlink/node_test.go
+++ b/peerlink/node_test.go
@@ -246,7 +246,9 @@
 		t.Fatal(err)
 	}
 	defer ws.CloseNow()
-	if err := ws.Write(t.Context(), websocket.MessageBinary, make([]byte, 4*maxHandshakeBytes)); err != nil {
+	// The peer can reject this message only once it has nearly all of it: one much larger may be
+	// cut off by the rejection while it is being written.
+	if err := ws.Write(t.Context(), websocket.MessageBinary, make([]byte, maxHandshakeBytes+2)); err != nil {
 		t.Fatal(err)
 	}
 	if _, _, err = ws.Read(t.Context()); websocket.CloseStatus(err) != websocket.StatusMessageTooBig {
