connlimit: large requests leave room for ordinary ones

Callers saw their connection closed without an answer while a crowd sent whole bodies of 256 KiB and came back at once: 36 of 40 had no answer in three attempts each at an edge with 64 MB.

Cause: one account for everything. Large bodies that were being handled held all the memory and could not be closed, so each new connection closed another one, mostly the oldest whose header had not been read: the delay of the server counted against the client.

What requests hold beyond 64 KiB is now bounded by half of the memory (a single one may use more). A large request closes neither an ordinary one that makes progress nor a large one that does, but is rejected with 503; ordinary requests close large ones first. A connection is not closed before its first read, nor between the end of its handler and its response. Responses that make no progress lose their second when more than a quarter of the connections wait for their readers. Callers close privileged connections only beyond the part left to these.

--- a/connlimit/conn.go
+++ b/connlimit/conn.go
@@ -11,10 +11,11 @@
 type phase int
 
 const (
-	phaseHeader  phase = iota // from the start until the header is complete
-	phaseBody                 // until the body is complete, unless the handler does something else meanwhile
-	phaseServing              // the request is complete and is being handled
-	phaseRest                 // the rest of a body that the handler has not read
+	phaseHeader     phase = iota // from the start until the header is complete
+	phaseBody                    // until the body is complete, unless the handler does something else meanwhile
+	phaseServing                 // the request is complete and is being handled
+	phaseResponding              // the handler has returned; the rest of the response is being sent
+	phaseRest                    // the same, and the handler has not read the body to its end
 	phaseIdle
 	phaseLink // taken over by a peer link
 )
@@ -22,9 +23,17 @@
 const (
 	// slowGrace is the time for which the minimum rate is not checked.
 	slowGrace = 2 * time.Second
-	// stalledWrite is the time without progress after which a response may be cut off
-	// under pressure: several round trips, and retransmissions.
+	// stalledWrite is the time without progress after which a response may be cut off to make
+	// room: several round trips, and retransmissions.
 	stalledWrite = time.Second
+	// blockedWrite is the same while many responses make no progress.
+	blockedWrite = 50 * time.Millisecond
+	// stalledRead is the time after which a request that makes no progress is closed before
+	// others that hold more memory.
+	stalledRead = time.Second
+	// yieldingRead is the time for which a large body is left alone by others that need the
+	// memory: one that has begun is worth more than one that has not.
+	yieldingRead = 100 * time.Millisecond
 	// writePart is the most that is written in one call, so that progress is seen.
 	writePart = 16 << 10
 	// headerSlop is what net/http reads beyond MaxHeaderBytes.
@@ -57,42 +66,43 @@
 	gone       bool
 }
 
-// busy reports whether the handler is at work and waits for no data of the client.
-func (c *conn) busy() bool { return c.phase == phaseServing || c.phase == phaseBody && !c.reading }
-
-// rank orders connections by how soon they are closed. Zero means never.
-type rank struct {
-	idle time.Duration
-	cost float64
+// busy reports whether the server is at work, or has yet to begin, and waits for no data of the
+// client.
+func (c *conn) busy() bool {
+	switch c.phase {
+	case phaseServing, phaseResponding:
+		return true
+	case phaseHeader:
+		return !c.reading && c.received == 0
+	case phaseBody:
+		return !c.reading
+	}
+	return false
 }
 
-func (r rank) above(o rank) bool {
-	if r.idle != o.idle {
-		return r.idle > o.idle
-	}
-	return r.cost > o.cost
+// isBlocked reports whether a response has made no progress for a while.
+func (c *conn) isBlocked(now time.Time) bool {
+	return !c.writing.IsZero() && now.Sub(c.writing) >= blockedWrite
 }
 
-// rank returns the place of the connection. The cost of a request that is being received
-// is the memory it holds times the time for which nothing has arrived; a tenth of the whole
-// time counts too, so that single bytes now and then do not hide a stalled request.
-func (c *conn) rank(now time.Time) rank {
+// waiting returns for how long the server has waited for the client. ok is false if the
+// connection must not be closed to make room, writeGrace the time for which a response may make
+// no progress. A tenth of the whole time of a request counts too, so that single bytes now and
+// then do not hide a stalled request.
+func (c *conn) waiting(now time.Time, writeGrace time.Duration) (d time.Duration, ok bool) {
 	const wholeTimePart = 10
 	switch {
 	case c.phase == phaseIdle:
-		return rank{idle: max(1, now.Sub(c.began))}
+		return now.Sub(c.began), true
 	case c.phase == phaseLink && now.Sub(c.began) >= linkProbation:
-		return rank{}
+		return 0, false
 	case !c.writing.IsZero():
-		if now.Sub(c.writing) < stalledWrite {
-			return rank{}
-		}
-		return rank{cost: float64(c.held) * now.Sub(c.writing).Seconds()}
+		d = now.Sub(c.writing)
+		return d, d >= writeGrace
 	case c.busy():
-		return rank{}
+		return 0, false
 	}
-	waiting := now.Sub(c.moved) + now.Sub(c.began)/wholeTimePart
-	return rank{cost: float64(c.held) * max(waiting.Seconds(), 1e-9)}
+	return now.Sub(c.moved) + now.Sub(c.began)/wholeTimePart, true
 }
 
 // overdue returns why the connection is to be closed, or "".
@@ -141,16 +151,8 @@
 func (c *conn) enterLocked(p phase) {
 	c.phase, c.received, c.began = p, 0, clock.Now()
 	c.moved = c.began
-	if p == phaseRest || p == phaseIdle || p == phaseLink {
-		c.releaseLocked()
-	}
-}
-
-// releaseLocked returns what the request held.
-func (c *conn) releaseLocked() {
-	if !c.gone {
-		c.guard.used -= c.held - connectionBytes
-		c.held = connectionBytes
+	if p == phaseResponding || p == phaseRest || p == phaseIdle || p == phaseLink {
+		c.guard.charge(c, connectionBytes-c.held) // what the request held
 	}
 }
 
@@ -172,7 +174,7 @@
 	c.moved = clock.Now()
 	c.received += int64(n)
 	if c.phase == phaseHeader && c.received <= int64(c.guard.cfg.HeaderBytes+headerSlop) {
-		if refused := c.guard.reserveLocked(c, int64(n)*headerFactor); refused != nil {
+		if refused := c.guard.reserveLocked(c, int64(n)*headerFactor, c.moved); refused != nil {
 			return 0, refused
 		}
 	}
--- a/connlimit/guard.go
+++ b/connlimit/guard.go
@@ -86,8 +86,11 @@
 	once    sync.Once
 
 	mu    sync.Mutex
-	used  int64
 	conns map[*conn]struct{}
+	// ordinary and privileged are what the connections of each kind hold, large the part of
+	// it that large requests hold beyond ordinaryBytes.
+	ordinary, privileged usage
+	large                int64
 }
 
 // New returns a Guard and registers its metrics. Close must be called.
@@ -145,11 +148,17 @@
 
 // admit adds a connection, making room if necessary.
 func (g *Guard) admit(c *conn) bool {
-	limit, memory := g.limitsOf(c)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for len(g.conns) >= limit || g.used+connectionBytes > memory {
-		victim := g.victim(c.began)
+	for {
+		lacking := needConnection
+		if g.hasConnection(c) {
+			if g.hasMemory(c, connectionBytes) {
+				break
+			}
+			lacking = needMemory
+		}
+		victim := g.victim(c, lacking, c.began)
 		if victim == nil {
 			g.metrics.add(c.listener, reasonRefused)
 			return false
@@ -157,58 +166,38 @@
 		g.evict(victim, reasonOf(victim))
 	}
 	g.conns[c] = struct{}{}
-	c.held = connectionBytes
-	g.used += connectionBytes
+	g.usageOf(c).connections++
+	g.charge(c, connectionBytes)
 	return true
 }
 
-// limitsOf returns the number of connections and the memory up to which a connection may use
-// more.
-func (g *Guard) limitsOf(c *conn) (connections int, memory int64) {
-	connections, memory = g.cfg.Connections, g.cfg.MemoryBytes
-	if !c.privileged {
-		connections -= connections / privilegedPart
-		memory -= memory / privilegedMemoryPart
-	}
-	return connections, memory
-}
-
 // reserve charges n bytes to a connection, making room if necessary.
 func (g *Guard) reserve(c *conn, n int64) error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.reserveLocked(c, n)
+	return g.reserveLocked(c, n, clock.Now())
 }
 
-func (g *Guard) reserveLocked(c *conn, n int64) error {
+func (g *Guard) reserveLocked(c *conn, n int64, now time.Time) error {
 	if c.gone {
 		return net.ErrClosed
 	}
-	_, memory := g.limitsOf(c)
-	for g.used+n > memory {
-		victim := g.victim(clock.Now())
+	more := excess(c.held+n) - excess(c.held)
+	lacking := needMemory
+	if more > 0 {
+		lacking = needLargeMemory
+	}
+	for !g.hasMemory(c, n) || more > 0 && !g.hasLargeMemory(c, more) {
+		victim := g.victim(c, lacking, now)
 		if victim == nil || victim == c {
 			return ErrOverload
 		}
 		g.evict(victim, reasonOf(victim))
 	}
-	c.held += n
-	g.used += n
+	g.charge(c, n)
 	return nil
 }
 
-// victim returns the connection to be closed next, or nil.
-func (g *Guard) victim(now time.Time) *conn {
-	var worst *conn
-	var worstRank rank
-	for c := range g.conns {
-		if r := c.rank(now); r.above(worstRank) {
-			worst, worstRank = c, r
-		}
-	}
-	return worst
-}
-
 // evict closes a connection and counts it as gone.
 func (g *Guard) evict(c *conn, reason string) {
 	g.remove(c)
@@ -217,17 +206,18 @@
 }
 
 func (g *Guard) remove(c *conn) {
-	if c.gone || c.held == 0 {
+	if _, admitted := g.conns[c]; !admitted {
 		return
 	}
+	g.charge(c, -c.held)
+	g.usageOf(c).connections--
 	c.gone = true
-	g.used -= c.held
 	delete(g.conns, c)
 }
 
 // pressure reports whether half of a limit is in use.
 func (g *Guard) pressure() bool {
-	return 2*g.used > g.cfg.MemoryBytes || 2*len(g.conns) > g.cfg.Connections
+	return 2*g.bytes() > g.cfg.MemoryBytes || 2*g.connections() > g.cfg.Connections
 }
 
 func (g *Guard) sweepUntilClosed() {
--- a/connlimit/guard_test.go
+++ b/connlimit/guard_test.go
@@ -36,9 +36,10 @@
 	t.Helper()
 	inner, other := net.Pipe()
 	t.Cleanup(func() { _ = other.Close() })
-	c := &conn{Conn: inner, guard: g, listener: "test", phase: p, began: began, moved: moved, held: held, reading: true}
+	c := &conn{Conn: inner, guard: g, listener: "test", phase: p, began: began, moved: moved, reading: true}
 	g.conns[c] = struct{}{}
-	g.used += held
+	g.ordinary.connections++
+	g.charge(c, held)
 	return c
 }
 
@@ -67,7 +68,7 @@
 	older := g.fake(t, phaseIdle, connectionBytes, at(8), at(8))
 	names := map[*conn]string{ordinary: "ordinary", moving: "moving", silent: "silent", stalled: "stalled", idle: "idle", older: "older idle"}
 	for _, want := range []*conn{older, idle, stalled, silent, moving, ordinary, nil} {
-		got := g.victim(at(10))
+		got := g.victim(&conn{}, needMemory, at(10))
 		if got != want {
 			t.Fatalf("closed %s, want %s", names[got], names[want])
 		}
@@ -175,7 +176,7 @@
 	http.DefaultClient.CloseIdleConnections()
 	for n := 0; ; n++ {
 		g.mu.Lock()
-		used, open := g.used, len(g.conns)
+		used, open := g.bytes(), len(g.conns)
 		g.mu.Unlock()
 		if used == 0 && open == 0 {
 			return
@@ -352,11 +353,11 @@
 	g := newGuard(testConfig())
 	young := g.fake(t, phaseLink, connectionBytes, at(8), at(8))
 	g.fake(t, phaseLink, connectionBytes, at(1), at(1))
-	if got := g.victim(at(10)); got != young {
+	if got := g.victim(&conn{}, needMemory, at(10)); got != young {
 		t.Error("the young link is not closed first")
 	}
 	g.evict(young, reasonOf(young))
-	if g.victim(at(10)) != nil {
+	if g.victim(&conn{}, needMemory, at(10)) != nil {
 		t.Error("an established link is closed")
 	}
 }
@@ -373,7 +374,7 @@
 	inner, _ := net.Pipe()
 	privileged := &conn{Conn: inner, guard: g, listener: "ready", began: clock.Now(), moved: clock.Now(), privileged: true}
 	if !g.admit(privileged) {
-		t.Errorf("%d of %d bytes are used", g.used, cfg.MemoryBytes)
+		t.Errorf("%d of %d bytes are used", g.bytes(), cfg.MemoryBytes)
 	}
 }
 
--- a/connlimit/handler.go
+++ b/connlimit/handler.go
@@ -72,7 +72,11 @@
 func (c *conn) endRequest() {
 	c.guard.mu.Lock()
 	defer c.guard.mu.Unlock()
-	if c.phase != phaseLink {
+	switch c.phase {
+	case phaseLink:
+	case phaseServing:
+		c.enterLocked(phaseResponding)
+	default:
 		c.enterLocked(phaseRest)
 	}
 }
--- a/connlimit/metrics.go
+++ b/connlimit/metrics.go
@@ -63,7 +63,7 @@
 // Collect implements prometheus.Collector.
 func (m *metrics) Collect(ch chan<- prometheus.Metric) {
 	m.guard.mu.Lock()
-	open, used, counts := len(m.guard.conns), m.guard.used, maps.Clone(m.counts)
+	open, used, counts := m.guard.connections(), m.guard.bytes(), maps.Clone(m.counts)
 	m.guard.mu.Unlock()
 	ch <- prometheus.MustNewConstMetric(m.open, prometheus.GaugeValue, float64(open))
 	ch <- prometheus.MustNewConstMetric(m.used, prometheus.GaugeValue, float64(used))
