connlimit: without room for all, a connection serves one request

Cause: a connection that always has its next request at hand is never closed, since its request is being handled. 192 connections that last a second admit 192 callers a second, and the crowd alone comes back several thousand times a second.

For a second after there was no room, other than that of idle connections, responses to callers and operators carry Connection: close. No request is lost by that: the next ones on the connection have not been read.

--- a/cmd/magnoliastand/cluster_test.go
+++ b/cmd/magnoliastand/cluster_test.go
@@ -32,6 +32,10 @@
 		main()
 		return
 	}
+	if os.Getenv(runAsCrowd) != "" {
+		crowdMain()
+		return
+	}
 	code := m.Run()
 	removeProgram()
 	os.Exit(code)
--- a/connlimit/guard.go
+++ b/connlimit/guard.go
@@ -34,6 +34,9 @@
 	memoryPart = 4
 	// minMemoryBytes holds a body of 3 MiB beside others.
 	minMemoryBytes = 16 << 20
+	// shortageTime is for how long after a shortage of room connections are closed after their
+	// response.
+	shortageTime = time.Second
 	// descriptorPart of the descriptors, one in so many, may be inbound connections; the
 	// others are for outbound connections and files.
 	descriptorPart = 2
@@ -91,6 +94,9 @@
 	// it that large requests hold beyond ordinaryBytes.
 	ordinary, privileged usage
 	large                int64
+	// shortage is when a connection was last closed or rejected for want of room, other than
+	// an idle one.
+	shortage time.Time
 }
 
 // New returns a Guard and registers its metrics. Close must be called.
@@ -160,10 +166,11 @@
 		}
 		victim := g.victim(c, lacking, c.began)
 		if victim == nil {
+			g.shortage = c.began
 			g.metrics.add(c.listener, reasonRefused)
 			return false
 		}
-		g.evict(victim, reasonOf(victim))
+		g.makeRoom(victim, c.began)
 	}
 	g.conns[c] = struct{}{}
 	g.usageOf(c).connections++
@@ -190,14 +197,26 @@
 	for !g.hasMemory(c, n) || more > 0 && !g.hasLargeMemory(c, more) {
 		victim := g.victim(c, lacking, now)
 		if victim == nil || victim == c {
+			g.shortage = now
 			return ErrOverload
 		}
-		g.evict(victim, reasonOf(victim))
+		g.makeRoom(victim, now)
 	}
 	g.charge(c, n)
 	return nil
 }
 
+// makeRoom closes a connection for another one.
+func (g *Guard) makeRoom(victim *conn, now time.Time) {
+	if victim.phase != phaseIdle {
+		g.shortage = now
+	}
+	g.evict(victim, reasonOf(victim))
+}
+
+// isShort reports whether there was no room for all connections shortly before.
+func (g *Guard) isShort(now time.Time) bool { return now.Sub(g.shortage) < shortageTime }
+
 // evict closes a connection and counts it as gone.
 func (g *Guard) evict(c *conn, reason string) {
 	g.remove(c)
--- a/connlimit/handler.go
+++ b/connlimit/handler.go
@@ -7,6 +7,8 @@
 	"net"
 	"net/http"
 	"strconv"
+
+	"magnoliastand.example/clock"
 )
 
 type connKey struct{}
@@ -63,10 +65,21 @@
 			w = &refusingWriter{ResponseWriter: w, body: b}
 		}
 		defer c.endRequest()
+		if c.endsAfterResponse() {
+			w.Header().Set("Connection", "close")
+		}
 		next.ServeHTTP(w, r)
 	})
 }
 
+// endsAfterResponse reports whether the connection is to serve no further request: without room
+// for all, a client that sends one request after another must not keep out the others.
+func (c *conn) endsAfterResponse() bool {
+	c.guard.mu.Lock()
+	defer c.guard.mu.Unlock()
+	return !c.privileged && c.guard.isShort(clock.Now())
+}
+
 // endRequest begins the time in which net/http sends the rest of the response and reads the
 // rest of the body.
 func (c *conn) endRequest() {
--- a/connlimit/room_test.go
+++ b/connlimit/room_test.go
@@ -4,8 +4,11 @@
 	"container/heap"
 	"math/rand/v2"
 	"net"
+	"net/http"
 	"testing"
 	"time"
+
+	"magnoliastand.example/clock"
 )
 
 // fill adds connections of callers that hold as much as they get, in requests of n bytes each.
@@ -317,3 +320,35 @@
 		}
 	}
 }
+
+// TestConnectionEndsAfterResponseInShortage guards against clients that keep their connection with
+// one request after another while others get none. Idle connections that are replaced are no
+// shortage.
+func TestConnectionEndsAfterResponseInShortage(t *testing.T) {
+	g, address := serve(t, testConfig())
+	closes := func() bool {
+		resp, err := http.Get("http://" + address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = resp.Body.Close()
+		return resp.Close
+	}
+	makeRoom := func(p phase) {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.makeRoom(g.fake(t, p, connectionBytes, clock.Now(), clock.Now()), clock.Now())
+	}
+	if makeRoom(phaseIdle); closes() {
+		t.Error("closed although only an idle connection had to give way")
+	}
+	if makeRoom(phaseHeader); !closes() {
+		t.Error("kept in a shortage")
+	}
+	g.mu.Lock()
+	g.shortage = clock.Now().Add(-shortageTime)
+	g.mu.Unlock()
+	if closes() {
+		t.Error("closed after the shortage")
+	}
+}
