connlimit: connections are closed outside of the mutex

Cause: a connection was closed, with megabytes of unread data in the kernel, while the mutex was held that every read and write needs.

Evicted connections leave the account at once and are closed after the mutex is released.

--- a/connlimit/conn.go
+++ b/connlimit/conn.go
@@ -163,7 +163,7 @@
 	c.guard.mu.Unlock()
 	n, err := c.Conn.Read(p)
 	c.guard.mu.Lock()
-	defer c.guard.mu.Unlock()
+	defer c.guard.unlock()
 	c.reading = false
 	if n == 0 {
 		return n, err
--- a/connlimit/guard.go
+++ b/connlimit/guard.go
@@ -97,6 +97,8 @@
 	// shortage is when a connection was last closed or rejected for want of room, other than
 	// an idle one.
 	shortage time.Time
+	// evicted are connections to be closed by unlock.
+	evicted []*conn
 }
 
 // New returns a Guard and registers its metrics. Close must be called.
@@ -155,7 +157,7 @@
 // admit adds a connection, making room if necessary.
 func (g *Guard) admit(c *conn) bool {
 	g.mu.Lock()
-	defer g.mu.Unlock()
+	defer g.unlock()
 	for {
 		lacking := needConnection
 		if g.hasConnection(c) {
@@ -181,7 +183,7 @@
 // reserve charges n bytes to a connection, making room if necessary.
 func (g *Guard) reserve(c *conn, n int64) error {
 	g.mu.Lock()
-	defer g.mu.Unlock()
+	defer g.unlock()
 	return g.reserveLocked(c, n, clock.Now())
 }
 
@@ -217,11 +219,22 @@
 // isShort reports whether there was no room for all connections shortly before.
 func (g *Guard) isShort(now time.Time) bool { return now.Sub(g.shortage) < shortageTime }
 
-// evict closes a connection and counts it as gone.
+// evict takes a connection out of the account; unlock closes it.
 func (g *Guard) evict(c *conn, reason string) {
 	g.remove(c)
 	g.metrics.add(c.listener, reason)
-	c.abort()
+	g.evicted = append(g.evicted, c)
+}
+
+// unlock releases the mutex and closes the evicted connections, which takes the kernel longer
+// than all that is done under the mutex.
+func (g *Guard) unlock() {
+	evicted := g.evicted
+	g.evicted = nil
+	g.mu.Unlock()
+	for _, c := range evicted {
+		c.abort()
+	}
 }
 
 func (g *Guard) remove(c *conn) {
@@ -263,6 +276,6 @@
 		}
 	}
 	due := g.metrics.takeReport(now)
-	g.mu.Unlock()
+	g.unlock()
 	report(due, g.cfg.Log) // a blocked log must not block the connections
 }
