connlimit: a header without memory is answered 503, not 400

Callers and operators got 400 Bad Request for a correct request while the memory of connections was used up; 400 tells them not to try again.

Cause: the read of the connection failed with an error that net/http takes for a malformed request.

The connection answers 503 with Retry-After itself, the same text as for a body, and returns an error of the network, which net/http does not answer. With TLS it is only closed. TestHeaderWithoutMemoryIsRejected got 400 before.

--- a/connlimit/conn.go
+++ b/connlimit/conn.go
@@ -1,6 +1,8 @@
 package connlimit
 
 import (
+	"errors"
+	"fmt"
 	"net"
 	"time"
 
@@ -63,7 +65,9 @@
 	reading bool
 	// privileged connections may use the part of the limits that others may not.
 	privileged bool
-	gone       bool
+	// plain connections carry HTTP without TLS.
+	plain bool
+	gone  bool
 }
 
 // busy reports whether the server is at work, or has yet to begin, and waits for no data of the
@@ -162,23 +166,38 @@
 	c.reading = true
 	c.guard.mu.Unlock()
 	n, err := c.Conn.Read(p)
+	refused := c.noteRead(n)
+	if refused == nil {
+		return n, err
+	}
+	if errors.Is(refused, ErrOverload) && c.plain {
+		_, _ = c.Write([]byte(headerRejection)) // an error means that the client is gone
+	}
+	// net/http answers other errors with 400, which tells the caller not to try again.
+	return 0, &net.OpError{Op: "read", Net: "tcp", Err: refused}
+}
+
+// headerRejection is the response to a request whose header there is no memory for.
+var headerRejection = fmt.Sprintf("HTTP/1.1 503 Service Unavailable\r\nContent-Type: application/json\r\nContent-Length: %d\r\n"+
+	"Retry-After: %s\r\nConnection: close\r\n\r\n%s", len(rejectionText), rejectionRetryAfter, rejectionText)
+
+// noteRead accounts for a read that has ended, and charges the bytes of a header.
+func (c *conn) noteRead(n int) error {
 	c.guard.mu.Lock()
 	defer c.guard.unlock()
 	c.reading = false
 	if n == 0 {
-		return n, err
+		return nil
 	}
 	if c.phase == phaseIdle {
 		c.enterLocked(phaseHeader)
 	}
 	c.moved = clock.Now()
 	c.received += int64(n)
-	if c.phase == phaseHeader && c.received <= int64(c.guard.cfg.HeaderBytes+headerSlop) {
-		if refused := c.guard.reserveLocked(c, int64(n)*headerFactor, c.moved); refused != nil {
-			return 0, refused
-		}
+	if c.phase != phaseHeader || c.received > int64(c.guard.cfg.HeaderBytes+headerSlop) {
+		return nil
 	}
-	return n, err
+	return c.guard.reserveLocked(c, int64(n)*headerFactor, c.moved)
 }
 
 // Write implements net.Conn.
--- a/connlimit/handler.go
+++ b/connlimit/handler.go
@@ -29,6 +29,7 @@
 
 func connContext(ctx context.Context, c net.Conn) context.Context {
 	if own := unwrap(c); own != nil {
+		own.plain = c == net.Conn(own)
 		return context.WithValue(ctx, connKey{}, own)
 	}
 	return ctx
@@ -133,6 +134,12 @@
 	}
 }
 
+// The response to a request for which there is no memory.
+const (
+	rejectionText       = `{"error":"the daemon is overloaded; the request has not been executed"}` + "\n"
+	rejectionRetryAfter = "1" // seconds
+)
+
 // refusingWriter answers 503 instead of what the handler answers if the body was refused:
 // the handler only sees that it can't be read.
 type refusingWriter struct {
@@ -152,15 +159,14 @@
 		w.ResponseWriter.WriteHeader(status)
 		return
 	}
-	const text = `{"error":"the daemon is overloaded; the request has not been executed"}` + "\n"
 	w.started, w.refused = true, true
 	h := w.Header()
 	h.Set("Content-Type", "application/json")
-	h.Set("Content-Length", strconv.Itoa(len(text)))
-	h.Set("Retry-After", "1")
+	h.Set("Content-Length", strconv.Itoa(len(rejectionText)))
+	h.Set("Retry-After", rejectionRetryAfter)
 	h.Set("Connection", "close")
 	w.ResponseWriter.WriteHeader(http.StatusServiceUnavailable)
-	_, _ = w.ResponseWriter.Write([]byte(text)) // an error means that the caller is gone
+	_, _ = w.ResponseWriter.Write([]byte(rejectionText)) // an error means that the caller is gone
 }
 
 // Write implements http.ResponseWriter.
--- a/connlimit/room_test.go
+++ b/connlimit/room_test.go
@@ -1,10 +1,14 @@
 package connlimit
 
 import (
+	"bufio"
 	"container/heap"
+	"fmt"
+	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -352,3 +356,27 @@
 		t.Error("closed after the shortage")
 	}
 }
+
+// TestHeaderWithoutMemoryIsRejected guards against callers that get 400, which tells them to give
+// up, for a request whose header there was no memory for.
+func TestHeaderWithoutMemoryIsRejected(t *testing.T) {
+	cfg := testConfig()
+	cfg.MemoryBytes = 2 * connectionBytes
+	_, address := serve(t, cfg)
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	_ = c.SetDeadline(time.Now().Add(10 * time.Second))
+	fmt.Fprintf(c, "GET / HTTP/1.1\r\nHost: h\r\nX: %s\r\n\r\n", strings.Repeat("x", 3000))
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	text, _ := io.ReadAll(resp.Body)
+	_ = resp.Body.Close()
+	if resp.StatusCode != http.StatusServiceUnavailable || resp.Header.Get("Retry-After") == "" || !strings.Contains(string(text), "not been executed") {
+		t.Errorf("%d %s", resp.StatusCode, text)
+	}
+}
