connlimit: a closed connection sends no response

A caller whose body was cut off to make room could get 400, which tells it not to try again, when the rest of the body arrived just before the connection was closed.

Cause: connections are closed after they have left the account, and their handler may answer in between.

A write on a connection that has left the account fails. TestEvictedConnectionSendsNoResponse: 28 bytes were sent before.

--- a/connlimit/conn.go
+++ b/connlimit/conn.go
@@ -205,7 +205,9 @@
 	written := 0
 	for {
 		part := p[written:min(len(p), written+writePart)]
-		c.setWriting(clock.Now())
+		if !c.setWriting(clock.Now()) {
+			return written, net.ErrClosed
+		}
 		n, err := c.Conn.Write(part)
 		written += n
 		if err != nil || written == len(p) {
@@ -215,10 +217,13 @@
 	}
 }
 
-func (c *conn) setWriting(t time.Time) {
+// setWriting notes the time since which a write waits. It returns false if the connection was
+// closed to make room.
+func (c *conn) setWriting(t time.Time) bool {
 	c.guard.mu.Lock()
+	defer c.guard.mu.Unlock()
 	c.writing = t
-	c.guard.mu.Unlock()
+	return !c.gone
 }
 
 // CloseWrite closes the sending side, as net/http does before it closes a connection whose
--- a/connlimit/room_test.go
+++ b/connlimit/room_test.go
@@ -380,3 +380,29 @@
 		t.Errorf("%d %s", resp.StatusCode, text)
 	}
 }
+
+// TestEvictedConnectionSendsNoResponse guards against a handler that answers 400 because the body
+// can't be read any more, on a connection that was closed to make room.
+func TestEvictedConnectionSendsNoResponse(t *testing.T) {
+	g := newGuard(testConfig())
+	c := g.fake(t, phaseBody, connectionBytes, at(0), at(0))
+	written := &recorder{Conn: c.Conn}
+	c.Conn = written
+	g.mu.Lock()
+	g.evict(c, reasonStalled)
+	g.mu.Unlock()
+	if _, err := c.Write([]byte("HTTP/1.1 400 Bad Request\r\n\r\n")); err == nil || written.bytes > 0 {
+		t.Errorf("%d bytes were sent, error %v", written.bytes, err)
+	}
+}
+
+// recorder counts the bytes that are written.
+type recorder struct {
+	net.Conn
+	bytes int
+}
+
+func (r *recorder) Write(p []byte) (int, error) {
+	r.bytes += len(p)
+	return len(p), nil
+}
