connlimit: an unread response holds little in the kernel

300 clients that asked a core for a document of 0.9 MB and read no answer made the kernel hold 1,116 MB, beside 47 MB of the process: a machine of 96 MB runs out of memory.

Cause: nothing bounded the send buffers. The kernel takes up to 4 MB for a connection (tcp_wmem), and the accounting charges no responses.

Accepted connections get TCP_NOTSENT_LOWAT of 32 KiB: what has been sent and not acknowledged isn't limited, so that a fast reader is served as before, but a client that receives nothing costs 32 KiB and one write. Set on the listener it had no effect, since the listeners of this Go are MPTCP sockets that do not pass it on.

--- a/cmd/magnoliastand/uncontrolled_test.go
+++ b/cmd/magnoliastand/uncontrolled_test.go
@@ -636,3 +636,19 @@
 func TestServeUnderSlowReaders(t *testing.T) {
 	floodServe(t, 400, fewDescriptors, readOfHealth, slowReader)
 }
+
+// TestCoreUnderSlowReadersOfLargeDocument guards against responses that are not read and fill the
+// kernel's send buffers: 300 clients with up to 1 MB each.
+func TestCoreUnderSlowReadersOfLargeDocument(t *testing.T) {
+	s := newSystem(t, manyDescriptors, manyDescriptors)
+	const routes = 4000
+	var b strings.Builder
+	for n := range routes {
+		fmt.Fprintf(&b, `{"name":"q%d","host":"h","path_prefix":"/%d%s/","service":"p","timeout_ms":3000,"target_latency_ms":600,`+
+			`"max_attempts":50,"stretch":2,"public":true},`, n, n, strings.Repeat("x", 100))
+	}
+	doc := `{"version":2,"routes":[` + strings.TrimSuffix(b.String(), ",") + `],"services":[{"name":"p"}],"tenants":[]}`
+	await(t, s.core, "acceptance of the document", func() bool { return answered("POST", "http://"+s.control()+"/config/put", doc) })
+	f := flood{clients: 300, send: slowReader, target: readOfFleet, memoryMB: coreMB, descriptors: manyDescriptors, maxDescriptors: manyDescriptors - reservedDescriptors}
+	f.run(s.core, s.control(), s.readDocument)
+}
--- a/connlimit/guard.go
+++ b/connlimit/guard.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
+	"golang.org/x/sys/unix"
 
 	"magnoliastand.example/clock"
 )
@@ -26,6 +27,8 @@
 	bodyFactor = 3
 	// receiveBuffer bounds what the kernel holds of a connection that is not read.
 	receiveBuffer = 32 << 10
+	// unsentBytes bounds what the kernel holds of a response that the client does not receive.
+	unsentBytes = 32 << 10
 	// privilegedPart of the connections, one in so many, is left to privileged listeners.
 	privilegedPart = 4
 	// privilegedMemoryPart is the same for the memory: probes and links need little of it.
@@ -126,21 +129,20 @@
 // privileged listener may use a part of the limit that others may not.
 func (g *Guard) Listener(name string, l net.Listener, privileged bool) net.Listener {
 	if tcp, ok := l.(*net.TCPListener); ok && !privileged {
-		setReceiveBuffer(tcp)
+		// Connections inherit it, and so have it before they are accepted.
+		setOption(tcp, unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBuffer)
 	}
 	return &listener{Listener: l, guard: g, name: name, privileged: privileged}
 }
 
-// setReceiveBuffer limits the receive buffers of connections from before they are accepted. An
-// error leaves the default, which is larger and works too.
-func setReceiveBuffer(l *net.TCPListener) {
-	raw, err := l.SyscallConn()
+// setOption sets an option of a socket that limits what the kernel holds for it. An error leaves
+// the default, which is larger and works too.
+func setOption(socket syscall.Conn, level, option, value int) {
+	raw, err := socket.SyscallConn()
 	if err != nil {
 		return
 	}
-	_ = raw.Control(func(fd uintptr) {
-		_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBuffer)
-	})
+	_ = raw.Control(func(fd uintptr) { _ = unix.SetsockoptInt(int(fd), level, option, value) })
 }
 
 type listener struct {
@@ -157,6 +159,10 @@
 		if err != nil {
 			return nil, err
 		}
+		if tcp, ok := inner.(*net.TCPConn); ok {
+			// Unlike a smaller send buffer, this does not limit what is on its way to the client.
+			setOption(tcp, unix.IPPROTO_TCP, unix.TCP_NOTSENT_LOWAT, unsentBytes)
+		}
 		now := clock.Now()
 		c := &conn{Conn: inner, guard: l.guard, listener: l.name, began: now, moved: now, privileged: l.privileged}
 		if l.guard.admit(c) {
