--- a/cmd/magnoliastand/returning_test.go
+++ b/cmd/magnoliastand/returning_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -273,3 +274,38 @@
 	coreBesideCrowd(t, "slow-readers", readOfFleet)
 }
 func TestCoreBesideReturningKinds(t *testing.T) { coreBesideCrowd(t, "core-kinds", announcement) }
+
+// endsBesideCrowd checks that a process ends in order, within its grace period, while a crowd holds
+// its connections and comes back, and that it serves ordinary callers once it is started again.
+func endsBesideCrowd(t *testing.T, p *process, crowd, address, target string, ordinary func() bool) {
+	t.Helper()
+	w := startCrowd(t, crowd, address, target)
+	for range 2 {
+		if err := p.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+			t.Fatal(err)
+		}
+		select {
+		case <-p.exited:
+		case <-time.After(floodGraceS * time.Second):
+			t.Fatalf("%s has not ended within its grace period", p.name)
+		}
+		if code := p.cmd.ProcessState.ExitCode(); code != 0 {
+			t.Errorf("%s: exit code %d", p.name, code)
+		}
+		p = p.restart()
+		await(t, p, "an answer beside the crowd", ordinary)
+	}
+	t.Logf("%s connections of the crowd", w.stop())
+	await(t, p, "an answer after the crowd", ordinary)
+}
+
+func TestEdgeEndsBesideCrowd(t *testing.T) {
+	s := newSystem(t, manyDescriptors, returningDescriptors)
+	await(t, s.edge, "an answer before the crowd", s.submit)
+	endsBesideCrowd(t, s.edge, "edge-kinds", s.callers(), submission, s.submit)
+}
+
+func TestCoreEndsBesideCrowd(t *testing.T) {
+	s := newSystem(t, returningDescriptors, manyDescriptors)
+	endsBesideCrowd(t, s.core, "core-kinds", s.control(), announcement, s.readDocument)
+}
--- a/cmd/magnoliastand/uncontrolled_test.go
+++ b/cmd/magnoliastand/uncontrolled_test.go
@@ -43,7 +43,9 @@
 	// connections are.
 	manyDescriptors, fewDescriptors = 1024, 256
 	reservedDescriptors             = 32
-	edgeMB, coreMB, serveMB         = 64, 96, 96
+	// floodGraceS is the time, in seconds, after which a process that is to end is killed.
+	floodGraceS             = 4
+	edgeMB, coreMB, serveMB = 64, 96, 96
 	// jobBytes is the largest body that the callers' listener of an edge accepts.
 	jobBytes = 256 << 10
 	// announcementBytes is half of the largest announcement.
@@ -72,11 +74,13 @@
 
 // process is a daemon under test.
 type process struct {
-	t      *testing.T
-	name   string
-	cmd    *exec.Cmd
-	log    string
-	exited chan struct{}
+	t           *testing.T
+	name        string
+	settings    string
+	descriptors int
+	cmd         *exec.Cmd
+	log         string
+	exited      chan struct{}
 	// ip is the address of the process's listeners.
 	ip string
 	// maxOpen is the largest number of open descriptors seen.
@@ -98,7 +102,7 @@
 	if err := os.WriteFile(file, []byte(settings), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	p := &process{t: t, name: role, log: filepath.Join(dir, role+".log"), exited: make(chan struct{})}
+	p := &process{t: t, name: role, settings: settings, descriptors: descriptors, log: filepath.Join(dir, role+".log"), exited: make(chan struct{})}
 	log, err := os.Create(p.log)
 	if err != nil {
 		t.Fatal(err)
@@ -123,6 +127,14 @@
 	return p
 }
 
+// restart starts the program again after it has ended.
+func (p *process) restart() *process {
+	p.t.Helper()
+	next := startProcess(p.t, p.name, p.settings, p.descriptors)
+	next.ip = p.ip
+	return next
+}
+
 // alive reports whether the process still runs.
 func (p *process) alive() bool {
 	select {
@@ -406,8 +418,8 @@
 		var b strings.Builder
 		fmt.Fprintf(&b, "name: %s\nip: %s\navailability_zone: z\npeer_port: %d\npeer_secret: secret-of-the-flood-tests\nmetrics_port: %d\n",
 			role, s.ip(n), floodPeerPort, floodMetricsPort)
-		fmt.Fprintf(&b, "seeds: [\"%s\"]\nform_cluster: true\nlost_disks: 0\nannounce_ms: 300\ncatch_up_s: 2\ngrace_s: 4\nmax_lease_ms: 2500\n"+
-			"keep_finished_s: 600\nmigrate_s: 1\nmaintain_s: 1\npace_ms: 100\nlog_level: info\n", s.control())
+		fmt.Fprintf(&b, "seeds: [\"%s\"]\nform_cluster: true\nlost_disks: 0\nannounce_ms: 300\ncatch_up_s: 2\ngrace_s: %d\nmax_lease_ms: 2500\n"+
+			"keep_finished_s: 600\nmigrate_s: 1\nmaintain_s: 1\npace_ms: 100\nlog_level: info\n", s.control(), floodGraceS)
 		if role == "core" {
 			fmt.Fprintf(&b, "operators_listen: %s\ndata_folder: %s\nmemory_mb: %d\n", s.control(), filepath.Join(t.TempDir(), "data"), coreMB)
 			s.core = startProcess(t, role, b.String(), coreDescriptors)
