--- a/cmd/magnoliastand/uncontrolled_test.go
+++ b/cmd/magnoliastand/uncontrolled_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/sha256"
+	"crypto/tls"
 	"encoding/hex"
 	"fmt"
 	"net"
@@ -478,29 +479,78 @@
 	f.run(s.core, s.control(), s.readDocument)
 }
 
-// floodServe loads the callers' listener of the product's own daemon.
-func floodServe(t *testing.T, clients, descriptors int, target string, send func(net.Conn, string)) {
+// floodedServe is the product's own daemon.
+type floodedServe struct {
+	process *process
+	member  *member
+}
+
+func (s *floodedServe) request() bool {
+	return answered("POST", "http://"+s.member.callers+"/v1/queues/quote/requests", "{}")
+}
+
+// newServe starts a daemon with some more settings and puts a document in force.
+func newServe(t *testing.T, descriptors int, more func(m *member) string) *floodedServe {
 	t.Helper()
 	host := fmt.Sprintf("127.%d.12.1", claimNetwork(t))
-	callers, operators, peers := host+":7100", host+":7200", host+":7300"
+	m := &member{name: "z-1", zone: "z", callers: host + ":7100", operators: host + ":7200", peers: host + ":7300"}
 	sum := sha256.Sum256([]byte(testOperatorKey))
 	p := startProcess(t, "serve", fmt.Sprintf("name: z-1\ncluster: test\navailability_zone: z\n"+
 		"listen: {callers: %q, operators: %q, peers: %q}\npeers:\n  - {name: z-1, availability_zone: z, address: %q}\n"+
 		"peer_secret: 0123456789abcdef0123456789abcdef\nfirst_voters: [z-1]\ndata_folder: %q\n"+
-		"operators: [{name: tests, key_sha256: %s}]\nlimits: {memory_mb: %d}\n", callers, operators, peers, peers,
-		filepath.Join(t.TempDir(), "data"), hex.EncodeToString(sum[:]), serveMB), descriptors)
+		"operators: [{name: tests, key_sha256: %s}]\nlimits: {memory_mb: %d}\n%s", m.callers, m.operators, m.peers, m.peers,
+		filepath.Join(t.TempDir(), "data"), hex.EncodeToString(sum[:]), serveMB, more(m)), descriptors)
 	p.ip = host
-	c := &cluster{t: t, dir: t.TempDir(), meter: standin.NewTeamMeter(),
-		members: []*member{{name: "z-1", zone: "z", callers: callers, operators: operators, peers: peers}}}
+	c := &cluster{t: t, dir: t.TempDir(), meter: standin.NewTeamMeter(), members: []*member{m}}
 	t.Cleanup(func() {
 		for _, e := range c.endpoints {
 			e.Close()
 		}
 	})
-	c.mustOperator(c.members[0], http.MethodPost, "/v1/document?base=0&operation=set-up&wait=10s", c.document(20))
+	c.mustOperator(m, http.MethodPost, "/v1/document?base=0&operation=set-up&wait=10s", c.document(20))
 	c.startEndpoints(1, quickRun)
+	return &floodedServe{process: p, member: m}
+}
+
+// floodServe loads the callers' listener of the product's own daemon.
+func floodServe(t *testing.T, clients, descriptors int, target string, send func(net.Conn, string)) {
+	t.Helper()
+	s := newServe(t, descriptors, func(*member) string { return "" })
 	f := flood{clients: clients, send: send, target: target, memoryMB: serveMB, descriptors: descriptors, maxDescriptors: descriptors - reservedDescriptors}
-	f.run(p, callers, func() bool { return answered("POST", "http://"+callers+"/v1/queues/quote/requests", "{}") })
+	f.run(s.process, s.member.callers, s.request)
+}
+
+// TestServeUnderHandshakes guards against clients that begin a TLS handshake with the peers'
+// listener, stop half way through it or at its end, and keep their connections.
+func TestServeUnderHandshakes(t *testing.T) {
+	dir := t.TempDir()
+	s := newServe(t, fewDescriptors, func(m *member) string {
+		a := newAuthority(t, dir, "own")
+		a.issue(m)
+		file := func(name string) string { return filepath.Join(dir, name) }
+		return fmt.Sprintf("peer_tls: {cert_file: %q, key_file: %q, ca_file: %q}\n", file(m.name+".pem"), file(m.name+".key"), file("own.pem"))
+	})
+	hello := clientHello(t)
+	for _, part := range [][]byte{hello, hello[:len(hello)/2], hello[:3]} {
+		f := flood{clients: 400, send: func(c net.Conn, _ string) { _, _ = c.Write(part) }, memoryMB: serveMB,
+			descriptors: fewDescriptors, maxDescriptors: fewDescriptors - reservedDescriptors}
+		f.run(s.process, s.member.peers, s.request)
+	}
+}
+
+// clientHello returns the first message of a TLS handshake.
+func clientHello(t *testing.T) []byte {
+	t.Helper()
+	client, server := net.Pipe()
+	defer client.Close()
+	defer server.Close()
+	go func() { _ = tls.Client(client, &tls.Config{ServerName: "h"}).Handshake() }()
+	message := make([]byte, 4<<10)
+	n, err := server.Read(message)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return message[:n]
 }
 
 const (
