system: the least connection_memory_mb holds the largest report

With connection_memory_mb: 12 a core rejected a report of 4 MiB, which the limits allow, with 503 although it had no other request.

Cause: the report is charged with 12 MiB, and the listener of operators may use seven eighths of the setting.

The least value is 16 now; it is also the least default. TestLeastConnectionMemoryHoldsLargestBody got 503 before. A settings file with 12 to 15 is rejected with an error that names the field.

--- a/system/settings.go
+++ b/system/settings.go
@@ -102,7 +102,7 @@
 	// defaultConnectionMemoryMB is used if the memory of the process is not set.
 	defaultConnectionMemoryMB = 256
 	// minConnectionMemoryMB holds one body of the largest size.
-	minConnectionMemoryMB = 12
+	minConnectionMemoryMB = 16
 	// minConnections leaves room for callers, peers and the balancer's check.
 	minConnections = 16
 )
--- a/system/settings_test.go
+++ b/system/settings_test.go
@@ -1,7 +1,11 @@
 package system
 
 import (
+	"bytes"
 	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"strings"
@@ -9,7 +13,10 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
+
+	"magnoliastand.example/connlimit"
 )
 
 const sampleSettings = `name: core-1
@@ -117,7 +124,7 @@
 // no request through, and against defaults that clients within the announced limits reach.
 func TestConnectionSettings(t *testing.T) {
 	for _, line := range []string{
-		"connection_memory_mb: 4", "connection_memory_mb: -1", "connections: 3", "header_bytes: 100", "header_timeout_ms: -1",
+		"connection_memory_mb: 15", "connection_memory_mb: -1", "connections: 3", "header_bytes: 100", "header_timeout_ms: -1",
 		"idle_timeout_ms: -5", "body_timeout_ms: -5", "write_timeout_ms: -5", "min_receive_bytes_per_s: -1",
 		"connection_memory_mb: 40\nmemory_mb: 64", "memory_mb: -1",
 	} {
@@ -155,3 +162,29 @@
 		t.Errorf("no list: %v", err)
 	}
 }
+
+// TestLeastConnectionMemoryHoldsLargestBody guards against a setting that is accepted and with which
+// the largest report of a worker is rejected although there is no other request.
+func TestLeastConnectionMemoryHoldsLargestBody(t *testing.T) {
+	const largestReport = 4 << 20
+	s := Settings{ConnectionMemoryMB: minConnectionMemoryMB}
+	guard := connlimit.New(s.connectionLimits(zerolog.Nop()), prometheus.NewRegistry())
+	defer guard.Close()
+	srv := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if _, err := io.ReadAll(r.Body); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+		}
+	}))
+	guard.Apply(srv.Config)
+	srv.Listener = guard.Listener("operators", srv.Listener, false)
+	srv.Start()
+	defer srv.Close()
+	resp, err := http.Post(srv.URL, "application/json", bytes.NewReader(make([]byte, largestReport)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		t.Errorf("status %d", resp.StatusCode)
+	}
+}
