Soak: crowds of uncontrolled clients beside the other faults

60 clients in a process of their own come back to a core or an edge for 1 to 5 s, with bodies, unread responses or all loads, while daemons are killed, restarted, frozen, cut off or lose their disks, zones are evacuated and workers shrink. The daemons get a limit of 64 connections, which the crowd reaches. The checks are those of before: a job that was refused as not run never starts, accepted ones end, nothing runs twice.

--- a/cmd/magnoliastand/returning_test.go
+++ b/cmd/magnoliastand/returning_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"os/exec"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -36,67 +37,74 @@
 
 // crowdProcess is a crowd as the test sees it.
 type crowdProcess struct {
-	t   *testing.T
 	cmd *exec.Cmd
 	in  io.Closer
 	out *bufio.Reader
 }
 
-// startCrowd starts a crowd and returns when each client has been connected once.
-func startCrowd(t *testing.T, name, address, target string) *crowdProcess {
-	t.Helper()
+// startCrowd starts a crowd of some clients, with some more environment.
+func startCrowd(name, address, target string, clients int, environment ...string) (*crowdProcess, error) {
 	program, err := os.Executable()
 	if err != nil {
-		t.Fatal(err)
+		return nil, err
 	}
 	cmd := exec.Command(program)
-	cmd.Env = append(os.Environ(), fmt.Sprintf("%s=%s,%s,%s", runAsCrowd, name, address, target))
+	cmd.Env = append(append(os.Environ(), fmt.Sprintf("%s=%s,%s,%s,%d", runAsCrowd, name, address, target, clients)), environment...)
 	cmd.Stderr = os.Stderr
 	in, err := cmd.StdinPipe()
 	if err != nil {
-		t.Fatal(err)
+		return nil, err
 	}
 	out, err := cmd.StdoutPipe()
 	if err != nil {
-		t.Fatal(err)
+		return nil, err
 	}
 	if err := cmd.Start(); err != nil {
-		t.Fatal(err)
+		return nil, err
 	}
-	t.Cleanup(func() {
-		_ = cmd.Process.Kill()
-		_ = cmd.Wait()
-	})
-	p := &crowdProcess{t: t, cmd: cmd, in: in, out: bufio.NewReader(out)}
-	p.line()
-	return p
+	return &crowdProcess{cmd: cmd, in: in, out: bufio.NewReader(out)}, nil
 }
 
-func (p *crowdProcess) line() string {
-	p.t.Helper()
-	line, err := p.out.ReadString('\n')
-	if err != nil {
-		p.t.Fatalf("crowd: %v", err)
-	}
-	return strings.TrimSpace(line)
+// connected waits until each client has been connected once.
+func (p *crowdProcess) connected() error {
+	_, err := p.out.ReadString('\n')
+	return err
 }
 
 // stop ends the crowd and returns the number of connections that it has made.
-func (p *crowdProcess) stop() string {
-	p.t.Helper()
+func (p *crowdProcess) stop() (string, error) {
 	_ = p.in.Close()
-	return p.line()
+	rest, err := io.ReadAll(p.out)
+	if err != nil {
+		return "", err
+	}
+	if err := p.cmd.Wait(); err != nil {
+		return "", err
+	}
+	lines := strings.Fields(string(rest))
+	return lines[len(lines)-1], nil
+}
+
+// kill ends the process whatever it does.
+func (p *crowdProcess) kill() {
+	_ = p.cmd.Process.Kill()
+	_ = p.cmd.Wait() // an error means that it has ended
 }
 
 // crowdMain is the process of a crowd. It ends with its input.
 func crowdMain() {
 	arguments := strings.Split(os.Getenv(runAsCrowd), ",")
-	send := crowdLoads[arguments[0]]()
-	w := &crowd{address: arguments[1], target: arguments[2], send: send, end: make(chan struct{})}
-	w.start()
+	clients, err := strconv.Atoi(arguments[3])
+	if err != nil {
+		panic(err)
+	}
+	w := &crowd{address: arguments[1], target: arguments[2], send: crowdLoads[arguments[0]](), end: make(chan struct{})}
+	go func() {
+		_, _ = io.Copy(io.Discard, os.Stdin)
+		close(w.end)
+	}()
+	w.start(clients)
 	fmt.Println("connected")
-	_, _ = io.Copy(io.Discard, os.Stdin)
-	close(w.end)
 	w.wg.Wait()
 	fmt.Println(w.connections.Load())
 }
@@ -110,10 +118,10 @@
 	wg              sync.WaitGroup
 }
 
-// start returns when each client has been connected once.
-func (w *crowd) start() {
+// start returns when each client has been connected once, or the crowd is ended.
+func (w *crowd) start(clients int) {
 	var connected sync.WaitGroup
-	for range returningClients {
+	for range clients {
 		connected.Add(1)
 		first := sync.OnceFunc(connected.Done)
 		w.wg.Go(func() {
@@ -215,11 +223,33 @@
 	ordinaryPause = 100 * time.Millisecond
 )
 
+// mustStartCrowd starts a crowd and returns when each client has been connected once. stop ends
+// it and returns the number of its connections.
+func mustStartCrowd(t *testing.T, name, address, target string) (stop func() string) {
+	t.Helper()
+	w, err := startCrowd(name, address, target, returningClients)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(w.kill)
+	if err := w.connected(); err != nil {
+		t.Fatal(err)
+	}
+	return func() string {
+		t.Helper()
+		n, err := w.stop()
+		if err != nil {
+			t.Fatal(err)
+		}
+		return n
+	}
+}
+
 // besideCrowd checks that ordinary callers are answered while a crowd keeps coming back, and the
 // bounds of the process.
 func besideCrowd(t *testing.T, p *process, memoryMB int, crowd, address, target string, ordinary func() bool) {
 	t.Helper()
-	w := startCrowd(t, crowd, address, target)
+	stop := mustStartCrowd(t, crowd, address, target)
 	unanswered, attempts := 0, 0
 	for range ordinaryCallers {
 		answered := false
@@ -236,7 +266,7 @@
 			t.Fatalf("%s has terminated", p.name)
 		}
 	}
-	connections := w.stop()
+	connections := stop()
 	if unanswered > 0 {
 		t.Errorf("%s: %d of %d ordinary callers had no answer in %d attempts each", p.name, unanswered, ordinaryCallers, ordinaryAttempts)
 	}
@@ -279,7 +309,7 @@
 // its connections and comes back, and that it serves ordinary callers once it is started again.
 func endsBesideCrowd(t *testing.T, p *process, crowd, address, target string, ordinary func() bool) {
 	t.Helper()
-	w := startCrowd(t, crowd, address, target)
+	stop := mustStartCrowd(t, crowd, address, target)
 	for range 2 {
 		if err := p.cmd.Process.Signal(syscall.SIGTERM); err != nil {
 			t.Fatal(err)
@@ -295,7 +325,7 @@
 		p = p.restart()
 		await(t, p, "an answer beside the crowd", ordinary)
 	}
-	t.Logf("%s connections of the crowd", w.stop())
+	t.Logf("%s connections of the crowd", stop())
 	await(t, p, "an answer after the crowd", ordinary)
 }
 
--- a/cmd/magnoliastand/soak_test.go
+++ b/cmd/magnoliastand/soak_test.go
@@ -13,6 +13,7 @@
 	"os/exec"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -40,6 +41,9 @@
 	// soakEvacuated is how long after the acknowledgement of an evacuation starts may still
 	// reach the zone.
 	soakEvacuated = 5 * time.Second
+	// soakCrowd is the number of uncontrolled clients of a crowd, soakConnections the limit of
+	// each daemon, which they reach.
+	soakCrowd, soakConnections = 60, 64
 	// soakDeadly begins the IDs of jobs of which one task crashes each worker that begins it.
 	soakDeadly = "dead"
 )
@@ -107,6 +111,10 @@
 	rndFreeze *rand.Rand
 	// rndZone draws which zones are evacuated, and for how long.
 	rndZone *rand.Rand
+	// rndCrowd draws which daemons uncontrolled clients crowd, how and for how long.
+	rndCrowd *rand.Rand
+	// crowded counts the connections of these clients.
+	crowded int
 	// evacuations are those that were acknowledged, evacuating the zones whose orders are under way.
 	evacuations []soakEvacuation
 	evacuating  map[string]bool
@@ -127,7 +135,8 @@
 func newSoak(t *testing.T, seed uint64) *soak {
 	s := &soak{
 		t: t, rnd: rand.New(rand.NewPCG(seed, 7)), rndCrash: rand.New(rand.NewPCG(seed, 8)),
-		rndCapacity: rand.New(rand.NewPCG(seed, 9)), rndFreeze: rand.New(rand.NewPCG(seed, 10)), rndZone: rand.New(rand.NewPCG(seed, 11)), evacuating: map[string]bool{}, dir: t.TempDir(), net: claimNetwork(t), stop: make(chan struct{}),
+		rndCapacity: rand.New(rand.NewPCG(seed, 9)), rndFreeze: rand.New(rand.NewPCG(seed, 10)), rndZone: rand.New(rand.NewPCG(seed, 11)),
+		rndCrowd: rand.New(rand.NewPCG(seed, 12)), evacuating: map[string]bool{}, dir: t.TempDir(), net: claimNetwork(t), stop: make(chan struct{}),
 		accepted: map[string]bool{}, refused: map[string]bool{},
 	}
 	for n := range soakCores + soakEdges {
@@ -178,7 +187,7 @@
 		fmt.Fprintf(&b, "  - %s:%d\n", o.ip, soakControlPort)
 	}
 	fmt.Fprintf(&b, "form_cluster: %t\nlost_disks: 1\nannounce_ms: 300\ncatch_up_s: 2\ngrace_s: 4\nmax_lease_ms: 2500\n"+
-		"keep_finished_s: 600\nmigrate_s: 1\nmaintain_s: 1\npace_ms: 100\nlog_level: info\n", d.form)
+		"keep_finished_s: 600\nmigrate_s: 1\nmaintain_s: 1\npace_ms: 100\nlog_level: info\nconnections: %d\nconnection_memory_mb: 16\n", d.form, soakConnections)
 	return b.String()
 }
 
@@ -526,6 +535,7 @@
 		}
 		s.changeCapacity()
 		s.evacuateZone(wg)
+		s.crowd(wg)
 		s.freeze()
 		s.fault()
 		s.pause(time.Duration(100+s.rnd.IntN(900)) * time.Millisecond)
@@ -671,6 +681,39 @@
 	})
 }
 
+// crowd lets uncontrolled clients come back to a daemon for a while. It overlaps with the faults
+// that follow; its process gets one processor, so that the daemons keep theirs.
+func (s *soak) crowd(wg *sync.WaitGroup) {
+	draw, n, load := s.rndCrowd.IntN(3), s.rndCrowd.IntN(len(s.daemons)), s.rndCrowd.IntN(3)
+	span := time.Duration(1000+s.rndCrowd.IntN(4000)) * time.Millisecond
+	if draw > 0 {
+		return
+	}
+	d := s.daemons[n]
+	name, address, target := []string{"core-bodies", "core-kinds", "slow-readers"}[load], fmt.Sprintf("%s:%d", d.ip, soakControlPort), announcement
+	if d.role == "edge" {
+		name, address, target = []string{"edge-bodies", "edge-kinds", "slow-readers"}[load], fmt.Sprintf("%s:%d", d.ip, soakCallerPort), submission
+	}
+	s.t.Logf("%s %s is crowded with %s for %s", time.Now().UTC().Format("15:04:05.000"), d.name, name, span)
+	w, err := startCrowd(name, address, target, soakCrowd, "GOMAXPROCS=1")
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	wg.Go(func() {
+		s.pause(span)
+		connections, err := w.stop()
+		if err != nil {
+			w.kill()
+			s.t.Errorf("crowd: %v", err)
+			return
+		}
+		count, _ := strconv.Atoi(connections)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.crowded += count
+	})
+}
+
 // orderZone sends an order for a zone to one core after another until it is acknowledged. It must never
 // be rejected.
 func (s *soak) orderZone(zone, what string) {
@@ -783,8 +826,8 @@
 			s.t.Errorf("task %s ran, and its job was refused as not run", runs[i].Task)
 		}
 	}
-	s.t.Logf("%d jobs accepted, %d refused as not run, %d runs, %d crashes, %d times less capacity, %d configurations read, %d evacuations",
-		len(s.accepted), len(s.refused), len(runs), crashes, s.shrunk, s.reads, len(s.evacuations))
+	s.t.Logf("%d jobs accepted, %d refused as not run, %d runs, %d crashes, %d times less capacity, %d configurations read, %d evacuations, %d uncontrolled connections",
+		len(s.accepted), len(s.refused), len(runs), crashes, s.shrunk, s.reads, len(s.evacuations), s.crowded)
 }
 
 // ends waits until a job ends, and compares its state.
