system: servers of a daemon stop at the same time

While a core ended, a request of an operator that had been read could be cut off without an answer, because another client held a connection to the peers' listener with half a header.

Cause: servers were shut down one after another with one time limit. The first waited for its clients until the time was over, while the next ones still accepted requests, and were then closed at once.

All servers stop accepting at once and share the time. TestStopCutsNoRequestOfAnotherServer failed 3 of 3 before, and passed 5 of 5 with the race detector after.

--- a/system/server.go
+++ b/system/server.go
@@ -142,16 +142,19 @@
 	return nil
 }
 
-// stop waits up to the given time for requests in progress, then closes the
-// remaining connections.
+// stop waits up to the given time for requests in progress, then closes the remaining
+// connections. All servers stop at once: one whose clients hold their connections must not use up
+// the time of the others.
 func (s *servers) stop(timeout time.Duration) {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	for _, srv := range s.list {
-		if err := srv.http.Shutdown(ctx); err != nil {
-			s.log.Warn().Err(err).Str("server", srv.name).Msg("grace period over; closing the remaining connections")
-			_ = srv.http.Close()
-		}
+		s.wg.Go(func() {
+			if err := srv.http.Shutdown(ctx); err != nil {
+				s.log.Warn().Err(err).Str("server", srv.name).Msg("grace period over; closing the remaining connections")
+				_ = srv.http.Close()
+			}
+		})
 	}
 	s.wg.Wait()
 	if s.guard != nil {
