daemon: callers and operators stop at the same time

While a daemon of serve ended, a request of an operator that had been read could be cut off without an answer, because a caller held its connection with half a header.

Both stop accepting at once now; the peers' listener is closed after them, as before.

--- a/daemon/server.go
+++ b/daemon/server.go
@@ -104,15 +104,20 @@
 	}
 }
 
-// stop lets answers be written and closes the listeners.
+// stop lets answers be written and closes the listeners. Callers that hold their connections must
+// not use up the time of the operators.
 func (s *servers) stop() {
 	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancel()
+	var stopping sync.WaitGroup
 	for _, srv := range []*http.Server{s.callers, s.operators} {
-		if srv.Shutdown(ctx) != nil {
-			_ = srv.Close()
-		}
+		stopping.Go(func() {
+			if srv.Shutdown(ctx) != nil {
+				_ = srv.Close()
+			}
+		})
 	}
+	stopping.Wait()
 	_ = s.peers.Close()
 	s.wg.Wait()
 	s.guard.Close()
