--- a/connlimit/conn.go
+++ b/connlimit/conn.go
@@ -30,9 +30,9 @@
 	stalledWrite = time.Second
 	// blockedWrite is the same while many responses make no progress.
 	blockedWrite = 50 * time.Millisecond
-	// stalledRead is the time after which a request that makes no progress is closed before
-	// others that hold more memory.
-	stalledRead = time.Second
+	// stalledTime is the time without progress after which a request or response is closed
+	// before others that hold more memory.
+	stalledTime = time.Second
 	// yieldingRead is the time for which a large body is left alone by others that need the
 	// memory: one that has begun is worth more than one that has not.
 	yieldingRead = 100 * time.Millisecond
@@ -89,10 +89,10 @@
 	return !c.writing.IsZero() && now.Sub(c.writing) >= blockedWrite
 }
 
-// waiting returns for how long the server has waited for the client. ok is false if the
-// connection must not be closed to make room, writeGrace the time for which a response may make
-// no progress. A tenth of the whole time of a request counts too, so that single bytes now and
-// then do not hide a stalled request.
+// waiting returns for how long the server has waited for the client; ok is false if the
+// connection must not be closed to make room. A response may make no progress for writeGrace. A
+// tenth of the whole time of a request counts too, so that single bytes now and then do not hide a
+// stalled request.
 func (c *conn) waiting(now time.Time, writeGrace time.Duration) (d time.Duration, ok bool) {
 	const wholeTimePart = 10
 	switch {
--- a/connlimit/room.go
+++ b/connlimit/room.go
@@ -34,7 +34,7 @@
 	groupNone    = iota // not to be closed
 	groupRecent         // receives a request of ordinary size
 	groupLarge          // receives a large request
-	groupStalled        // has made no progress for stalledRead
+	groupStalled        // has made no progress for stalledTime
 	groupIdle           // has no request
 )
 
@@ -63,7 +63,7 @@
 	}
 	large := excess(c.held) > 0
 	switch {
-	case waiting >= stalledRead:
+	case waiting >= stalledTime:
 		r.group = groupStalled
 	case n == needLargeMemory && !large:
 		return rank{} // ordinary requests do not give way to large ones
