connlimit: a large request closes only what helps it

A large request closed all idle connections of other callers, and those without progress for a second, and was rejected all the same.

Cause: where large requests hold all that they may together, closing a connection that has no part in it frees nothing, but each was tried.

That lack is a need of its own now, for which only large requests are closed.

--- a/connlimit/guard.go
+++ b/connlimit/guard.go
@@ -209,12 +209,12 @@
 	if c.gone {
 		return net.ErrClosed
 	}
-	more := excess(c.held+n) - excess(c.held)
-	lacking := needMemory
-	if more > 0 {
-		lacking = needLargeMemory
-	}
-	for !g.hasMemory(c, n) || more > 0 && !g.hasLargeMemory(c, more) {
+	for {
+		lacking, ok := g.lacks(c, n)
+		if ok {
+			g.charge(c, n)
+			return nil
+		}
 		victim := g.victim(c, lacking, now)
 		if victim == nil || victim == c {
 			g.shortage = now
@@ -222,8 +222,6 @@
 		}
 		g.makeRoom(victim, now)
 	}
-	g.charge(c, n)
-	return nil
 }
 
 // makeRoom closes a connection for another one.
--- a/connlimit/room.go
+++ b/connlimit/room.go
@@ -21,6 +21,7 @@
 	needConnection  need = iota // to be admitted
 	needMemory                  // for a request of ordinary size
 	needLargeMemory             // for a large request
+	needLargeShare              // for the same, where large requests hold all that they may
 )
 
 // rank orders the connections that may be closed to make room: by group, then by cost.
@@ -54,7 +55,7 @@
 		return rank{}
 	}
 	r := rank{group: groupRecent, cost: max(waiting.Seconds(), 1e-9)}
-	if c.phase == phaseIdle {
+	if c.phase == phaseIdle && n != needLargeShare {
 		r.group = groupIdle
 		return r
 	}
@@ -62,12 +63,13 @@
 		r.cost *= float64(c.held)
 	}
 	large := excess(c.held) > 0
+	forLarge := n == needLargeMemory || n == needLargeShare
 	switch {
+	case n == needLargeShare && !large:
+		return rank{} // has no part in it
 	case waiting >= stalledTime:
 		r.group = groupStalled
-	case n == needLargeMemory && !large:
-		return rank{} // ordinary requests do not give way to large ones
-	case n == needLargeMemory && waiting < yieldingRead:
+	case forLarge && (!large || waiting < yieldingRead):
 		return rank{}
 	case large && n != needConnection:
 		r.group = groupLarge
@@ -149,10 +151,19 @@
 	return c.privileged || g.ordinary.bytes+n <= limit-limit/privilegedMemoryPart
 }
 
-// hasLargeMemory reports whether the large requests can hold n bytes more, of c.
-func (g *Guard) hasLargeMemory(c *conn, n int64) bool {
-	alone := g.large == excess(c.held)
-	return alone || g.large+n <= g.cfg.MemoryBytes/largePart
+// lacks returns what keeps c from being charged n bytes more; ok is true if nothing does.
+func (g *Guard) lacks(c *conn, n int64) (lacking need, ok bool) {
+	before, after := excess(c.held), excess(c.held+n)
+	alone := g.large == before
+	switch {
+	case after > before && !alone && g.large+after-before > g.cfg.MemoryBytes/largePart:
+		return needLargeShare, false
+	case g.hasMemory(c, n):
+		return 0, true
+	case after > before:
+		return needLargeMemory, false
+	}
+	return needMemory, false
 }
 
 // excess returns the part of what a connection holds that makes its request a large one.
--- a/connlimit/room_test.go
+++ b/connlimit/room_test.go
@@ -406,3 +406,21 @@
 	r.bytes += len(p)
 	return len(p), nil
 }
+
+// TestLargeRequestClosesOnlyWhatHelps guards against large requests that close all idle connections
+// although only other large requests use up the part of the memory that is theirs.
+func TestLargeRequestClosesOnlyWhatHelps(t *testing.T) {
+	cfg := testConfig()
+	cfg.MemoryBytes = 16 << 20
+	g := newGuard(cfg)
+	g.fill(t, phaseServing, 768<<10, at(0))
+	idle := g.fake(t, phaseIdle, connectionBytes, at(0), at(0))
+	silent := g.fake(t, phaseHeader, connectionBytes, at(0), at(0))
+	c := g.fake(t, phaseBody, connectionBytes, at(10), at(10))
+	if err := g.reserveLocked(c, 768<<10, at(10)); err == nil {
+		t.Fatal("there is room")
+	}
+	if idle.gone || silent.gone {
+		t.Errorf("closed in vain: idle %t, silent %t", idle.gone, silent.gone)
+	}
+}
