connlimit: answered connections give way before those that are yet to be read

Ordinary callers whose first bytes arrive some milliseconds after their connection were closed, 100 of 100 in a simulation with its own clock, when a crowd of large bodies is rejected and comes back every 10 ms.

Cause: a rejected connection stays for up to half a second, in which net/http waits for the rest of its body. With 30,000 rejections a second these took all places, and were closed in the order of their age, as was the caller.

They are closed right after idle connections now: the handler has answered. A response that is still on its way may be lost with it, which costs the client one more attempt.

TestOrdinaryCallersBesideLargeBodies has longer delays of the server (20 ms) and the client (5 ms).

--- a/connlimit/room.go
+++ b/connlimit/room.go
@@ -32,11 +32,12 @@
 
 // Groups of rank, the first to be closed last.
 const (
-	groupNone    = iota // not to be closed
-	groupRecent         // receives a request of ordinary size
-	groupLarge          // receives a large request
-	groupStalled        // has made no progress for stalledTime
-	groupIdle           // has no request
+	groupNone     = iota // not to be closed
+	groupRecent          // receives a request of ordinary size
+	groupLarge           // receives a large request
+	groupStalled         // has made no progress for stalledTime
+	groupAnswered        // the handler has answered; net/http waits for the rest of the body
+	groupIdle            // has no request
 )
 
 func (r rank) above(o rank) bool {
@@ -67,6 +68,8 @@
 	switch {
 	case n == needLargeShare && !large:
 		return rank{} // has no part in it
+	case c.phase == phaseRest && c.writing.IsZero():
+		r.group = groupAnswered
 	case waiting >= stalledTime:
 		r.group = groupStalled
 	case forLarge && (!large || waiting < yieldingRead):
--- a/connlimit/room_test.go
+++ b/connlimit/room_test.go
@@ -277,8 +277,8 @@
 // ordinary sends one small request and counts it if it is closed before it is answered.
 func (s *simulation) ordinary() {
 	const (
-		turn     = 2 * time.Millisecond   // until the server reads
-		arrival  = 500 * time.Microsecond // until the request is there
+		turn     = 20 * time.Millisecond // until the server reads
+		arrival  = 5 * time.Millisecond  // until the request is there
 		handling = 5 * time.Millisecond
 	)
 	c := s.connect()
