--- /dev/null
+++ b/review/standin-3/main.go
@@ -0,0 +1,30 @@
+// Command standin-3 plays the cases of the third review: it starts the project's own programs on
+// loopback addresses, beside stand-ins of clients, executors and the platform.
+package main
+
+import (
+	"fmt"
+	"os"
+)
+
+func main() {
+	if len(os.Args) != 3 {
+		fmt.Fprintln(os.Stderr, "usage: standin-3 CASE RECORD")
+		os.Exit(2)
+	}
+	cases := map[string]func(*record, bool) bool{"flood": flood}
+	play := cases[os.Args[1]]
+	if play == nil {
+		cannotRun("no case %s", os.Args[1])
+	}
+	rec := newRecord(os.Args[2])
+	trouble := os.Getenv("TROUBLE") != "0"
+	rec.printf("case %s, trouble %v", os.Args[1], trouble)
+	held := play(rec, trouble)
+	if held {
+		rec.printf("the rule held")
+		os.Exit(0)
+	}
+	rec.printf("the rule was broken")
+	os.Exit(1)
+}
