--- a/review/standin-3/cluster.go
+++ b/review/standin-3/cluster.go
@@ -21,6 +21,7 @@
 const (
 	announceMS = 1500
 	maxHoldMS  = 10000
+	cancelMS   = 3000
 	coreMB     = 280
 	edgeMB     = 284
 )
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -5,6 +5,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 )
 
 func main() {
@@ -12,11 +14,17 @@
 		fmt.Fprintln(os.Stderr, "usage: standin-3 CASE RECORD")
 		os.Exit(2)
 	}
-	cases := map[string]func(*record, bool) bool{"flood": flood}
+	cases := map[string]func(*record, bool) bool{"flood": flood, "ghost": ghost}
 	play := cases[os.Args[1]]
 	if play == nil {
 		cannotRun("no case %s", os.Args[1])
 	}
+	ended := make(chan os.Signal, 1)
+	signal.Notify(ended, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-ended
+		cannotRun("ended from outside")
+	}()
 	rec := newRecord(os.Args[2])
 	trouble := os.Getenv("TROUBLE") != "0"
 	rec.printf("case %s, trouble %v", os.Args[1], trouble)
--- a/review/standin-3/worker.go
+++ b/review/standin-3/worker.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -29,20 +31,31 @@
 	seq     int64
 	state   string
 	dead    bool
-	server  *http.Server
-	listen  net.Listener
+	// cutOff is set while nothing passes between the executor and the system.
+	cutOff bool
+	server *http.Server
+	listen net.Listener
 	// onStart and onEnd tell of what runs.
 	onStart func(e *executor, task string, n int64)
 	// lasts is how long a subtask works; 0 is until it is stopped.
 	lasts func(task string) time.Duration
+	// fails, if not 0, is how long a subtask works until it fails.
+	fails func(task string) time.Duration
+	onEnd func(e *executor, task string, n int64, how string)
+	// cpuOfRun is what a subtask uses, in thousandths of a core.
+	cpuOfRun int64
 }
 
 type run struct {
 	n     int64
 	begun time.Time
+	last  time.Duration
 	timer *time.Timer
 }
 
+// percent is how much of its work a run has done.
+func (r *run) percent() int64 { return min(100, int64(100*time.Since(r.begun)/r.last)) }
+
 type ended struct {
 	number int64
 	task   string
@@ -56,6 +69,9 @@
 func (e *executor) start(ip string) {
 	e.born, e.state = time.Now(), "ready"
 	e.changed = sync.NewCond(&e.mu)
+	if e.cpuOfRun == 0 {
+		e.cpuOfRun = 1000
+	}
 	e.runs, e.highest = map[string]*run{}, map[string]int64{}
 	addr := ip + ":0"
 	if e.addr != "" {
@@ -91,6 +107,26 @@
 	_ = e.server.Close()
 }
 
+// setCut cuts the executor off from the system, or heals the cut. The executor runs on.
+func (e *executor) setCut(cutOff bool) {
+	e.mu.Lock()
+	e.cutOff = cutOff
+	e.changed.Broadcast()
+	e.mu.Unlock()
+}
+
+// awaitPath drops a call that arrives during a cut. The caller holds mu.
+func (e *executor) awaitPath() {
+	if !e.cutOff {
+		return
+	}
+	for e.cutOff && !e.dead {
+		e.changed.Wait()
+	}
+	e.mu.Unlock()
+	panic(http.ErrAbortHandler)
+}
+
 // report sends the status reports, to the next daemon after a failure.
 func (e *executor) report() {
 	client := &http.Client{Timeout: time.Second}
@@ -100,6 +136,11 @@
 			e.mu.Unlock()
 			return
 		}
+		if e.cutOff {
+			e.mu.Unlock()
+			time.Sleep(50 * time.Millisecond)
+			continue
+		}
 		e.seq++
 		body := toJSON(object{"service": e.pool, "address": e.addr, "zone": e.zone, "version": "v1", "slots": 8, "state": e.state,
 			"cold_ms": 0, "capacity": object{"cpu": e.cpu, "mem_mb": e.mem, "gpu": 0}, "labels": []string{"a", e.rack},
@@ -143,10 +184,44 @@
 	delete(e.runs, task)
 	e.number++
 	e.ended = append(e.ended, ended{e.number, task, r.n, how})
-	//e.c.rec.printf("executor %s: %s run %d ends %s", e.id, task, r.n, how)
+	if e.onEnd != nil {
+		e.onEnd(e, task, r.n, how)
+	}
 	e.changed.Broadcast()
 }
 
+// endRun ends a run that is still there.
+func (e *executor) endRun(task string, n int64, how string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if now := e.runs[task]; now != nil && now.n == n {
+		e.end(task, how)
+	}
+}
+
+// firstRun returns the subtask with the lowest index that runs here, and how many run.
+func (e *executor) firstRun() (string, int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	first, lowest := "", 0
+	for task := range e.runs {
+		index, _ := strconv.Atoi(task[strings.LastIndex(task, ".")+1:])
+		if first == "" || index < lowest {
+			first, lowest = task, index
+		}
+	}
+	return first, len(e.runs)
+}
+
+// failAfter lets a run fail after a time.
+func (e *executor) failAfter(task string, after time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	r := e.runs[task]
+	r.timer.Stop()
+	r.timer = time.AfterFunc(after, func() { e.endRun(task, r.n, "failed") })
+}
+
 type order struct {
 	Task     string `json:"task"`
 	Run      int64  `json:"run"`
@@ -168,12 +243,13 @@
 			return
 		}
 		e.mu.Lock()
+		e.awaitPath()
 		status, body := 409, object{"reason": "fence"}
 		if o.Fence >= e.fence {
 			e.fence = o.Fence
 			status, body = f(&o)
 		}
-		dead := e.dead
+		dead := e.dead || e.cutOff
 		body["current_time_ms"], body["born"] = e.now(), e.born.UnixMilli()
 		e.mu.Unlock()
 		if dead {
@@ -201,21 +277,18 @@
 	}
 	e.highest[o.Task] = o.Run
 	e.extend(o.UntilMS)
-	r := &run{n: o.Run, begun: time.Now()}
-	last := time.Hour
+	r := &run{n: o.Run, begun: time.Now(), last: time.Hour}
 	if e.lasts != nil {
-		last = e.lasts(o.Task)
+		r.last = e.lasts(o.Task)
 	}
 	task, n := o.Task, o.Run
-	r.timer = time.AfterFunc(last, func() {
-		e.mu.Lock()
-		defer e.mu.Unlock()
-		if now := e.runs[task]; now != nil && now.n == n {
-			e.end(task, "done")
-		}
-	})
+	how := "done"
+	after := r.last
+	if e.fails != nil && e.fails(task) > 0 {
+		after, how = e.fails(task), "failed"
+	}
+	r.timer = time.AfterFunc(after, func() { e.endRun(task, n, how) })
 	e.runs[task] = r
-	//e.c.rec.printf("executor %s: %s run %d begins", e.id, task, n)
 	if e.onStart != nil {
 		e.onStart(e, task, n)
 	}
@@ -245,7 +318,7 @@
 	}
 	running, list := [][]any{}, [][]any{}
 	for task, r := range e.runs {
-		running = append(running, []any{task, r.n, "", 100, 0})
+		running = append(running, []any{task, r.n, "", r.percent(), e.cpuOfRun})
 	}
 	for _, x := range e.ended[:min(len(e.ended), 500)] {
 		list = append(list, []any{x.number, x.task, x.run, x.how, ""})
