--- a/review/standin-3/worker.go
+++ b/review/standin-3/worker.go
@@ -11,14 +11,24 @@
 	"time"
 )
 
+// gangTimeout is how long a member of a gang waits for the others.
+const gangTimeout = 3 * time.Second
+
 // executor is a sound executor, as PROTOCOL.md describes it.
 type executor struct {
 	c          *cluster
 	id, pool   string
 	zone, rack string
-	cpu, mem   int64
-	born       time.Time
-	addr       string
+	// kind is the first label; "a" if it is empty.
+	kind string
+	// gang, if not 0, is how many subtasks of a job work only together, all of them here. They wait
+	// gangTimeout for each other, and end together.
+	gang int
+	// grey, if set, tells whether the executor fails what has been started on it.
+	grey     func() bool
+	cpu, mem int64
+	born     time.Time
+	addr     string
 
 	mu      sync.Mutex
 	changed *sync.Cond
@@ -69,6 +79,9 @@
 func (e *executor) start(ip string) {
 	e.born, e.state = time.Now(), "ready"
 	e.changed = sync.NewCond(&e.mu)
+	if e.kind == "" {
+		e.kind = "a"
+	}
 	if e.cpuOfRun == 0 {
 		e.cpuOfRun = 1000
 	}
@@ -143,7 +156,7 @@
 		}
 		e.seq++
 		body := toJSON(object{"service": e.pool, "address": e.addr, "zone": e.zone, "version": "v1", "slots": 8, "state": e.state,
-			"cold_ms": 0, "capacity": object{"cpu": e.cpu, "mem_mb": e.mem, "gpu": 0}, "labels": []string{"a", e.rack},
+			"cold_ms": 0, "capacity": object{"cpu": e.cpu, "mem_mb": e.mem, "gpu": 0}, "labels": []string{e.kind, e.rack},
 			"current_time_ms": e.now(), "seq": e.seq, "born": e.born.UnixMilli()})
 		e.mu.Unlock()
 		r := do(client, "POST", "http://"+e.c.addr(e.c.cores[n%3].ip, portControl)+"/executors/"+e.id+"/heartbeat", "", "", body)
@@ -190,6 +203,36 @@
 	e.changed.Broadcast()
 }
 
+// beginGang lets the members of a run work once all of them are there. An executor that fails
+// what it runs fails each of them. The caller holds mu.
+func (e *executor) beginGang(n int64) {
+	var members []string
+	for task, r := range e.runs {
+		if r.n == n {
+			members = append(members, task)
+		}
+	}
+	if e.gang == 0 || len(members) < e.gang {
+		return
+	}
+	for _, task := range members {
+		e.runs[task].timer.Stop()
+	}
+	time.AfterFunc(e.lasts(members[0]), func() {
+		how := "done"
+		if e.grey != nil && e.grey() {
+			how = "failed"
+		}
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		for _, task := range members {
+			if r := e.runs[task]; r != nil && r.n == n {
+				e.end(task, how)
+			}
+		}
+	})
+}
+
 // endRun ends a run that is still there.
 func (e *executor) endRun(task string, n int64, how string) {
 	e.mu.Lock()
@@ -287,8 +330,12 @@
 	if e.fails != nil && e.fails(task) > 0 {
 		after, how = e.fails(task), "failed"
 	}
+	if e.gang > 0 {
+		after, how = gangTimeout, "alone"
+	}
 	r.timer = time.AfterFunc(after, func() { e.endRun(task, n, how) })
 	e.runs[task] = r
+	e.beginGang(n)
 	if e.onStart != nil {
 		e.onStart(e, task, n)
 	}
@@ -347,7 +394,7 @@
 			e.mu.Lock()
 			dead := e.dead
 			e.mu.Unlock()
-			row := object{"machine": "m-" + e.id, "pool": e.pool, "state": "up", "zone": e.zone, "labels": []string{"a", e.rack},
+			row := object{"machine": "m-" + e.id, "pool": e.pool, "state": "up", "zone": e.zone, "labels": []string{e.kind, e.rack},
 				"capacity": object{"cpu": e.cpu, "mem_mb": e.mem, "gpu": 0}, "id": e.id}
 			if dead {
 				row["state"] = "down"
