--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,6 +1,8 @@
 #!/usr/bin/env bash
-# Builds the stand-ins of the cases of the third review; run from anywhere, without a network.
-# They use the standard library only, and belong to no module: CI doesn't build them.
+# Builds the stand-ins of the cases review/11 to review/14 into target/standin-3. They use the
+# standard library only. Their files are named as tests, since a test keeps the names of the users'
+# pages out of the other sources.
 set -euo pipefail
-cd "$(dirname "$0")/standin-3"
-GOWORK=off GOPROXY=off go build -o ../../target/standin-3 ./*.go
+cd "$(dirname "$0")/.."
+mkdir -p target
+GOWORK=off GOPROXY=off go test -c -vet=off -o target/standin-3 review/standin-3/*_test.go
