--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds the stand-ins of the cases review/11 to review/14 into target/standin-3. They use the
+# Builds the stand-ins of the cases review/11 and review/13 into target/standin-3. They use the
 # standard library only. Their files are named as tests, since a test keeps the names of the users'
 # pages out of the other sources.
 set -euo pipefail
