--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -14,7 +14,7 @@
 		fmt.Fprintln(os.Stderr, "usage: standin-3 CASE RECORD")
 		os.Exit(2)
 	}
-	cases := map[string]func(*record, bool) bool{"flood": flood, "ghost": ghost, "gang": gangFails, "crash": crashes, "tenant": tenant}
+	cases := map[string]func(*record, bool) bool{"flood": flood, "ghost": ghost, "crash": crashes, "tenant": tenant}
 	play := cases[os.Args[1]]
 	if play == nil {
 		cannotRun("no case %s", os.Args[1])
